--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+GOFLAGS += -trimpath
+export GOFLAGS
+
+.PHONY: build check test run bench bench-short slopes
+
+build:
+	go build -o bin/ ./apps/...
+
+check:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+test: check build
+	go test -race -count=1 ./... -rapid.seed=20261202
+
+run: build
+	bin/camphorrack-demo -bin bin
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,115 @@
+// Package event numbers the log lines of every daemon. Operators and their
+// alerts match on the number; the text may be reworded, the number never moves.
+// docs/events.md lists them and a test keeps that page and this table the same.
+package event
+
+import "github.com/go-logr/logr"
+
+// ID numbers an event.
+type ID int
+
+// Events by hundreds: 1xx process, 2xx submissions, 3xx placement, 4xx sessions
+// and membership, 5xx configuration, 6xx targets.
+const (
+	ProcessStarted  ID = 101
+	ProcessStopping ID = 102
+	ProcessStopped  ID = 103
+	InvariantBroken ID = 104
+	DrainStarted    ID = 105
+
+	JobAccepted  ID = 201
+	JobRefused   ID = 202
+	JobComplete  ID = 203
+	JobFailed    ID = 204
+	JobAttached  ID = 205
+	JobForwarded ID = 206
+	JobUndecided ID = 207
+
+	TaskPlaced   ID = 301
+	TaskReported ID = 302
+	TaskReplaced ID = 303
+	TaskHeld     ID = 304
+
+	SessionOpened   ID = 401
+	SessionSilent   ID = 402
+	SessionClosed   ID = 403
+	SessionReplaced ID = 404
+	AgentGone       ID = 405
+	PeerLearned     ID = 406
+	BadFrame        ID = 407
+	AgentRated      ID = 408
+
+	ConfigApplied  ID = 501
+	ConfigStale    ID = 502
+	ConfigConflict ID = 503
+	LogUnreachable ID = 504
+	ConfigSnapshot ID = 505
+
+	TargetAnnounced ID = 601
+	TargetSilent    ID = 602
+	TargetLeaving   ID = 603
+	TargetFailed    ID = 604
+)
+
+// Entry describes an event for the catalogue.
+type Entry struct {
+	ID   ID
+	Name string
+	Text string
+}
+
+// Catalogue lists every event in order of its number.
+var Catalogue = []Entry{
+	{ProcessStarted, "process_started", "the daemon is up and serves"},
+	{ProcessStopping, "process_stopping", "a graceful shutdown has begun"},
+	{ProcessStopped, "process_stopped", "the daemon has finished what it had and ends"},
+	{InvariantBroken, "invariant_broken", "an invariant does not hold; the history follows"},
+	{DrainStarted, "drain_started", "an operator or a signal asked this daemon to take no new work"},
+	{JobAccepted, "job_accepted", "a submission was let in"},
+	{JobRefused, "job_refused", "a submission was turned away and did not run"},
+	{JobComplete, "job_complete", "every task succeeded and the answer is whole"},
+	{JobFailed, "job_failed", "the job ended as failed"},
+	{JobAttached, "job_attached", "a submission came again and waits for the first one's answer"},
+	{JobForwarded, "job_forwarded", "the submission belongs to another entry and was sent there"},
+	{JobUndecided, "job_undecided", "the owner can't be reached and is not proved dead"},
+	{TaskPlaced, "task_placed", "a task was sent to a target"},
+	{TaskReported, "task_reported", "a target's outcome for a task arrived"},
+	{TaskReplaced, "task_replaced", "a task that certainly did not run goes to another target"},
+	{TaskHeld, "task_held", "a task waits although a slot is free, because starting there would end later"},
+	{SessionOpened, "session_opened", "an agent and an entry are connected"},
+	{SessionSilent, "session_silent", "nothing was heard on a connection for too long; a new one is tried"},
+	{SessionClosed, "session_closed", "a connection ended"},
+	{SessionReplaced, "session_replaced", "a new connection took over from an older one"},
+	{AgentGone, "agent_gone", "an agent's incarnation ended; its unsettled attempts have unknown outcomes"},
+	{PeerLearned, "peer_learned", "another entry's address was learned"},
+	{BadFrame, "bad_frame", "a frame could not be decoded or broke the protocol; the connection is closed"},
+	{AgentRated, "agent_rated", "an agent's rating changed: failing, straggling or well again"},
+	{ConfigApplied, "config_applied", "a configuration version is in force on this process"},
+	{ConfigStale, "config_stale", "this process has not heard of the configuration for too long"},
+	{ConfigConflict, "config_conflict", "a change lost against another operator's"},
+	{LogUnreachable, "log_unreachable", "the platform's log does not answer"},
+	{ConfigSnapshot, "config_snapshot", "a snapshot was appended before retention drops what is needed"},
+	{TargetAnnounced, "target_announced", "a target announced itself"},
+	{TargetSilent, "target_silent", "a target stopped announcing itself"},
+	{TargetLeaving, "target_leaving", "a target said that it leaves"},
+	{TargetFailed, "target_failed", "a call to a target failed"},
+}
+
+var names = func() map[ID]string {
+	byID := make(map[ID]string, len(Catalogue))
+	for _, e := range Catalogue {
+		byID[e.ID] = e.Name
+	}
+	return byID
+}()
+
+// String returns the event's name.
+func (id ID) String() string { return names[id] }
+
+// Log writes the event with its number and name, then the key and value pairs.
+func Log(log logr.Logger, id ID, keysAndValues ...any) {
+	if !log.Enabled() {
+		return
+	}
+	log.Info(names[id], append([]any{"event", int(id)}, keysAndValues...)...)
+}
