Owner: the control state of an entry

The submissions of one incarnation, the agents connected to it and the attempts sent to them, as a blackboard with small controllers on one goroutine. An id carries its deadline, so the owner forgets an id once the deadline is past and still can never start it twice; a complete answer is not given past the deadline, because another entry may by then have said that the outcome is unknown.

--- /dev/null
+++ b/internal/owner/board.go
@@ -0,0 +1,221 @@
+package owner
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"math/rand/v2"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// board is the blackboard: all state that the controllers share.
+type board struct {
+	jobs     map[string]*record // by id, until it is forgotten
+	pending  int                // accepted and without a final answer
+	ready    readyQueue         // jobs with waiting tasks
+	timeline timeline           // next time at which a record needs attention
+	answers  []*record          // final answers with results, oldest first
+	kept     int                // bytes of results in answers
+
+	waitingTasks map[string]int // by class
+	entries      []string       // addresses of other entries, for agents to dial
+	started      time.Time      // first time seen by a controller
+
+	agents   map[job.Incarnation]*agent
+	byConn   map[ConnID]*agent
+	byWorker map[string]*agent
+	dirty    []*agent // agents with a frame to send
+	nextSeq  uint64   // next attempt number, never reused
+
+	draining bool
+	counts   Counts
+	random   *rand.Rand
+}
+
+func newBoard(seed uint64) board {
+	return board{
+		jobs:         map[string]*record{},
+		waitingTasks: map[string]int{},
+		agents:       map[job.Incarnation]*agent{},
+		byConn:       map[ConnID]*agent{},
+		byWorker:     map[string]*agent{},
+		nextSeq:      1,
+		random:       rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// record is one id's place in the seen-set. It outlives the job's tasks: until
+// the id's deadline it keeps the id from being started again, and for AnswerKeep
+// longer it serves look-ups.
+type record struct {
+	id          job.ID
+	fingerprint [sha256.Size]byte
+	live        *liveJob // nil once the answer is final
+	answer      job.Answer
+	answerBytes int
+	evicted     bool // results dropped for memory
+	cancelled   bool // cancelled before the submission came, so its body is unknown
+	next        time.Time
+	index       int // in timeline
+}
+
+// taskState is how a task of a live job stands.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskSent
+	taskDone
+)
+
+// liveJob is an accepted job without an answer.
+type liveJob struct {
+	rec         *record
+	sub         *job.Submission
+	accepted    time.Time
+	waiters     map[int]Waiter
+	nextWait    int
+	tasks       []liveTask
+	waiting     []int // indexes of waiting tasks, shortest first: the longest is taken from the end
+	done        int
+	remainingMs float64 // estimates of the tasks that are not done
+	mayHaveRun  bool    // some task was sent and not proved not run
+	rank        int64
+	index       int // in ready, -1 when absent
+}
+
+type liveTask struct {
+	state      taskState
+	estimateMs float64
+	result     []byte
+	attempt    *attempt // while sent
+	tries      int
+}
+
+// attempt is one start of one task at one agent, until it is settled.
+type attempt struct {
+	seq    uint64
+	agent  *agent
+	live   *liveJob // nil once the job has ended: the outcome no longer matters
+	task   int
+	sentAt time.Time
+}
+
+// agent is one incarnation of an agent.
+type agent struct {
+	incarnation job.Incarnation
+	worker      string
+	dataCentre  string
+	rack        string
+	target      wire.Target
+	conn        ConnID // 0 while disconnected
+	lastSeen    time.Time
+
+	attempts map[uint64]*attempt // not settled
+	order    []uint64            // their numbers, rising; settled ones are skipped lazily
+
+	// Credits of the present connection.
+	granted, spent, returned uint64
+	avoidUntil               time.Time
+	demand                   wire.Demand // as last sent
+
+	out   wire.ToAgent
+	dirty bool
+}
+
+func (a *agent) credits() int { return int(a.granted - a.spent - a.returned) }
+
+// usable reports whether new work may go to the agent.
+func (a *agent) usable(now time.Time) bool {
+	return a.conn != 0 && !a.target.Leaving && !a.target.Down && !now.Before(a.avoidUntil)
+}
+
+// serves reports whether the agent's target takes tasks of the class.
+func (a *agent) serves(class string) bool {
+	if len(a.target.Classes) == 0 {
+		return true
+	}
+	for _, c := range a.target.Classes {
+		if c == class {
+			return true
+		}
+	}
+	return false
+}
+
+// settledBelow returns the number below which every attempt at this agent is
+// settled; next is the number that no attempt has yet.
+func (a *agent) settledBelow(next uint64) uint64 {
+	for len(a.order) > 0 {
+		if _, open := a.attempts[a.order[0]]; open {
+			return a.order[0]
+		}
+		a.order = a.order[1:]
+	}
+	return next
+}
+
+func (b *board) touch(a *agent) *wire.ToAgent {
+	if !a.dirty {
+		a.dirty = true
+		b.dirty = append(b.dirty, a)
+	}
+	return &a.out
+}
+
+// readyQueue orders jobs with waiting tasks by rank, lowest first.
+type readyQueue []*liveJob
+
+func (q readyQueue) Len() int { return len(q) }
+func (q readyQueue) Less(i, j int) bool {
+	if q[i].rank != q[j].rank {
+		return q[i].rank < q[j].rank
+	}
+	return q[i].accepted.Before(q[j].accepted)
+}
+func (q readyQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+func (q *readyQueue) Push(x any) {
+	l := x.(*liveJob)
+	l.index = len(*q)
+	*q = append(*q, l)
+}
+func (q *readyQueue) Pop() any {
+	old := *q
+	l := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	l.index = -1
+	return l
+}
+
+// timeline orders records by the next time at which they need attention.
+type timeline []*record
+
+func (t timeline) Len() int           { return len(t) }
+func (t timeline) Less(i, j int) bool { return t[i].next.Before(t[j].next) }
+func (t timeline) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+func (t *timeline) Push(x any) {
+	r := x.(*record)
+	r.index = len(*t)
+	*t = append(*t, r)
+}
+func (t *timeline) Pop() any {
+	old := *t
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	return r
+}
+
+func (b *board) schedule(r *record, at time.Time) {
+	r.next = at
+	heap.Push(&b.timeline, r)
+}
--- /dev/null
+++ b/internal/owner/demand.go
@@ -0,0 +1,79 @@
+package owner
+
+import "github.com/camphorrack/camphorrack/internal/wire"
+
+const (
+	// rankStepMs is the change of the best rank that is worth a message of its own.
+	// The rank decides between owners only; being 100 ms off costs a task of the
+	// lower rank at most about that much.
+	rankStepMs = 100
+	// rankScan bounds how far into the ready queue a class's best rank is sought.
+	rankScan = 64
+)
+
+// publishDemand tells agents how much waits for them, where that has changed
+// enough to matter for the sharing of their slots, or where a frame goes out anyway.
+func (c *Core) publishDemand() {
+	if c.opts.Policy.push() {
+		return
+	}
+	ranks := c.bestRanks()
+	for _, a := range c.byConn {
+		d := c.demandFor(a, ranks)
+		if d == a.demand || !a.dirty && !demandChanged(a.demand, d) {
+			continue
+		}
+		a.demand = d
+		c.touch(a).Demand = &d
+	}
+}
+
+func (c *Core) demandFor(a *agent, ranks map[string]int64) wire.Demand {
+	d := wire.Demand{Returned: a.returned}
+	for class, n := range c.waitingTasks {
+		if n == 0 || !a.serves(class) {
+			continue
+		}
+		rank, seen := ranks[class]
+		if !seen {
+			rank = ranks[""]
+		}
+		if d.Waiting == 0 || rank < d.RankMs {
+			d.RankMs = rank
+		}
+		d.Waiting += n
+	}
+	// More than a few rounds of the agent's slots make no difference to it.
+	d.Waiting = min(d.Waiting, 4*max(a.target.Slots, 1))
+	return d
+}
+
+// demandChanged ignores small changes: each costs a message to every agent.
+func demandChanged(was, is wire.Demand) bool {
+	if (was.Waiting == 0) != (is.Waiting == 0) || was.Returned != is.Returned {
+		return true
+	}
+	if is.Waiting == 0 {
+		return false
+	}
+	change := is.RankMs - was.RankMs
+	return is.Waiting < was.Waiting/2 || is.Waiting > was.Waiting*2 || change > rankStepMs || change < -rankStepMs
+}
+
+// bestRanks returns the lowest rank of each class among the head of the queue;
+// under "" it holds the highest rank seen, for classes further back.
+func (c *Core) bestRanks() map[string]int64 {
+	ranks := map[string]int64{}
+	for i, l := range c.ready {
+		if i >= rankScan {
+			break
+		}
+		if best, seen := ranks[l.sub.Class]; !seen || l.rank < best {
+			ranks[l.sub.Class] = l.rank
+		}
+		if last, seen := ranks[""]; !seen || l.rank > last {
+			ranks[""] = l.rank
+		}
+	}
+	return ranks
+}
