--- /dev/null
+++ b/internal/scheduler/admission/admission.go
@@ -0,0 +1,122 @@
+// Package admission decides at the door whether a job is let in.
+//
+// The pattern of load: callers bring 1.5 times what the targets can do, for
+// minutes. If all of it is let in, the queue grows until every job that comes out
+// of it has missed its deadline: the targets are busy with answers nobody can use
+// (congestion collapse), and it goes on after the burst has ended.
+//
+// Why this works: work is let in only as far as the queue can be worked off in a
+// short time, so what is let in is finished in time, and what is refused is
+// refused at once, has not run, and is told when to come back: after the time in
+// which the queue will have shrunk enough. When the queue is long, a team that
+// fills more than its share of it is turned away first, so that one caller's
+// burst does not shut out the others.
+package admission
+
+import "time"
+
+const (
+	// SoftQueue is how long the queue may take to work off before teams above
+	// their fair share are refused. It must cover the spread of task times, or
+	// slots run dry while work is refused.
+	SoftQueue = 1500 * time.Millisecond
+	// HardQueue is how long the queue may take to work off at most.
+	HardQueue = 3 * time.Second
+	// OvertakeFactor allows for jobs that will come later and go first.
+	OvertakeFactor = 1.5
+	// MinRetry and MaxRetry bound the time to come back: below, the refusals
+	// themselves become the load; above, callers stay away from a free system.
+	MinRetry = 100 * time.Millisecond
+	MaxRetry = 30 * time.Second
+)
+
+// View is the state of the owner and the job at the door. Work is in
+// milliseconds at speed 1.
+type View struct {
+	QueuedMs        float64 // unfinished work of all jobs let in
+	CapacityMsPerMs float64 // work the owner gets done in a millisecond (slots x speed)
+	FastestSpeed    float64 // of the fastest suitable target
+	Jobs, MaxJobs   int     // jobs held, and the most that memory allows; MaxJobs 0: no limit
+
+	RemainingMs float64       // the job's work
+	LongestMs   float64       // its longest task
+	AheadMs     float64       // queued work that ranks before it
+	DeadlineIn  time.Duration // 0: none
+
+	TeamQueuedMs float64 // part of QueuedMs that is of the job's team
+	Teams        int     // teams with work queued, the job's own included
+}
+
+// Reason says why a job was refused.
+type Reason uint8
+
+// Reasons.
+const (
+	Admitted   Reason = iota
+	TableFull         // as many jobs are held as memory allows
+	NoCapacity        // no target is there at all
+	QueueFull         // the queue is as long as can be worked off in time
+	TeamShare         // the queue is long and the team fills more than its share
+	TooLate           // it could not end before its deadline
+)
+
+var reasonNames = [...]string{"admitted", "table_full", "no_capacity", "queue_full", "team_share", "too_late"}
+
+// String returns the reason's name in logs and refusals.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision is the outcome.
+type Decision struct {
+	Admit      bool
+	Reason     Reason
+	RetryAfter time.Duration // when refused
+}
+
+// Decide lets the job in or turns it away.
+func Decide(v View) Decision {
+	if v.MaxJobs > 0 && v.Jobs >= v.MaxJobs {
+		return refuse(TableFull, drain(v, v.QueuedMs/4))
+	}
+	if v.CapacityMsPerMs <= 0 {
+		return refuse(NoCapacity, time.Second)
+	}
+	if v.DeadlineIn > 0 {
+		if need := expected(v); need > v.DeadlineIn {
+			return refuse(TooLate, need-v.DeadlineIn)
+		}
+	}
+	queue := drain(v, v.QueuedMs)
+	if queue > HardQueue {
+		return refuse(QueueFull, queue-SoftQueue)
+	}
+	if queue > SoftQueue && aboveShare(v) {
+		return refuse(TeamShare, queue-SoftQueue)
+	}
+	return Decision{Admit: true}
+}
+
+// expected is the time until the job would be done.
+func expected(v View) time.Duration {
+	wait := drain(v, v.AheadMs*OvertakeFactor)
+	own := drain(v, v.RemainingMs)
+	if v.FastestSpeed > 0 {
+		own = max(own, time.Duration(v.LongestMs/v.FastestSpeed*float64(time.Millisecond)))
+	}
+	return wait + own
+}
+
+func aboveShare(v View) bool {
+	return (v.TeamQueuedMs+v.RemainingMs)*float64(max(v.Teams, 1)) > v.QueuedMs
+}
+
+// drain is how long it takes to get work done.
+func drain(v View, workMs float64) time.Duration {
+	if v.CapacityMsPerMs <= 0 {
+		return MaxRetry
+	}
+	return time.Duration(min(workMs/v.CapacityMsPerMs, 1e9) * float64(time.Millisecond))
+}
+
+func refuse(r Reason, after time.Duration) Decision {
+	return Decision{Reason: r, RetryAfter: min(max(after, MinRetry), MaxRetry)}
+}
--- /dev/null
+++ b/internal/scheduler/grants/sharer.go
@@ -0,0 +1,285 @@
+// Package grants divides the slots of one target among the entries that want
+// them. It runs in the agent beside the target.
+//
+// The pattern of load: several entries each hold a queue, and their loads differ
+// and change within a second. If entries send as they like, tasks line up at the
+// target or are turned away there: messages wasted, and a line that nobody can
+// reorder. If slots are split in fixed parts, one entry queues while another's
+// part lies idle.
+//
+// Why this works: an entry starts a task only against a credit, and running
+// tasks plus credits out never exceed the slots, so nothing ever waits here.
+//   - Idle slots are handed out evenly before anyone asks, so that in an idle
+//     system a start costs no extra round trip.
+//   - A slot that frees goes to the waiting entry whose best job ranks lowest,
+//     which makes several queues act nearly as one.
+//   - Idle credits are called back while another entry waits, and one at a time
+//     when an entry has none left and another holds several.
+//   - All credits of an entry that is gone are free again at once.
+//
+// Ranks contain the entries' clocks and estimates. An entry whose clock lags, or
+// one with a burst of tiny jobs, would rank lowest for ever and starve the
+// others; so every GuardEvery-th contested slot goes to the entry that has waited
+// through the most grants.
+package grants
+
+import (
+	"cmp"
+	"slices"
+)
+
+// GuardEvery is how often a contested slot goes by turn and not by rank. An
+// eighth of the slots bounds the wait of a starved entry to some tens of
+// milliseconds at a target of 8 slots, and costs the order little.
+const GuardEvery = 8
+
+// Change is what an owner has to be told.
+type Change struct {
+	Owner  uint64
+	Total  uint64 // credits granted since the owner came up
+	Recall int    // credits to hand back now, as far as they are unspent
+}
+
+type owner struct {
+	id       uint64
+	total    uint64
+	told     uint64 // total when the owner was last told
+	spent    uint64
+	returned uint64
+	waiting  int
+	rankMs   int64
+	recalled int // asked back and neither returned nor spent yet
+	askBack  int // part of recalled that the owner has not been told of
+	passed   int // contested grants to others while this one waited
+}
+
+// outstanding is the number of credits the owner may still spend.
+func (o *owner) outstanding() int { return int(o.total - o.spent - o.returned) }
+
+// settled reports whether no recall is under way. While one is, the owner gets
+// nothing new: the recall could then take back a later credit than was meant,
+// and both sides would count differently.
+func (o *owner) settled() bool { return o.recalled == 0 }
+
+// Sharer divides slots. It is not safe for concurrent use.
+type Sharer struct {
+	slots     int
+	running   int
+	owners    []*owner // in the order of their ids
+	turn      int      // where the next idle slot goes
+	contested int
+}
+
+// NewSharer returns a sharer without slots and owners.
+func NewSharer() *Sharer { return &Sharer{} }
+
+// SetSlots sets how many tasks the target runs at a time. 0 calls every credit
+// back, as for a target that is leaving.
+func (s *Sharer) SetSlots(n int) { s.slots = max(n, 0) }
+
+// OwnerUp adds an owner; one that is already up starts again from zero.
+func (s *Sharer) OwnerUp(id uint64) {
+	s.OwnerDown(id)
+	i, _ := s.find(id)
+	s.owners = slices.Insert(s.owners, i, &owner{id: id})
+}
+
+// OwnerDown removes an owner and frees its credits. Its running tasks keep their
+// slots until they finish.
+func (s *Sharer) OwnerDown(id uint64) {
+	if i, ok := s.find(id); ok {
+		s.owners = slices.Delete(s.owners, i, i+1)
+	}
+}
+
+// Owners returns the number of owners.
+func (s *Sharer) Owners() int { return len(s.owners) }
+
+// Running returns the number of tasks that hold a slot.
+func (s *Sharer) Running() int { return s.running }
+
+// Outstanding returns the number of credits that are out.
+func (s *Sharer) Outstanding() int {
+	n := 0
+	for _, o := range s.owners {
+		n += o.outstanding()
+	}
+	return n
+}
+
+// Demand notes what an owner wants: how many of its tasks wait, the rank of the
+// best of them, and how many credits it has handed back since it came up.
+// It reports false when the owner claims to return more than it holds.
+func (s *Sharer) Demand(id uint64, waiting int, rankMs int64, returned uint64) bool {
+	i, ok := s.find(id)
+	if !ok {
+		return true
+	}
+	o := s.owners[i]
+	if returned < o.returned || returned-o.returned > uint64(o.outstanding()) {
+		return false
+	}
+	back := int(returned - o.returned)
+	o.returned = returned
+	o.recalled = min(max(o.recalled-back, 0), o.outstanding())
+	o.askBack = min(o.askBack, o.recalled)
+	o.waiting = max(waiting, 0)
+	o.rankMs = rankMs
+	if o.waiting == 0 {
+		o.passed = 0
+	}
+	return true
+}
+
+// Spent turns one of the owner's credits into a running task. It reports false
+// when the owner has none, and then changes nothing.
+func (s *Sharer) Spent(id uint64) bool {
+	i, ok := s.find(id)
+	if !ok || s.owners[i].outstanding() == 0 {
+		return false
+	}
+	o := s.owners[i]
+	o.spent++
+	o.recalled = min(o.recalled, o.outstanding())
+	o.askBack = min(o.askBack, o.recalled)
+	s.running++
+	return true
+}
+
+// Finished frees the slot of a running task.
+func (s *Sharer) Finished() { s.running = max(s.running-1, 0) }
+
+// Changes hands out free slots, decides on recalls, and appends to dst what each
+// owner must be told.
+func (s *Sharer) Changes(dst []Change) []Change {
+	s.grant()
+	s.recall()
+	for _, o := range s.owners {
+		if o.total != o.told || o.askBack > 0 {
+			dst = append(dst, Change{o.id, o.total, o.askBack})
+			o.told, o.askBack = o.total, 0
+		}
+	}
+	return dst
+}
+
+func (s *Sharer) free() int { return s.slots - s.running - s.Outstanding() }
+
+func (s *Sharer) grant() {
+	for n := s.free(); n > 0; n-- {
+		o := s.next()
+		if o == nil {
+			return
+		}
+		o.total++
+		o.waiting = max(o.waiting-1, 0)
+	}
+}
+
+// next returns the owner that gets the next free slot, or nil.
+func (s *Sharer) next() *owner {
+	waiting := 0
+	for _, o := range s.owners {
+		if o.waiting > 0 && o.settled() {
+			waiting++
+		}
+	}
+	switch waiting {
+	case 0:
+		return s.nextIdle()
+	case 1:
+		return s.best(byRank)
+	}
+	s.contested++
+	rule := byRank
+	if s.contested%GuardEvery == 0 {
+		rule = byPassed
+	}
+	winner := s.best(rule)
+	for _, o := range s.owners {
+		if o.waiting > 0 {
+			o.passed++
+		}
+	}
+	winner.passed = 0
+	return winner
+}
+
+func byRank(a, b *owner) int { return cmp.Compare(a.rankMs, b.rankMs) }
+
+func byPassed(a, b *owner) int {
+	return cmp.Or(cmp.Compare(b.passed, a.passed), byRank(a, b))
+}
+
+func (s *Sharer) best(rule func(a, b *owner) int) *owner {
+	var best *owner
+	for _, o := range s.owners {
+		if o.waiting > 0 && o.settled() && (best == nil || rule(o, best) < 0) {
+			best = o
+		}
+	}
+	return best
+}
+
+// nextIdle returns the owner with the fewest credits, by turn among equals.
+func (s *Sharer) nextIdle() *owner {
+	var best *owner
+	for n := range s.owners {
+		o := s.owners[(s.turn+n)%len(s.owners)]
+		if o.settled() && (best == nil || o.outstanding() < best.outstanding()) {
+			best = o
+		}
+	}
+	s.turn++
+	return best
+}
+
+// recall asks credits back: all that exceed the slots, else from owners that
+// don't wait as many as others wait for, else one to even out.
+func (s *Sharer) recall() {
+	pending, wanted := 0, 0
+	empty := false
+	for _, o := range s.owners {
+		pending += o.recalled
+		wanted += o.waiting
+		empty = empty || o.outstanding() == 0 && o.settled()
+	}
+	if over := -s.free() - pending; over > 0 {
+		s.callBack(over, 0, false)
+		return
+	}
+	if wanted > pending {
+		s.callBack(wanted-pending, 0, true)
+		return
+	}
+	if wanted == 0 && pending == 0 && empty && s.free() <= 0 {
+		s.callBack(1, 1, true)
+	}
+}
+
+// callBack asks for n credits, one by one from the owner that has the most
+// besides those already asked back, and leaves each owner at least keep.
+func (s *Sharer) callBack(n, keep int, idleOnly bool) {
+	for ; n > 0; n-- {
+		var most *owner
+		for _, o := range s.owners {
+			if idleOnly && o.waiting > 0 || o.outstanding()-o.recalled <= keep {
+				continue
+			}
+			if most == nil || o.outstanding()-o.recalled > most.outstanding()-most.recalled {
+				most = o
+			}
+		}
+		if most == nil {
+			return
+		}
+		most.recalled++
+		most.askBack++
+	}
+}
+
+func (s *Sharer) find(id uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.owners, id, func(o *owner, id uint64) int {
+		return cmp.Compare(o.id, id)
+	})
+}
--- /dev/null
+++ b/internal/scheduler/placement/placement.go
@@ -0,0 +1,236 @@
+// Package placement decides at which target a task starts, or that it waits.
+//
+// The pattern of load: targets differ in speed by a factor of three, a few tasks
+// take seconds among many of 50 ms, and at any moment only some targets have a
+// free slot. Pushing a task to a target without a free slot makes it wait in a
+// line that no one can reorder (the median response under a random push is over
+// ten times the ideal at 0.8 of capacity). Starting it wherever a slot is free
+// gives a task of several seconds to the slowest target while a fast one frees
+// in 20 ms, and the whole job's answer waits for that one task.
+//
+// Why this works: a choice goes through three steps. Feasible drops targets
+// without a credit or without the resources; ranking orders the rest by the time
+// at which the task would end there; selection takes the best, or holds the task
+// when a target that is busy now is expected to end it clearly earlier.
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+)
+
+const (
+	// HoldMargin is by how much waiting must win over starting now. Waits are
+	// guesses and runs are nearly known, so a tie goes to the slot in hand.
+	HoldMargin = 0.25
+	// OtherCentreMs is added for a target in another data centre: the round trip.
+	OtherCentreMs = 3
+	// SameRackFactor lengthens a run in a rack that the job asked to avoid. A
+	// spread is wanted where there is a choice, and not at any price.
+	SameRackFactor = 4
+)
+
+// Policy is a rule of placement.
+type Policy int
+
+// Policies. All but Late are kept as baselines for comparison: Random and
+// TwoChoices push without credits, AnyFree takes any credit in hand.
+const (
+	Late Policy = iota
+	Random
+	TwoChoices
+	AnyFree
+)
+
+// Candidate is a target as its owner sees it now.
+type Candidate struct {
+	Agent   uint64
+	Speed   float64 // measured, relative to a target of speed 1
+	Credits int     // starts allowed now
+	// InFlight counts the owner's tasks sent there and not finished; the push
+	// policies go by it.
+	InFlight int
+	// WaitMs is the expected time until a credit comes from a target without
+	// one; 0 means unknown, and then nothing is held back for it.
+	WaitMs     float64
+	Free       job.Demand // resources not taken
+	Rack       string
+	DataCentre string
+	Penalty    float64 // milliseconds added to the ranking, for targets in doubt
+	Local      bool    // in the owner's own data centre
+	Allowance  int     // most tasks in flight that its health allows
+}
+
+// Task is what is to be placed.
+type Task struct {
+	EstimateMs float64 // at speed 1
+	Demand     job.Demand
+	AvoidRacks []string      // racks where the job has tasks and asked for a spread
+	DeadlineIn time.Duration // 0: none
+}
+
+// Options are what an operator may choose.
+type Options struct {
+	Policy Policy
+	// NoHold starts a task wherever a slot is free.
+	NoHold bool
+	// Random is used by the push policies only.
+	Random *rand.Rand
+}
+
+// Reason says why a choice came out as it did.
+type Reason uint8
+
+// Reasons for a choice.
+const (
+	Best          Reason = iota // ends there first
+	Only                        // nothing else was feasible
+	HeldForFaster               // a busy target is expected to end it earlier
+	NoCredit                    // no target has a free slot for this owner
+	NoRoom                      // slots are free, but none with the resources it needs
+	NoTarget                    // no candidates at all
+	Pushed                      // a push policy took it
+)
+
+var reasonNames = [...]string{"best", "only", "held_for_faster", "no_credit", "no_room", "no_target", "pushed"}
+
+// String returns the reason's name in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// None is the index of no candidate.
+const None = -1
+
+// Choice is the outcome. RunnerUp is the next best candidate, or None.
+type Choice struct {
+	Index    int // None: hold the task
+	Reason   Reason
+	RunnerUp int
+}
+
+// Choose picks a candidate for t. It allocates nothing and keeps nothing.
+func Choose(t Task, cs []Candidate, o Options) Choice {
+	if len(cs) == 0 {
+		return Choice{None, NoTarget, None}
+	}
+	switch o.Policy {
+	case Random, TwoChoices:
+		return push(t, cs, o)
+	case AnyFree:
+		return anyFree(t, cs)
+	default:
+		return late(t, cs, o)
+	}
+}
+
+func late(t Task, cs []Candidate, o Options) Choice {
+	best, second := None, None
+	bestMs, secondMs := math.Inf(1), math.Inf(1)
+	busy, busyMs := None, math.Inf(1)
+	credits := false
+	for i := range cs {
+		c := &cs[i]
+		if !fits(t, c) {
+			credits = credits || c.Credits > 0
+			continue
+		}
+		ms := endMs(t, c)
+		if c.Credits <= 0 {
+			if c.WaitMs > 0 && c.WaitMs+ms < busyMs {
+				busy, busyMs = i, c.WaitMs+ms
+			}
+			continue
+		}
+		credits = true
+		switch {
+		case ms < bestMs:
+			second, secondMs = best, bestMs
+			best, bestMs = i, ms
+		case ms < secondMs:
+			second, secondMs = i, ms
+		}
+	}
+	if best == None {
+		return Choice{None, missing(credits), busy}
+	}
+	if !o.NoHold && busy != None && busyMs*(1+HoldMargin) < bestMs {
+		return Choice{None, HeldForFaster, busy}
+	}
+	if second == None {
+		return Choice{best, Only, busy}
+	}
+	return Choice{best, Best, second}
+}
+
+func missing(credits bool) Reason {
+	if credits {
+		return NoRoom
+	}
+	return NoCredit
+}
+
+// fits is the feasibility step, credits apart.
+func fits(t Task, c *Candidate) bool {
+	return c.Allowance > c.InFlight && t.Demand.Fits(c.Free)
+}
+
+// endMs is the ranking step: when the task would end on c if it started now.
+func endMs(t Task, c *Candidate) float64 {
+	ms := t.EstimateMs/c.Speed + c.Penalty
+	if !c.Local {
+		ms += OtherCentreMs
+	}
+	for _, rack := range t.AvoidRacks {
+		if rack == c.Rack {
+			return ms * SameRackFactor
+		}
+	}
+	return ms
+}
+
+// anyFree takes the first candidate with a credit, as late binding without a
+// view of speeds does.
+func anyFree(t Task, cs []Candidate) Choice {
+	credits := false
+	for i := range cs {
+		if cs[i].Credits <= 0 {
+			continue
+		}
+		credits = true
+		if fits(t, &cs[i]) {
+			return Choice{i, Only, None}
+		}
+	}
+	return Choice{None, missing(credits), None}
+}
+
+// push takes a candidate whether or not it has a free slot.
+func push(t Task, cs []Candidate, o Options) Choice {
+	first := pick(t, cs, o.Random)
+	if first == None {
+		return Choice{None, NoRoom, None}
+	}
+	if o.Policy == Random {
+		return Choice{first, Pushed, None}
+	}
+	second := pick(t, cs, o.Random)
+	if cs[second].InFlight < cs[first].InFlight {
+		first, second = second, first
+	}
+	return Choice{first, Pushed, second}
+}
+
+// pick draws a candidate that has the resources: from a random place onwards,
+// which is close enough to uniform where nearly all have them.
+func pick(t Task, cs []Candidate, r *rand.Rand) int {
+	start := r.IntN(len(cs))
+	for n := range cs {
+		i := (start + n) % len(cs)
+		if t.Demand.Fits(cs[i].Free) {
+			return i
+		}
+	}
+	return None
+}
