Frame of camphorctl and the callers' client

Subcommands sit one a file in command/ behind the Command interface, are wired by fx and dispatched by name; a new one is a file and one provide line in command.Module. Exit codes are named constants. internal/client sends a submission again under its id through the next entry when a connection is lost. Settings may take arguments that are no flags, in any place between flags.

--- /dev/null
+++ b/apps/camphorctl/main.go
@@ -0,0 +1,28 @@
+// Command camphorctl is the client for operators and callers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/fx"
+
+	"github.com/camphorrack/camphorrack/command"
+)
+
+func main() {
+	var runner *command.Runner
+	app := fx.New(fx.NopLogger, command.Module, fx.Populate(&runner))
+	if err := app.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, "camphorctl:", err)
+		os.Exit(command.ExitFailed)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	env := command.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.LookupEnv}
+	code := runner.Run(ctx, env, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/command/flags.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/settings"
+)
+
+// defaultEntry is where an entry listens unless it is told otherwise.
+const defaultEntry = "127.0.0.1:7400"
+
+// flags are the settings that every subcommand has.
+type flags struct {
+	*settings.Set
+	env     Env
+	entries *string
+	json    *bool
+}
+
+func newFlags(env Env, command string) *flags {
+	set := settings.New("camphorctl "+command, env.Stdout)
+	return &flags{
+		Set:     set,
+		env:     env,
+		entries: set.String("entry", defaultEntry, "addresses of entries, host:port, comma separated; the next is tried when one is lost"),
+		json:    set.Bool("json", false, "print JSON, one value a line"),
+	}
+}
+
+// load reads the arguments. Where ok is false the command ends with the code.
+func (f *flags) load(args []string) (code int, ok bool) {
+	err := f.Load(args, f.env.Getenv)
+	switch {
+	case err == nil:
+		return ExitDone, true
+	case errors.Is(err, flag.ErrHelp), errors.Is(err, settings.ErrPrinted):
+		return ExitDone, false
+	}
+	fmt.Fprintln(f.env.Stderr, err)
+	return ExitUsage, false
+}
+
+// client returns a client of the entries; the error is about -entry.
+func (f *flags) client() (*client.Client, error) {
+	return client.New(client.Options{Entries: client.SplitAddrs(*f.entries), CallTimeout: callTimeout})
+}
+
+// callTimeout bounds one call that waits for nothing, such as a token.
+const callTimeout = 2 * time.Second
+
+// fail prints an error, as JSON on the standard output too where that was asked
+// for, and returns its Exit code.
+func (f *flags) fail(err error) int {
+	if *f.json {
+		printJSON(f.env.Stdout, client.FaultOf(err))
+	}
+	fmt.Fprintln(f.env.Stderr, "camphorctl:", err)
+	return ExitCode(err)
+}
--- /dev/null
+++ b/internal/client/call.go
@@ -0,0 +1,127 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/fault"
+)
+
+// maxReplyBytes caps a reply; a larger one counts as lost.
+const maxReplyBytes = 64 << 20
+
+// errReplyTooLarge is a reply beyond maxReplyBytes.
+var errReplyTooLarge = errors.New("the reply is too large")
+
+// call is one HTTP request to one entry.
+type call struct {
+	method, path string
+	wait         time.Duration // how long the entry may hold the answer back; 0: not at all
+	waits        bool          // whether the path takes wait_ms
+	body         []byte
+}
+
+// reply is what came back, whole.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// send sends the call to one entry. The error is a *LostError.
+func (c *Client) send(ctx context.Context, entry string, k call) (*reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.wait+c.options.CallTimeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: entry, Path: k.path}
+	if k.waits {
+		target.RawQuery = "wait_ms=" + strconv.FormatInt(k.wait.Milliseconds(), 10)
+	}
+	request, err := http.NewRequestWithContext(ctx, k.method, target.String(), bytes.NewReader(k.body))
+	if err != nil {
+		return nil, &LostError{Entry: entry, Cause: err}
+	}
+	if k.body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, &LostError{Entry: entry, Cause: err}
+	}
+	defer response.Body.Close()
+	return readReply(entry, response)
+}
+
+func readReply(entry string, response *http.Response) (*reply, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err != nil {
+		return nil, &LostError{Entry: entry, Cause: err}
+	}
+	if len(body) > maxReplyBytes {
+		return nil, &LostError{Entry: entry, Cause: errReplyTooLarge}
+	}
+	return &reply{status: response.StatusCode, body: body}, nil
+}
+
+// ok reports whether the entry did what was asked.
+func (r *reply) ok() bool { return r.status >= 200 && r.status < 300 }
+
+// fault reads the fault of a reply that is not ok.
+func (r *reply) fault() *fault.Fault {
+	var answer struct {
+		Failure *fault.Fault `json:"failure"`
+		fault.Fault
+	}
+	if err := json.Unmarshal(r.body, &answer); err == nil {
+		if answer.Failure != nil {
+			return answer.Failure
+		}
+		if answer.Code != 0 {
+			return &answer.Fault
+		}
+	}
+	return fault.Newf(fault.Undecided, "HTTP status %d with no fault in it", r.status)
+}
+
+// each sends the call to one entry after the other until one answers. The error
+// is the last *LostError.
+func (c *Client) each(ctx context.Context, k call) (*reply, error) {
+	var last error
+	for range c.options.Entries {
+		at, entry := c.entry()
+		r, err := c.send(ctx, entry, k)
+		if err == nil {
+			return r, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+		c.leave(at)
+	}
+	return nil, last
+}
+
+// get calls a path that waits for nothing and decodes what it returns into v.
+func (c *Client) get(ctx context.Context, method, path string, body []byte, v any) error {
+	r, err := c.each(ctx, call{method: method, path: path, body: body})
+	if err != nil {
+		return err
+	}
+	if !r.ok() {
+		return r.fault()
+	}
+	if v == nil {
+		return nil
+	}
+	if err := json.Unmarshal(r.body, v); err != nil {
+		return errors.Wrapf(err, "reply to %s %s", method, path)
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,8 @@
 	secrets map[string]bool
 	checks  []check
 	print   *bool
+	// arguments takes what is not a flag; nil where there may be none.
+	arguments *[]string
 }
 
 type check struct {
@@ -53,6 +55,12 @@
 	return s.String(name, "", usage)
 }
 
+// Arguments lets the program take arguments that are no flags, in any place.
+func (s *Set) Arguments() *[]string {
+	s.arguments = new([]string)
+	return s.arguments
+}
+
 // Check adds a condition on one setting; run returns what is wrong, or "".
 func (s *Set) Check(name string, run func() string) {
 	s.checks = append(s.checks, check{name, run})
@@ -101,23 +109,29 @@
 	return faults
 }
 
-// readArgs goes on after a faulty argument, to find the others too.
+// readArgs goes on after a faulty argument, to find the others too, and after an
+// argument that is no flag, because flags may follow it.
 func (s *Set) readArgs(args []string) (faults []error, help bool) {
 	for {
 		err := s.Parse(args)
 		if errors.Is(err, flag.ErrHelp) {
 			return nil, true
 		}
-		if err == nil {
-			break
-		}
-		faults = append(faults, fault.New(fault.BadSetting, err.Error()))
 		args = s.Args()
+		if err != nil {
+			faults = append(faults, fault.New(fault.BadSetting, err.Error()))
+			continue
+		}
+		if len(args) == 0 {
+			return faults, false
+		}
+		if s.arguments == nil {
+			faults = append(faults, fault.Newf(fault.BadSetting, "unexpected argument %q", args[0]))
+		} else {
+			*s.arguments = append(*s.arguments, args[0])
+		}
+		args = args[1:]
 	}
-	for _, extra := range s.Args() {
-		faults = append(faults, fault.Newf(fault.BadSetting, "unexpected argument %q", extra))
-	}
-	return faults, false
 }
 
 func (s *Set) hide(name, text string) string {
