--- a/command/command.go
+++ b/command/command.go
@@ -34,6 +34,12 @@
 
 // Module provides the Runner with every subcommand.
 var Module = fx.Module("command",
+	provide(newCancel),
+	provide(newDrain),
+	provide(newInfo),
+	provide(newStatus),
+	provide(newSubmit),
+	provide(newTargets),
 	provide(newToken),
 	fx.Provide(newRunner),
 )
--- /dev/null
+++ b/command/drain.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/fault"
+)
+
+type drain struct{}
+
+func newDrain() drain { return drain{} }
+
+// Name implements Command.
+func (drain) Name() string { return "drain" }
+
+// Synopsis implements Command.
+func (drain) Synopsis() string {
+	return "ask the entries or agents at the given addresses to finish what they have and take no new work"
+}
+
+// Run implements Command. Every daemon is asked, also after one that could not be
+// reached; the exit code is that of the first that failed.
+func (d drain) Run(ctx context.Context, env Env, args []string) int {
+	f := newFlags(env, d.Name())
+	addrs := f.Arguments()
+	if code, ok := f.load(args); !ok {
+		return code
+	}
+	if len(*addrs) == 0 {
+		return f.fail(fault.Input(fault.BadSetting, "address", "want addresses of the daemons to drain"))
+	}
+	first := ExitDone
+	for _, addr := range *addrs {
+		if code := f.drainOne(ctx, addr); first == ExitDone {
+			first = code
+		}
+	}
+	return first
+}
+
+func (f *flags) drainOne(ctx context.Context, addr string) int {
+	c, err := client.New(client.Options{Entries: []string{addr}, CallTimeout: callTimeout})
+	if err != nil {
+		return f.fail(err)
+	}
+	if _, err := c.Drain(ctx); err != nil {
+		return f.fail(err)
+	}
+	if *f.json {
+		printJSON(f.env.Stdout, struct {
+			Draining string `json:"draining"`
+		}{addr})
+		return ExitDone
+	}
+	fmt.Fprintln(f.env.Stdout, "draining", addr)
+	return ExitDone
+}
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,60 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+)
+
+type status struct{}
+
+func newStatus() status { return status{} }
+
+// Name implements Command.
+func (status) Name() string { return "status" }
+
+// Synopsis implements Command.
+func (status) Synopsis() string { return "look up the answer to the submission with the given id" }
+
+// Run implements Command.
+func (s status) Run(ctx context.Context, env Env, args []string) int {
+	f := newFlags(env, s.Name())
+	ids := f.Arguments()
+	wait := f.Duration("wait", 0, "how long to wait for the final answer")
+	if code, ok := f.load(args); !ok {
+		return code
+	}
+	if len(*ids) != 1 {
+		return f.fail(fault.Input(fault.BadSetting, "id", "want one id"))
+	}
+	c, err := f.client()
+	if err != nil {
+		return f.fail(err)
+	}
+	answer, err := lookup(ctx, c, (*ids)[0], *wait)
+	if err != nil {
+		return f.fail(err)
+	}
+	return f.printAnswer(answer)
+}
+
+// lookup waits for a final answer as long as told; then a job that is merely
+// pending is an answer too.
+func lookup(ctx context.Context, c *client.Client, id string, wait time.Duration) (*job.Answer, error) {
+	if wait <= 0 {
+		return c.Lookup(ctx, id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	answer, err := c.Await(ctx, id)
+	var undecided *client.UndecidedError
+	if errors.As(err, &undecided) && undecided.Last == nil {
+		return &job.Answer{ID: id, State: job.Pending}, nil
+	}
+	return answer, err
+}
