Owner: order, placement, admission, shedding, health and quotas by the scheduler packages

The first owner took the fastest target with a credit and knew no limits. It now asks the pure packages for every decision: the rank of a job, the target of a task (or to hold it), whether a job is let in, which waiting jobs can't be done in time, how much work an agent in doubt may hold.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,7 @@
 	JobAttached  ID = 205
 	JobForwarded ID = 206
 	JobUndecided ID = 207
+	JobShed      ID = 208
 
 	TaskPlaced   ID = 301
 	TaskReported ID = 302
@@ -72,6 +73,7 @@
 	{JobAttached, "job_attached", "a submission came again and waits for the first one's answer"},
 	{JobForwarded, "job_forwarded", "the submission belongs to another entry and was sent there"},
 	{JobUndecided, "job_undecided", "the owner can't be reached and is not proved dead"},
+	{JobShed, "job_shed", "a job that was let in can't be done before its deadline any more"},
 	{TaskPlaced, "task_placed", "a task was sent to a target"},
 	{TaskReported, "task_reported", "a target's outcome for a task arrived"},
 	{TaskReplaced, "task_replaced", "a task that certainly did not run goes to another target"},
--- /dev/null
+++ b/internal/fleet/world_test.go
@@ -0,0 +1,309 @@
+// Package fleet_test drives the control state of entries and agents together,
+// under random schedules of kills, cuts, freezes, lost and late frames, and checks
+// what callers and targets see. There is no network and no real time in it.
+package fleet_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"github.com/camphorrack/camphorrack/internal/attempt"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/owner"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+var key = job.Key("0123456789abcdef")
+
+// world is a fleet of fakes around the real control state.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	entries []*entry
+	agents  []*agent
+	links   []*link
+	lastID  uint64
+
+	subs   []*submission
+	byID   map[string]*submission
+	starts map[string]int // "job/task" -> starts at targets
+}
+
+// entry is one process of an entry; a restart replaces it.
+type entry struct {
+	w      *world
+	slot   int
+	core   *owner.Core
+	owner  job.Owner
+	frozen bool
+	inbox  []func() // requests that came while it was frozen
+}
+
+// agent is one process of an agent with its target.
+type agent struct {
+	w           *world
+	slot        int
+	incarnation job.Incarnation
+	table       *attempt.Table
+	target      wire.Target
+	frozen      bool
+	running     []call
+}
+
+type call struct {
+	key   attempt.Key
+	start wire.Start
+}
+
+// link is one connection. A cut direction holds its frames back: they may come
+// late, or never.
+type link struct {
+	id        uint64
+	entry     *entry
+	agent     *agent
+	toEntry   [][]byte
+	toAgent   [][]byte
+	entryOpen bool
+	agentOpen bool
+	cutEntry  bool
+	cutAgent  bool
+}
+
+// submission is what the callers know of one id.
+type submission struct {
+	sub      *job.Submission
+	owner    *entry
+	accepted bool
+	finals   []job.Answer
+	faults   []*fault.Fault
+	notRun   bool // somebody was told "not run"
+	verdict  bool // an entry that is not the owner gave the final verdict
+}
+
+func newWorld(t *rapid.T, entries, agents int) *world {
+	w := &world{t: t, now: time.UnixMilli(1_800_000_000_000), byID: map[string]*submission{}, starts: map[string]int{}}
+	for i := range entries {
+		w.entries = append(w.entries, nil)
+		w.startEntry(i)
+	}
+	for i := range agents {
+		w.agents = append(w.agents, nil)
+		w.startAgent(i)
+		for j := range entries {
+			w.dial(w.agents[i], w.entries[j])
+		}
+	}
+	w.deliverAll()
+	return w
+}
+
+func (w *world) nextID() uint64 {
+	w.lastID++
+	return w.lastID
+}
+
+func (w *world) startEntry(slot int) {
+	e := &entry{w: w, slot: slot}
+	e.owner = job.Owner{
+		Incarnation: job.Incarnation(1000 + w.nextID()),
+		Addr:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7000+slot)),
+	}
+	e.core = owner.New(owner.Options{Owner: e.owner, Outbox: e, Log: logr.Discard()})
+	e.core.Tick(w.now)
+	w.entries[slot] = e
+}
+
+func (w *world) startAgent(slot int) {
+	a := &agent{w: w, slot: slot, incarnation: job.Incarnation(2000 + w.nextID())}
+	a.target = wire.Target{Name: fmt.Sprintf("target-%d", slot), Slots: 2, Speed: float64(slot + 1)}
+	a.table = attempt.New(attempt.Options{Incarnation: a.incarnation, Log: logr.Discard(), Outbox: a})
+	a.table.SetTarget(w.now, a.target)
+	w.agents[slot] = a
+}
+
+// Send implements owner.Outbox.
+func (e *entry) Send(conn owner.ConnID, f *wire.ToAgent) {
+	b, err := wire.Encode(f)
+	if err != nil {
+		e.w.t.Fatalf("encode: %v", err)
+	}
+	if l := e.w.link(uint64(conn)); l.entryOpen {
+		l.toAgent = append(l.toAgent, b)
+	}
+}
+
+// Close implements owner.Outbox.
+func (e *entry) Close(conn owner.ConnID) { e.w.link(uint64(conn)).entryOpen = false }
+
+// Send implements attempt.Outbox.
+func (a *agent) Send(conn attempt.ConnID, f *wire.ToEntry) {
+	b, err := wire.Encode(f)
+	if err != nil {
+		a.w.t.Fatalf("encode: %v", err)
+	}
+	if l := a.w.link(uint64(conn)); l.agentOpen {
+		l.toEntry = append(l.toEntry, b)
+	}
+}
+
+// Close implements attempt.Outbox.
+func (a *agent) Close(conn attempt.ConnID) { a.w.link(uint64(conn)).agentOpen = false }
+
+// Run implements attempt.Outbox: the target begins a task.
+func (a *agent) Run(k attempt.Key, s wire.Start) {
+	a.running = append(a.running, call{k, s})
+	a.w.begun(a, s)
+}
+
+// Abort implements attempt.Outbox. A target may or may not notice; the call's end
+// is drawn like any other.
+func (a *agent) Abort(attempt.Key) {}
+
+func (w *world) link(id uint64) *link {
+	for _, l := range w.links {
+		if l.id == id {
+			return l
+		}
+	}
+	w.t.Fatalf("no link %d", id)
+	return nil
+}
+
+func (w *world) dial(a *agent, e *entry) {
+	l := &link{id: w.nextID(), entry: e, agent: a, entryOpen: true, agentOpen: true}
+	hello := &wire.ToEntry{Hello: &wire.Hello{
+		Version: wire.Version, Incarnation: a.incarnation, Worker: fmt.Sprintf("worker-%d", a.slot), Target: a.target,
+	}}
+	b, err := wire.Encode(hello)
+	if err != nil {
+		w.t.Fatalf("encode: %v", err)
+	}
+	l.toEntry = append(l.toEntry, b)
+	w.links = append(w.links, l)
+}
+
+// deliverToEntry hands over the next frame, if it can arrive.
+func (w *world) deliverToEntry(l *link) bool {
+	if len(l.toEntry) == 0 || !l.entryOpen || l.cutEntry || l.entry.frozen || !w.alive(l.entry) {
+		return false
+	}
+	f, err := wire.Decode[wire.ToEntry](l.toEntry[0])
+	l.toEntry = l.toEntry[1:]
+	if err != nil {
+		w.t.Fatalf("decode: %v", err)
+	}
+	core := l.entry.core
+	if f.Hello != nil {
+		core.Connect(w.now, owner.ConnID(l.id), f.Hello)
+	} else if err := core.Receive(w.now, owner.ConnID(l.id), f); err != nil {
+		w.t.Fatalf("entry refused a frame: %v", err)
+	}
+	core.Flush()
+	return true
+}
+
+func (w *world) deliverToAgent(l *link) bool {
+	if len(l.toAgent) == 0 || !l.agentOpen || l.cutAgent || l.agent.frozen || w.agents[l.agent.slot] != l.agent {
+		return false
+	}
+	f, err := wire.Decode[wire.ToAgent](l.toAgent[0])
+	l.toAgent = l.toAgent[1:]
+	if err != nil {
+		w.t.Fatalf("decode: %v", err)
+	}
+	table := l.agent.table
+	if f.Welcome != nil {
+		table.Connect(w.now, attempt.ConnID(l.id), f.Welcome)
+	}
+	if err := table.Receive(w.now, attempt.ConnID(l.id), f); err != nil {
+		w.t.Fatalf("agent refused a frame: %v", err)
+	}
+	table.Flush()
+	return true
+}
+
+func (w *world) deliverAll() {
+	for progress := true; progress; {
+		progress = false
+		for _, l := range w.links {
+			for w.deliverToEntry(l) || w.deliverToAgent(l) {
+				progress = true
+			}
+		}
+	}
+}
+
+func (w *world) alive(e *entry) bool { return w.entries[e.slot] == e }
+
+// closeEntrySide makes the entry notice that a connection has ended.
+func (w *world) closeEntrySide(l *link) {
+	if !l.entryOpen || l.entry.frozen || !w.alive(l.entry) {
+		return
+	}
+	l.entryOpen = false
+	l.entry.core.Disconnect(w.now, owner.ConnID(l.id))
+	l.entry.core.Flush()
+}
+
+func (w *world) closeAgentSide(l *link) {
+	if !l.agentOpen || l.agent.frozen || w.agents[l.agent.slot] != l.agent {
+		return
+	}
+	l.agentOpen = false
+	l.agent.table.Disconnect(w.now, attempt.ConnID(l.id))
+	l.agent.table.Flush()
+}
+
+// begun checks a start at a target against everything that was promised.
+func (w *world) begun(a *agent, s wire.Start) {
+	sub := w.byID[s.Job]
+	if sub == nil {
+		w.t.Fatalf("a task of an unknown job %s started", s.Job)
+	}
+	name := fmt.Sprintf("%s/%d", s.Job, s.Task)
+	w.starts[name]++
+	if sub.notRun {
+		w.t.Fatalf("%s started after its caller was told that it did not run", name)
+	}
+	most := 1
+	if sub.sub.Idempotent {
+		most = owner.MaxTries
+	}
+	if w.starts[name] > most {
+		w.t.Fatalf("%s started %d times", name, w.starts[name])
+	}
+	if !bytes.Equal(s.Payload, payload(s.Job, s.Task)) {
+		w.t.Fatalf("%s got another task's payload", name)
+	}
+	if len(a.running) > a.target.Slots {
+		w.t.Fatalf("%s runs %d tasks on %d slots", a.target.Name, len(a.running), a.target.Slots)
+	}
+	if s.DeadlineMs <= w.now.UnixMilli() {
+		w.t.Fatalf("%s started after its deadline", name)
+	}
+}
+
+func payload(job string, task int) []byte { return fmt.Appendf(nil, "payload %s/%d", job, task) }
+func result(job string, task int) []byte  { return fmt.Appendf(nil, "result %s/%d", job, task) }
+
+// finish ends a running call of the agent's target.
+func (w *world) finish(a *agent, i int, state wire.AttemptState) {
+	c := a.running[i]
+	a.running = append(a.running[:i:i], a.running[i+1:]...)
+	out := attempt.Outcome{State: state, RunMs: 1}
+	switch state {
+	case wire.Succeeded:
+		out.Result = result(c.start.Job, c.start.Task)
+	case wire.NotRun:
+		out.Reason = wire.ReasonTarget
+		w.starts[fmt.Sprintf("%s/%d", c.start.Job, c.start.Task)]--
+	}
+	a.table.Finished(w.now, c.key, out)
+	a.table.Flush()
+}
--- /dev/null
+++ b/internal/owner/admit.go
@@ -0,0 +1,139 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/admission"
+	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
+	"github.com/camphorrack/camphorrack/internal/scheduler/shedding"
+)
+
+const (
+	// reconnectGrace is how long a disconnected agent still counts as capacity. A
+	// session that is replaced must not make the entry refuse work meanwhile.
+	reconnectGrace = 2 * time.Second
+	// shedEvery is how often waiting jobs are looked through for those that can't
+	// be done in time any more. The look sorts the queue, so it is not done on
+	// every event; a caller learns at most this much later than it could.
+	shedEvery = 100 * time.Millisecond
+)
+
+// team is what is known of one team's work.
+type team struct {
+	waiting  int     // tasks
+	queuedMs float64 // unfinished work
+}
+
+func (c *Core) team(name string) *team {
+	t := c.teams[name]
+	if t == nil {
+		t = &team{}
+		c.teams[name] = t
+	}
+	return t
+}
+
+// addWork moves the sums of unfinished work.
+func (c *Core) addWork(l *liveJob, ms float64) {
+	c.queuedMs += ms
+	c.team(l.sub.Team).queuedMs += ms
+}
+
+// dropTeam forgets a team without work, so that names that come once don't stay.
+func (c *Core) dropTeam(name string) {
+	if t := c.teams[name]; t != nil && t.jobs() == 0 {
+		delete(c.teams, name)
+	}
+}
+
+func (t *team) jobs() int {
+	if t.waiting > 0 || t.queuedMs >= 1 {
+		return 1
+	}
+	return 0
+}
+
+// capacity returns the work that this entry gets done in a millisecond, as its
+// share of the targets it knows, and the speed of the fastest that serves the class.
+func (c *Core) capacity(now time.Time, class string) (perMs, fastest float64) {
+	for _, a := range c.roster {
+		if a.conn == 0 && now.Sub(a.lastSeen) > reconnectGrace || a.target.Leaving || a.target.Down || !a.serves(class) {
+			continue
+		}
+		speed := c.estimator.Speed(uint64(a.incarnation), a.target.Speed)
+		perMs += speed * float64(a.target.Slots) / float64(max(a.owners, 1))
+		fastest = max(fastest, speed)
+	}
+	return perMs, fastest
+}
+
+// admit asks the admission rules; nil means that the job is let in.
+func (c *Core) admit(now time.Time, s *job.Submission) *fault.Fault {
+	if c.opts.Policy != PolicyLeastWork || now.Sub(c.started) < settleIn {
+		return nil
+	}
+	var work, longest float64
+	for i := range s.Tasks {
+		estimate := c.estimate(s, i)
+		work += estimate
+		longest = max(longest, estimate)
+	}
+	perMs, fastest := c.capacity(now, s.Class)
+	view := admission.View{
+		QueuedMs: c.queuedMs, CapacityMsPerMs: perMs, FastestSpeed: fastest,
+		Jobs: c.pending, RemainingMs: work, LongestMs: longest,
+		DeadlineIn:   s.ID.Deadline.Sub(now),
+		TeamQueuedMs: c.team(s.Team).queuedMs, Teams: len(c.teams),
+	}
+	rank := c.order.Rank(queueing.Job{RemainingMs: work, LongestMs: longest, Arrived: now, Deadline: s.ID.Deadline})
+	c.ready.Each(func(it *queueing.Item[*liveJob]) bool {
+		if it.Rank() < rank {
+			view.AheadMs += it.Value.remainingMs
+		}
+		return true
+	})
+	decision := admission.Decide(view)
+	if decision.Admit {
+		return nil
+	}
+	c.dropTeam(s.Team)
+	return fault.Refused(fault.Overloaded, decision.Reason.String(), decision.RetryAfter)
+}
+
+// shed ends waiting jobs that can't be done in time any more, so that their
+// callers can act and the targets don't work for answers that come too late.
+func (c *Core) shed(now time.Time) {
+	if c.opts.Policy != PolicyLeastWork || now.Sub(c.lastShed) < shedEvery || c.ready.Len() == 0 {
+		return
+	}
+	c.lastShed = now
+	waiting := make([]*liveJob, 0, c.ready.Len())
+	c.ready.Each(func(it *queueing.Item[*liveJob]) bool {
+		waiting = append(waiting, it.Value)
+		return true
+	})
+	slices.SortFunc(waiting, func(a, b *liveJob) int { return cmp.Compare(a.rank, b.rank) })
+	jobs := make([]shedding.Job, len(waiting))
+	for i, l := range waiting {
+		jobs[i] = shedding.Job{
+			RemainingMs: l.remainingMs, LongestMs: l.longestMs, Begun: l.mayHaveRun,
+			DeadlineIn: l.sub.ID.Deadline.Sub(now),
+		}
+	}
+	perMs, fastest := c.capacity(now, "")
+	if perMs == 0 {
+		return // nobody is there now; agents may come back before the deadlines
+	}
+	for _, d := range shedding.Pick(shedding.Fleet{CapacityMsPerMs: perMs, FastestSpeed: fastest}, jobs, nil) {
+		l := waiting[d.Index]
+		event.Log(c.log, event.JobShed, "job", l.sub.ID.String(), "team", l.sub.Team, "reason", d.Reason.String())
+		f := fault.New(fault.Overloaded, "it can't be done before its deadline any more: "+d.Reason.String())
+		f.RetryAfterMs = admission.MinRetry.Milliseconds()
+		c.fail(now, l, f)
+	}
+}
--- a/internal/owner/board.go
+++ b/internal/owner/board.go
@@ -4,26 +4,45 @@
 	"container/heap"
 	"crypto/sha256"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/estimation"
+	"github.com/camphorrack/camphorrack/internal/scheduler/health"
+	"github.com/camphorrack/camphorrack/internal/scheduler/placement"
+	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
+	"github.com/camphorrack/camphorrack/internal/scheduler/quota"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
 // board is the blackboard: all state that the controllers share.
 type board struct {
-	jobs     map[string]*record // by id, until it is forgotten
-	pending  int                // accepted and without a final answer
-	ready    readyQueue         // jobs with waiting tasks
-	timeline timeline           // next time at which a record needs attention
-	answers  []*record          // final answers with results, oldest first
-	kept     int                // bytes of results in answers
+	jobs     map[string]*record       // by id, until it is forgotten
+	pending  int                      // accepted and without a final answer
+	ready    queueing.Queue[*liveJob] // jobs with waiting tasks
+	timeline timeline                 // next time at which a record needs attention
+	answers  []*record                // final answers with results, oldest first
+	kept     int                      // bytes of results in answers
 
 	waitingTasks map[string]int // by class
 	entries      []string       // addresses of other entries, for agents to dial
 	started      time.Time      // first time seen by a controller
 
+	queuedMs  float64 // unfinished work of all live jobs
+	teams     map[string]*team
+	lastShed  time.Time
+	limiter   *quota.Limiter
+	estimator *estimation.Estimator
+	health    *health.Tracker
+	order     queueing.Policy
+	placing   placement.Options
+
+	candidates []placement.Candidate // of the class viewed last
+	viewed     []*agent              // the agents behind them
+
 	agents   map[job.Incarnation]*agent
+	roster   []*agent // the same, in order of their first connection
 	byConn   map[ConnID]*agent
 	byWorker map[string]*agent
 	dirty    []*agent // agents with a frame to send
@@ -31,19 +50,25 @@
 
 	draining bool
 	counts   Counts
-	random   *rand.Rand
 }
 
-func newBoard(seed uint64) board {
-	return board{
+func newBoard(o Options) board {
+	b := board{
 		jobs:         map[string]*record{},
 		waitingTasks: map[string]int{},
 		agents:       map[job.Incarnation]*agent{},
 		byConn:       map[ConnID]*agent{},
 		byWorker:     map[string]*agent{},
 		nextSeq:      1,
-		random:       rand.New(rand.NewPCG(seed, 0)),
+		teams:        map[string]*team{},
+		limiter:      quota.New(),
+		estimator:    estimation.New(),
+		health:       health.New(),
 	}
+	order, placing := o.Policy.rules()
+	b.order = order
+	b.placing = placement.Options{Policy: placing, Random: rand.New(rand.NewPCG(o.Seed, 0))}
+	return b
 }
 
 // record is one id's place in the seen-set. It outlives the job's tasks: until
@@ -82,8 +107,9 @@
 	done        int
 	remainingMs float64 // estimates of the tasks that are not done
 	mayHaveRun  bool    // some task was sent and not proved not run
+	longestMs   float64
 	rank        int64
-	index       int // in ready, -1 when absent
+	place       *queueing.Item[*liveJob] // in ready
 }
 
 type liveTask struct {
@@ -96,11 +122,16 @@
 
 // attempt is one start of one task at one agent, until it is settled.
 type attempt struct {
-	seq    uint64
-	agent  *agent
-	live   *liveJob // nil once the job has ended: the outcome no longer matters
-	task   int
-	sentAt time.Time
+	seq        uint64
+	agent      *agent
+	live       *liveJob // nil once the job has ended: the outcome no longer matters
+	task       int
+	sentAt     time.Time
+	team       string
+	class      string
+	estimateMs float64
+	declaredMs int64
+	demand     job.Demand
 }
 
 // agent is one incarnation of an agent.
@@ -119,6 +150,9 @@
 	// Credits of the present connection.
 	granted, spent, returned uint64
 	avoidUntil               time.Time
+	owners                   int        // that share the target, this one included
+	inUse                    job.Demand // by this owner's attempts
+	gap                      placement.CreditGap
 	demand                   wire.Demand // as last sent
 
 	out   wire.ToAgent
@@ -157,6 +191,26 @@
 	return next
 }
 
+// oldest returns the attempt that was sent first and is not settled, or nil.
+func (a *agent) oldest() *attempt {
+	return a.attempts[a.settledBelow(0)]
+}
+
+func (b *board) addAgent(a *agent) {
+	b.agents[a.incarnation] = a
+	b.roster = append(b.roster, a)
+}
+
+func (b *board) removeAgent(a *agent) {
+	delete(b.agents, a.incarnation)
+	b.roster = slices.DeleteFunc(b.roster, func(o *agent) bool { return o == a })
+	b.estimator.ForgetAgent(uint64(a.incarnation))
+	b.health.Forget(uint64(a.incarnation))
+	if b.byWorker[a.worker] == a {
+		delete(b.byWorker, a.worker)
+	}
+}
+
 func (b *board) touch(a *agent) *wire.ToAgent {
 	if !a.dirty {
 		a.dirty = true
@@ -165,34 +219,6 @@
 	return &a.out
 }
 
-// readyQueue orders jobs with waiting tasks by rank, lowest first.
-type readyQueue []*liveJob
-
-func (q readyQueue) Len() int { return len(q) }
-func (q readyQueue) Less(i, j int) bool {
-	if q[i].rank != q[j].rank {
-		return q[i].rank < q[j].rank
-	}
-	return q[i].accepted.Before(q[j].accepted)
-}
-func (q readyQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-func (q *readyQueue) Push(x any) {
-	l := x.(*liveJob)
-	l.index = len(*q)
-	*q = append(*q, l)
-}
-func (q *readyQueue) Pop() any {
-	old := *q
-	l := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	l.index = -1
-	return l
-}
-
 // timeline orders records by the next time at which they need attention.
 type timeline []*record
 
--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -3,41 +3,85 @@
 import (
 	"time"
 
-	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/health"
+	"github.com/camphorrack/camphorrack/internal/scheduler/placement"
+	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
 )
 
-// choose picks the agent for a task, or nil where none fits now.
-func (c *Core) choose(now time.Time, l *liveJob, task int) (*agent, string) {
-	fitting := c.fitting(now, l, l.sub.Tasks[task].Demand)
-	if len(fitting) == 0 {
-		return nil, ""
-	}
-	switch c.opts.Policy {
+// rules returns the queue's order and the placement that a policy stands for.
+func (p Policy) rules() (queueing.Policy, placement.Policy) {
+	switch p {
+	case PolicyFirstCome:
+		return queueing.FirstCome, placement.AnyFree
 	case PolicyRandom:
-		return fitting[c.random.IntN(len(fitting))], "random"
+		return queueing.FirstCome, placement.Random
 	case PolicyTwoChoices:
-		a, b := fitting[c.random.IntN(len(fitting))], fitting[c.random.IntN(len(fitting))]
-		if len(b.attempts)*a.target.Slots < len(a.attempts)*b.target.Slots {
-			a = b
-		}
-		return a, "less loaded of two"
+		return queueing.FirstCome, placement.TwoChoices
+	default:
+		return queueing.LeastWork, placement.Late
 	}
-	best := fitting[0]
-	for _, a := range fitting[1:] {
-		if a.target.Speed > best.target.Speed || a.target.Speed == best.target.Speed && a.credits() > best.credits() {
-			best = a
+}
+
+// view fills the candidates with the agents that serve a class. The slices are
+// kept between calls: placement is on the path of every task.
+func (c *Core) view(now time.Time, class string) {
+	c.candidates, c.viewed = c.candidates[:0], c.viewed[:0]
+	for _, a := range c.roster {
+		if a.usable(now) && a.serves(class) {
+			c.candidates = append(c.candidates, c.candidate(now, a))
+			c.viewed = append(c.viewed, a)
 		}
 	}
-	return best, "fastest with a credit"
 }
 
-func (c *Core) fitting(now time.Time, l *liveJob, d job.Demand) []*agent {
-	var fitting []*agent
-	for _, a := range c.agents {
-		room := c.opts.Policy.push() || a.credits() > 0
-		if room && a.usable(now) && a.serves(l.sub.Class) && d.Fits(a.target.Capacity) {
-			fitting = append(fitting, a)
+func (c *Core) candidate(now time.Time, a *agent) placement.Candidate {
+	id := uint64(a.incarnation)
+	return placement.Candidate{
+		Agent:      id,
+		Speed:      c.speed(now, a),
+		Credits:    a.credits(),
+		InFlight:   len(a.attempts),
+		WaitMs:     a.gap.WaitMs(now),
+		Free:       a.target.Capacity.Minus(a.inUse),
+		Rack:       a.rack,
+		DataCentre: a.dataCentre,
+		Local:      a.dataCentre == c.opts.DataCentre,
+		Allowance:  c.health.Allowance(id, now),
+	}
+}
+
+// speed is the speed to reckon with: as measured, and lower where the oldest
+// running task takes much longer than it should.
+func (c *Core) speed(now time.Time, a *agent) float64 {
+	measured := c.estimator.Speed(uint64(a.incarnation), a.target.Speed)
+	oldest := a.oldest()
+	if oldest == nil || measured <= 0 {
+		return measured
+	}
+	return health.StragglerSpeed(measured, ms(now.Sub(oldest.sentAt)), oldest.estimateMs/measured)
+}
+
+func (c *Core) taskView(now time.Time, l *liveJob, task int) placement.Task {
+	t := placement.Task{
+		EstimateMs: l.tasks[task].estimateMs,
+		Demand:     l.sub.Tasks[task].Demand,
+		DeadlineIn: l.sub.ID.Deadline.Sub(now),
+	}
+	if l.sub.SpreadRacks {
+		t.AvoidRacks = l.racks()
+	}
+	return t
+}
+
+// racks returns the racks in which tasks of the job run.
+func (l *liveJob) racks() []string {
+	var racks []string
+	for i := range l.tasks {
+		if at := l.tasks[i].attempt; at != nil {
+			racks = append(racks, at.agent.rack)
 		}
 	}
-	return fitting
+	return racks
 }
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -81,8 +81,9 @@
 	Policy     Policy
 	MaxJobs    int
 	MaxTimeout time.Duration // longest time to a deadline; 0 means 10 minutes
-	Entries    []string      // other entries, passed on to agents
-	Seed       uint64        // for the push policies' draws; 0 is a seed too
+	DataCentre string
+	Entries    []string // other entries, passed on to agents
+	Seed       uint64   // for the push policies' draws; 0 is a seed too
 }
 
 // Core is the control state. Its methods are not safe for concurrent use.
@@ -103,7 +104,7 @@
 	if o.Policy == "" {
 		o.Policy = PolicyLeastWork
 	}
-	c := &Core{board: newBoard(o.Seed), opts: o, log: o.Log}
+	c := &Core{board: newBoard(o), opts: o, log: o.Log}
 	c.learn(o.Entries)
 	return c
 }
@@ -114,6 +115,7 @@
 		c.started = now
 	}
 	c.expire(now)
+	c.shed(now)
 	c.dispatch(now)
 }
 
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -1,6 +1,9 @@
 package owner
 
-import "github.com/camphorrack/camphorrack/internal/wire"
+import (
+	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
 
 const (
 	// rankStepMs is the change of the best rank that is worth a message of its own.
@@ -64,16 +67,17 @@
 // under "" it holds the highest rank seen, for classes further back.
 func (c *Core) bestRanks() map[string]int64 {
 	ranks := map[string]int64{}
-	for i, l := range c.ready {
-		if i >= rankScan {
-			break
-		}
-		if best, seen := ranks[l.sub.Class]; !seen || l.rank < best {
-			ranks[l.sub.Class] = l.rank
+	seen := 0
+	c.ready.Each(func(it *queueing.Item[*liveJob]) bool {
+		class, rank := it.Value.sub.Class, it.Rank()
+		if best, known := ranks[class]; !known || rank < best {
+			ranks[class] = rank
 		}
-		if last, seen := ranks[""]; !seen || l.rank > last {
-			ranks[""] = l.rank
+		if last, known := ranks[""]; !known || rank > last {
+			ranks[""] = rank
 		}
-	}
+		seen++
+		return seen < rankScan
+	})
 	return ranks
 }
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -1,36 +1,43 @@
 package owner
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/scheduler/placement"
+	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// maxSetAside bounds how many jobs that can't start now are looked past for one
-// that can: a head of the queue that waits for a rare class must not block the
-// others, and a long queue of such jobs must not cost a scan on every event.
-const maxSetAside = 64
+const (
+	// maxSetAside bounds how many jobs that can't start now are looked past for one
+	// that can: a head of the queue that waits for a rare class must not block the
+	// others, and a long queue of such jobs must not cost a scan on every event.
+	maxSetAside = 64
+	// maxHeld bounds how many tasks of one job are looked past because they wait for
+	// a faster target.
+	maxHeld = 4
+)
 
-// dispatch starts waiting tasks while there are credits that fit them.
+// dispatch starts waiting tasks while there is room for them.
 func (c *Core) dispatch(now time.Time) {
 	var aside []*liveJob
-	for len(c.ready) > 0 && len(aside) < maxSetAside && c.anyRoom(now) {
-		l := c.ready[0]
+	for c.ready.Len() > 0 && len(aside) < maxSetAside && c.anyRoom(now) {
+		l := c.ready.Min().Value
 		c.startFrom(now, l)
-		if len(l.waiting) > 0 {
-			heap.Pop(&c.ready)
+		if l.place.Queued() {
+			c.ready.Remove(l.place)
 			aside = append(aside, l)
 		}
 	}
 	for _, l := range aside {
-		heap.Push(&c.ready, l)
+		c.enqueue(l)
 	}
 }
 
 func (c *Core) anyRoom(now time.Time) bool {
-	for _, a := range c.agents {
+	for _, a := range c.roster {
 		if a.usable(now) && (c.opts.Policy.push() || a.credits() > 0) {
 			return true
 		}
@@ -38,35 +45,52 @@
 	return false
 }
 
-// startFrom starts as many tasks of the job as there is room for, longest first.
+// startFrom starts as many tasks of the job as there is room for, longest first:
+// the longest decides when the job ends, so it gets the first choice of targets.
 func (c *Core) startFrom(now time.Time, l *liveJob) {
-	for len(l.waiting) > 0 {
-		task := l.waiting[len(l.waiting)-1]
-		a, reason := c.choose(now, l, task)
-		if a == nil {
-			return
+	c.view(now, l.sub.Class)
+	held := 0
+	for i := len(l.waiting) - 1; i >= 0 && held < maxHeld; i-- {
+		if !c.limiter.MayStart(l.sub.Team) {
+			break
+		}
+		choice := placement.Choose(c.taskView(now, l, l.waiting[i]), c.candidates, c.placing)
+		if choice.Index == placement.None {
+			held++
+			if choice.Reason != placement.HeldForFaster {
+				break
+			}
+			event.Log(c.log.V(logging.LevelDebug), event.TaskHeld, "job", l.sub.ID.String(), "task", l.waiting[i],
+				"for", c.viewed[choice.RunnerUp].worker)
+			continue
 		}
-		l.waiting = l.waiting[:len(l.waiting)-1]
-		c.waitingTasks[l.sub.Class]--
-		c.start(now, l, task, a, reason)
+		task := l.waiting[i]
+		l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+		c.start(now, l, task, choice)
 	}
 	c.enqueue(l)
 }
 
-func (c *Core) start(now time.Time, l *liveJob, task int, a *agent, reason string) {
+func (c *Core) start(now time.Time, l *liveJob, task int, choice placement.Choice) {
+	a := c.viewed[choice.Index]
 	seq := c.nextSeq
 	c.nextSeq++
 	t := &l.sub.Tasks[task]
 	l.tasks[task].state = taskSent
 	l.tasks[task].tries++
 	l.mayHaveRun = true
-	at := &attempt{seq: seq, agent: a, live: l, task: task, sentAt: now}
+	at := &attempt{seq: seq, agent: a, live: l, task: task, sentAt: now, team: l.sub.Team,
+		class: l.sub.Class, estimateMs: l.tasks[task].estimateMs, declaredMs: t.EstimateMs, demand: t.Demand}
 	a.attempts[seq] = at
-	l.tasks[task].attempt = at
 	a.order = append(a.order, seq)
+	a.inUse = a.inUse.Plus(t.Demand)
+	l.tasks[task].attempt = at
 	if !c.opts.Policy.push() {
 		a.spent++
 	}
+	c.candidates[choice.Index] = c.candidate(now, a)
+	c.limiter.Started(l.sub.Team)
+	c.countWaiting(l, -1)
 	c.counts.Starts++
 	out := c.touch(a)
 	out.Starts = append(out.Starts, wire.Start{
@@ -80,6 +104,47 @@
 		Demand:     t.Demand,
 		Idempotent: l.sub.Idempotent,
 	})
-	event.Log(c.log.V(1), event.TaskPlaced, "job", l.sub.ID.String(), "task", task, "attempt", seq,
-		"worker", a.worker, "target", a.target.Name, "reason", reason)
+	c.logPlacement(l, task, at, choice)
+}
+
+func (c *Core) logPlacement(l *liveJob, task int, at *attempt, choice placement.Choice) {
+	log := c.log.V(logging.LevelDecision)
+	if !log.Enabled() {
+		return
+	}
+	runnerUp := ""
+	if choice.RunnerUp != placement.None {
+		runnerUp = c.viewed[choice.RunnerUp].worker
+	}
+	event.Log(log, event.TaskPlaced, "job", l.sub.ID.String(), "task", task, "attempt", at.seq,
+		"worker", at.agent.worker, "reason", choice.Reason.String(), "runner_up", runnerUp,
+		"estimate_ms", at.estimateMs, "rank", l.rank)
+}
+
+// countWaiting keeps the sums of waiting tasks by class and by team.
+func (c *Core) countWaiting(l *liveJob, by int) {
+	if c.waitingTasks[l.sub.Class] += by; c.waitingTasks[l.sub.Class] == 0 {
+		delete(c.waitingTasks, l.sub.Class)
+	}
+	team := c.team(l.sub.Team)
+	team.waiting += by
+	c.limiter.Waiting(l.sub.Team, team.waiting)
+}
+
+// enqueue puts a job with waiting tasks into the ready queue, moves it there after
+// its rank changed, or takes it out when nothing of it waits.
+func (c *Core) enqueue(l *liveJob) {
+	l.rank = c.order.Rank(queueing.Job{
+		RemainingMs: l.remainingMs, LongestMs: l.longestMs, Arrived: l.accepted, Deadline: l.sub.ID.Deadline,
+	})
+	queued := l.place != nil && l.place.Queued()
+	switch {
+	case len(l.waiting) == 0 && queued:
+		c.ready.Remove(l.place)
+	case len(l.waiting) == 0:
+	case queued:
+		c.ready.Fix(l.place, l.rank)
+	default:
+		l.place = c.ready.Push(l, l.rank)
+	}
 }
--- a/internal/owner/expire.go
+++ b/internal/owner/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/fault"
@@ -29,12 +30,9 @@
 		heap.Pop(&c.timeline)
 		delete(c.jobs, r.id.String())
 	}
-	for inc, a := range c.agents {
+	for _, a := range slices.Clone(c.roster) {
 		if a.conn == 0 && len(a.attempts) == 0 && now.Sub(a.lastSeen) > agentKeep {
-			delete(c.agents, inc)
-			if c.byWorker[a.worker] == a {
-				delete(c.byWorker, a.worker)
-			}
+			c.removeAgent(a)
 		}
 	}
 }
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -59,6 +58,9 @@
 	if c.draining {
 		return c.refuse(s, fault.Refused(fault.Draining, "this entry is leaving; take a token from another", 100*time.Millisecond))
 	}
+	if f := c.admit(now, s); f != nil {
+		return c.refuse(s, f)
+	}
 	return nil
 }
 
@@ -100,7 +102,7 @@
 
 func (c *Core) accept(now time.Time, s *job.Submission) *liveJob {
 	r := &record{id: s.ID, fingerprint: s.Fingerprint()}
-	live := &liveJob{rec: r, sub: s, accepted: now, waiters: map[int]Waiter{}, index: -1}
+	live := &liveJob{rec: r, sub: s, accepted: now, waiters: map[int]Waiter{}}
 	live.tasks = make([]liveTask, len(s.Tasks))
 	live.waiting = make([]int, len(s.Tasks))
 	for i := range s.Tasks {
@@ -109,6 +111,7 @@
 	}
 	for i := range live.tasks {
 		live.remainingMs += live.tasks[i].estimateMs
+		live.longestMs = max(live.longestMs, live.tasks[i].estimateMs)
 	}
 	slices.SortStableFunc(live.waiting, func(a, b int) int {
 		return compareFloat(live.tasks[a].estimateMs, live.tasks[b].estimateMs)
@@ -119,17 +122,19 @@
 	c.schedule(r, s.ID.Deadline)
 	c.pending++
 	c.counts.Accepted++
-	c.waitingTasks[s.Class] += len(live.waiting)
+	c.countWaiting(live, len(live.waiting))
+	c.addWork(live, live.remainingMs)
 	c.enqueue(live)
 	event.Log(c.log, event.JobAccepted, "job", s.ID.String(), "team", s.Team, "class", s.Class, "tasks", len(s.Tasks))
 	return live
 }
 
 func (c *Core) estimate(s *job.Submission, task int) float64 {
-	if ms := s.Tasks[task].EstimateMs; ms > 0 {
-		return float64(ms)
+	declared := float64(s.Tasks[task].EstimateMs)
+	if declared == 0 {
+		declared = unknownEstimateMs
 	}
-	return unknownEstimateMs
+	return c.estimator.TaskMs(s.Class, declared)
 }
 
 func compareFloat(a, b float64) int {
@@ -142,31 +147,6 @@
 	return 0
 }
 
-// enqueue puts a job with waiting tasks into the ready queue, or moves it there
-// after its rank changed.
-func (c *Core) enqueue(l *liveJob) {
-	l.rank = c.rank(l)
-	switch {
-	case len(l.waiting) == 0 && l.index >= 0:
-		heap.Remove(&c.ready, l.index)
-	case len(l.waiting) == 0:
-	case l.index >= 0:
-		heap.Fix(&c.ready, l.index)
-	default:
-		heap.Push(&c.ready, l)
-	}
-}
-
-func (c *Core) rank(l *liveJob) int64 {
-	if c.opts.Policy != PolicyLeastWork {
-		return l.accepted.UnixMicro()
-	}
-	return int64(l.remainingMs) + l.accepted.UnixMilli()/ageing
-}
-
-// ageing divides the waiting time before it counts against remaining work.
-const ageing = 4
-
 // attach answers a submission whose id is known.
 func (c *Core) attach(now time.Time, r *record, s *job.Submission, w Waiter) (func(), error) {
 	if !r.cancelled && r.fingerprint != s.Fingerprint() {
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -28,7 +28,7 @@
 	a, known := c.agents[h.Incarnation]
 	if !known {
 		a = &agent{incarnation: h.Incarnation, worker: h.Worker, attempts: map[uint64]*attempt{}}
-		c.agents[h.Incarnation] = a
+		c.addAgent(a)
 		c.replaceWorker(now, a)
 	}
 	if a.conn != 0 {
@@ -114,18 +114,19 @@
 		c.opts.Outbox.Close(former.conn)
 		former.conn = 0
 	}
-	delete(c.agents, former.incarnation)
 	event.Log(c.log, event.AgentGone, "worker", a.worker, "incarnation", former.incarnation.String(),
 		"open_attempts", len(former.attempts))
 	for _, seq := range former.open() {
-		at, open := former.attempts[seq]
-		if !open || at.live == nil {
+		at := former.attempts[seq]
+		c.close(at)
+		if at.live == nil {
 			continue
 		}
-		delete(former.attempts, seq)
 		at.live.tasks[at.task].attempt = nil
 		c.retryOrFail(now, at.live, at.task, fault.Newf(fault.OutcomeUnknown, "task %d: the agent on %s ended", at.task, a.worker))
 	}
+	c.removeAgent(former)
+	c.byWorker[a.worker] = a
 }
 
 // Receive takes a frame of an agent. After an error the caller closes the connection.
@@ -141,7 +142,7 @@
 	if f.Target != nil {
 		a.target = *f.Target
 	}
-	if err := c.credit(a, f.Credits); err != nil {
+	if err := c.credit(now, a, f.Credits); err != nil {
 		return err
 	}
 	for i := range f.Reports {
@@ -152,13 +153,17 @@
 }
 
 // credit applies a grant and gives back what the agent recalls.
-func (c *Core) credit(a *agent, k *wire.Credits) error {
+func (c *Core) credit(now time.Time, a *agent, k *wire.Credits) error {
 	if k == nil {
 		return nil
 	}
+	a.owners = k.Owners
 	if k.Total < a.granted {
 		return breach("credits went back")
 	}
+	if k.Total > a.granted {
+		a.gap.Granted(int(k.Total-a.granted), now)
+	}
 	a.granted = k.Total
 	if back := min(k.Recall, a.credits()); back > 0 {
 		a.returned += uint64(back)
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -1,12 +1,12 @@
 package owner
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/health"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -26,7 +26,8 @@
 	if !open {
 		return // a repeated report
 	}
-	delete(a.attempts, r.Seq)
+	c.close(at)
+	c.learnFrom(now, at, r)
 	event.Log(c.log.V(1), event.TaskReported, "attempt", r.Seq, "worker", a.worker, "state", int(r.State),
 		"reason", int(r.Reason), "run_ms", r.RunMs)
 	if at.live == nil {
@@ -39,6 +40,45 @@
 	c.conclude(now, at, r)
 }
 
+// close ends the owner's bookkeeping of an attempt.
+func (c *Core) close(at *attempt) {
+	delete(at.agent.attempts, at.seq)
+	at.agent.inUse = at.agent.inUse.Minus(at.demand)
+	c.limiter.Finished(at.team)
+}
+
+// learnFrom feeds an outcome to the estimates and the agent's rating. What was
+// called back says nothing about the target.
+func (c *Core) learnFrom(now time.Time, at *attempt, r *wire.Report) {
+	id := uint64(at.agent.incarnation)
+	kind, counts := outcomeKind(r)
+	if !counts || at.live == nil && kind != health.Succeeded {
+		return
+	}
+	if kind == health.Succeeded {
+		c.estimator.Observe(id, at.class, float64(at.declaredMs), at.agent.target.Speed, r.RunMs)
+	}
+	if c.health.Observe(id, kind == health.Succeeded, kind, now) {
+		event.Log(c.log, event.AgentRated, "worker", at.agent.worker, "rating", c.health.Rating(id).String())
+	}
+}
+
+// outcomeKind maps a report to what it says about the target; counts is false
+// where it says nothing.
+func outcomeKind(r *wire.Report) (kind health.Kind, counts bool) {
+	switch {
+	case r.State == wire.Succeeded:
+		return health.Succeeded, true
+	case r.State == wire.FailedRun:
+		return health.Failed, true
+	case r.State == wire.Unknown:
+		return health.Lost, true
+	case r.Reason == wire.ReasonTarget:
+		return health.TurnedAway, true
+	}
+	return health.Succeeded, false
+}
+
 // conclude applies an attempt's outcome to its job, which is still live.
 func (c *Core) conclude(now time.Time, at *attempt, r *wire.Report) {
 	l := at.live
@@ -64,6 +104,7 @@
 	l.tasks[task].state = taskDone
 	l.tasks[task].result = result
 	l.remainingMs -= l.tasks[task].estimateMs
+	c.addWork(l, -l.tasks[task].estimateMs)
 	l.done++
 	if l.done < len(l.tasks) {
 		c.enqueue(l)
@@ -91,7 +132,7 @@
 	l.waiting = append(l.waiting, 0)
 	copy(l.waiting[at+1:], l.waiting[at:])
 	l.waiting[at] = task
-	c.waitingTasks[l.sub.Class]++
+	c.countWaiting(l, 1)
 	c.enqueue(l)
 }
 
@@ -124,13 +165,12 @@
 // finish gives the job its one final answer and lets go of its tasks.
 func (c *Core) finish(now time.Time, l *liveJob, answer job.Answer) {
 	r := l.rec
-	if l.index >= 0 {
-		heap.Remove(&c.ready, l.index)
-	}
-	c.waitingTasks[l.sub.Class] -= len(l.waiting)
-	if c.waitingTasks[l.sub.Class] == 0 {
-		delete(c.waitingTasks, l.sub.Class)
+	if l.place != nil && l.place.Queued() {
+		c.ready.Remove(l.place)
 	}
+	c.countWaiting(l, -len(l.waiting))
+	c.addWork(l, -l.remainingMs)
+	c.dropTeam(l.sub.Team)
 	c.recall(l)
 	r.live, r.answer = nil, answer
 	c.pending--
--- a/internal/owner/status.go
+++ b/internal/owner/status.go
@@ -61,8 +61,8 @@
 		Agents:      len(c.byConn),
 		Counts:      c.counts,
 	}
-	for _, l := range c.ready {
-		s.Waiting += len(l.waiting)
+	for _, n := range c.waitingTasks {
+		s.Waiting += n
 	}
 	for _, a := range c.agents {
 		s.Attempts += len(a.attempts)
