Attempt table: the control state of an agent

Cause: an agent has to answer for every attempt it was ever sent, under lost connections, paused owners and leaving targets, without a second run.

Ruled out: dropping records after a time without a trace. An owner that comes back later and asks would hear "never seen" for an attempt that ran, and run it again; one number an owner incarnation stays for ever instead (about 50 bytes).

--- /dev/null
+++ b/internal/attempt/status.go
@@ -0,0 +1,78 @@
+package attempt
+
+import (
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// Status is what operators see of the table.
+type Status struct {
+	Target   wire.Target   `json:"target"`
+	Draining bool          `json:"draining"`
+	Running  int           `json:"running"`
+	Waiting  int           `json:"waiting"`
+	Unspent  int           `json:"unspent_credits"`
+	Granted  uint64        `json:"granted_credits"`
+	Finished uint64        `json:"finished_calls"`
+	Owners   []OwnerStatus `json:"owners"`
+}
+
+// OwnerStatus is the part of one owner.
+type OwnerStatus struct {
+	Incarnation string `json:"incarnation"`
+	Connected   bool   `json:"connected"`
+	Remembered  int    `json:"remembered_attempts"`
+	Unacked     int    `json:"unacknowledged_reports"`
+	Unspent     int    `json:"unspent_credits"`
+	Waiting     int    `json:"waiting_at_owner"`
+}
+
+// Status returns the table's state in numbers.
+func (t *Table) Status() Status {
+	b := t.b
+	s := Status{
+		Target: b.announced(), Draining: b.draining, Running: b.running, Waiting: len(b.queue),
+		Unspent: b.sharer.Outstanding(), Granted: b.granted, Finished: b.finished, Owners: []OwnerStatus{},
+	}
+	for _, o := range b.owners {
+		s.Owners = append(s.Owners, ownerStatus(o))
+	}
+	return s
+}
+
+func ownerStatus(o *owner) OwnerStatus {
+	s := OwnerStatus{
+		Incarnation: o.incarnation.String(), Connected: o.conn != 0,
+		Remembered: len(o.attempts), Unacked: o.unacked, Waiting: o.waiting,
+	}
+	if s.Connected {
+		s.Unspent = o.credits.unspent()
+	}
+	return s
+}
+
+// Target returns the target's state as owners should see it.
+func (t *Table) Target() wire.Target { return t.b.announced() }
+
+// Idle reports whether a drained agent may end: nothing runs or waits, no owner
+// can still send a start, and every report has arrived.
+func (t *Table) Idle() bool {
+	if t.b.running > 0 || len(t.b.queue) > 0 {
+		return false
+	}
+	for _, o := range t.b.owners {
+		if t.keeper.due(o) {
+			return false
+		}
+	}
+	return true
+}
+
+// Owners returns the connected owners' incarnations in order of connecting.
+func (t *Table) Owners() []job.Incarnation {
+	ids := make([]job.Incarnation, 0, len(t.b.connected))
+	for _, o := range t.b.connected {
+		ids = append(ids, o.incarnation)
+	}
+	return ids
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,9 @@
 	TargetSilent    ID = 602
 	TargetLeaving   ID = 603
 	TargetFailed    ID = 604
+	CreditsChanged  ID = 605
+	TaskBegun       ID = 606
+	AttemptRefused  ID = 607
 )
 
 // Entry describes an event for the catalogue.
@@ -93,6 +96,9 @@
 	{TargetSilent, "target_silent", "a target stopped announcing itself"},
 	{TargetLeaving, "target_leaving", "a target said that it leaves"},
 	{TargetFailed, "target_failed", "a call to a target failed"},
+	{CreditsChanged, "credits_changed", "an agent granted free slots to an owner or recalled credits from it"},
+	{TaskBegun, "task_begun", "an agent called its target for a task"},
+	{AttemptRefused, "attempt_refused", "an agent refused a start; the task did not run there"},
 }
 
 var names = func() map[ID]string {
