--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -246,8 +246,9 @@
 		}
 	}
 	for _, a := range w.agents {
-		if !a.table.Idle() {
-			w.t.Fatalf("agent %d is not idle", a.slot)
+		status := a.table.Status()
+		if status.Running > 0 || status.Unspent != a.target.Slots {
+			w.t.Fatalf("agent %d does not have every slot granted again: %+v", a.slot, status)
 		}
 	}
 }
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -14,11 +14,14 @@
 
 	"github.com/camphorrack/camphorrack/internal/attempt"
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/invariant"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
+func init() { invariant.SetCrash(true) }
+
 var key = job.Key("0123456789abcdef")
 
 // world is a fleet of fakes around the real control state.
