--- a/internal/attempt/board.go
+++ b/internal/attempt/board.go
@@ -43,6 +43,7 @@
 type owner struct {
 	incarnation job.Incarnation
 	conn        ConnID // 0 while disconnected
+	newest      ConnID // the newest that ever counted
 	goneAt      time.Time
 
 	attempts map[uint64]*attempt
--- a/internal/attempt/connector.go
+++ b/internal/attempt/connector.go
@@ -23,7 +23,7 @@
 
 func (c connector) connect(conn ConnID, id job.Incarnation) {
 	o := c.ownerFor(id)
-	if conn <= o.conn {
+	if conn <= o.newest {
 		c.out.Close(conn)
 		return
 	}
@@ -32,7 +32,7 @@
 		c.disconnect(old)
 		c.out.Close(old)
 	}
-	o.conn = conn
+	o.conn, o.newest = conn, conn
 	o.waiting = 0
 	c.granter.up(o)
 	o.sendTarget = true
