Session: numbered frames over a WebSocket, silence found in each direction

Cause: entries and agents need one connection kind that notices when a device between them has lost track of it; TCP shows that after minutes, and a cut in one direction shows nothing at all to the side that still hears.

Ruled out: WebSocket pings (they tell nothing about frames queued behind them and are answered by the library while the receiver hangs) and read deadlines alone (blind to the one-directional cut).

Change: frames carry Seq and Heard; empty frames serve as heartbeats; a connection ends with a typed reason on silence, when the peer's Heard stands still, on an overfull queue, a write that blocks, a malformed, oversized or out-of-sequence frame.

--- /dev/null
+++ b/internal/session/options.go
@@ -0,0 +1,61 @@
+// Package session carries frames between an entry and an agent over one
+// WebSocket. It numbers the frames, sends heartbeats, and closes a connection
+// that has gone silent in either direction with a typed error. It keeps nothing
+// across connections: what must survive one is asked about on the next.
+package session
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// Path is where an entry serves its agents' connections.
+const Path = "/internal/agent"
+
+const (
+	// maxQueueBytes bounds what waits for a slow peer: four of the largest frames.
+	// Without it, a peer that reads slowly but is never silent would take the
+	// sender's memory.
+	maxQueueBytes = 4 * wire.MaxFrameBytes
+	// writeBufferBytes holds a usual frame whole, so that it takes one system call.
+	writeBufferBytes = 16 << 10
+)
+
+// Options tune a connection. A zero field takes the default.
+type Options struct {
+	Heartbeat     time.Duration // longest pause between two frames of ours; default wire.HeartbeatMs
+	Silent        time.Duration // silence that closes the connection; default wire.SilentMs
+	MaxFrameBytes int           // largest frame taken; default wire.MaxFrameBytes
+	MaxQueueBytes int           // estimated bytes that may wait to be written
+	Counters      *Counters     // shared among connections; may be nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.Heartbeat == 0 {
+		o.Heartbeat = wire.HeartbeatMs * time.Millisecond
+	}
+	if o.Silent == 0 {
+		o.Silent = wire.SilentMs * time.Millisecond
+	}
+	if o.MaxFrameBytes == 0 {
+		o.MaxFrameBytes = wire.MaxFrameBytes
+	}
+	if o.MaxQueueBytes == 0 {
+		o.MaxQueueBytes = maxQueueBytes
+	}
+	if o.Counters == nil {
+		o.Counters = &Counters{}
+	}
+	return o
+}
+
+// Counters add up the traffic of connections; all fields are safe for concurrent
+// use. Bytes are those of the encoded frames, without WebSocket and TCP headers.
+type Counters struct {
+	FramesIn, FramesOut atomic.Int64
+	BytesIn, BytesOut   atomic.Int64
+	Heartbeats          atomic.Int64 // frames out that carried nothing else
+	ClosedSilent        atomic.Int64 // connections closed for silence in either direction
+}
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,199 @@
+package session_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/websocket"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/session"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+func TestSession(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "session")
+}
+
+var quick = session.Options{Heartbeat: 20 * time.Millisecond, Silent: 200 * time.Millisecond}
+
+// entrySide accepts agents and answers each frame that carries reports with their numbers as acks.
+type entrySide struct {
+	server *httptest.Server
+	conns  chan *session.ToAgentConn
+	ended  chan error
+	gate   chan struct{} // when not nil, reports wait for it to be closed
+}
+
+func newEntrySide(o session.Options) *entrySide {
+	e := &entrySide{conns: make(chan *session.ToAgentConn, 10), ended: make(chan error, 10)}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := session.Accept(w, r, o)
+		if err != nil {
+			return
+		}
+		e.conns <- c
+		e.ended <- c.Serve(func(f *wire.ToEntry) error {
+			if f.Hello != nil {
+				c.Send(&wire.ToAgent{Welcome: &wire.Welcome{}})
+			}
+			for _, r := range f.Reports {
+				if e.gate != nil {
+					<-e.gate
+				}
+				c.Send(&wire.ToAgent{Acks: []uint64{r.Seq}})
+			}
+			return nil
+		})
+	}))
+	DeferCleanup(e.server.Close)
+	return e
+}
+
+func (e *entrySide) addr() string { return strings.TrimPrefix(e.server.URL, "http://") }
+
+// agentSide dials and is welcomed; acks arrive in order on the channel.
+func agentSide(addr string, o session.Options) (conn *session.ToEntryConn, acks chan uint64, ended chan error) {
+	c, err := session.Dial(context.Background(), addr, o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { c.Close(nil) })
+	acks, ended = make(chan uint64, 10000), make(chan error, 1)
+	c.Send(&wire.ToEntry{Hello: &wire.Hello{Version: wire.Version}})
+	welcomed := make(chan struct{})
+	go func() {
+		ended <- c.Serve(func(f *wire.ToAgent) error {
+			if f.Welcome != nil {
+				close(welcomed)
+			}
+			for _, a := range f.Acks {
+				acks <- a
+			}
+			return nil
+		})
+	}()
+	Eventually(welcomed, "5s").Should(BeClosed())
+	return c, acks, ended
+}
+
+func reasonOf(err error) session.Reason {
+	var closed *session.CloseError
+	Expect(errors.As(err, &closed)).To(BeTrue(), "%v", err)
+	return closed.Reason
+}
+
+var _ = Describe("a connection", func() {
+	It("delivers frames in order and lives through idle times on heartbeats", func() {
+		var counters session.Counters
+		o := quick
+		o.Counters = &counters
+		entry := newEntrySide(quick)
+		conn, acks, ended := agentSide(entry.addr(), o)
+		for i := uint64(1); i <= 500; i++ {
+			conn.Send(&wire.ToEntry{Reports: []wire.Report{{Seq: i, Result: make([]byte, int(i)*40)}}})
+		}
+		for i := uint64(1); i <= 500; i++ {
+			Eventually(acks).Should(Receive(Equal(i)))
+		}
+		Consistently(ended, 3*quick.Silent).ShouldNot(Receive())
+		Expect(counters.Heartbeats.Load()).To(BeNumerically(">", 0))
+		Expect(counters.FramesIn.Load()).To(BeNumerically(">", 500))
+		Expect(counters.BytesOut.Load()).To(BeNumerically(">", 500*500/2*40))
+
+		conn.Close(nil)
+		Eventually(ended).Should(Receive(WithTransform(reasonOf, Equal(session.ReasonLocal))))
+		Eventually(entry.ended).Should(Receive(WithTransform(reasonOf, Equal(session.ReasonPeer))))
+	})
+
+	// A device between the two hosts forgets the connection. Both TCP ends believe
+	// it open, so without messages of our own a started task's result would wait
+	// for minutes and the caller would miss its deadline.
+	It("ends when bytes vanish in both directions, while a new one works", func() {
+		entry := newEntrySide(quick)
+		r := startRelay(entry.addr())
+		_, _, ended := agentSide(r.addr(), quick)
+		r.cut(true, true)
+		// Each side may notice first that it hears nothing or that it is not heard.
+		noticed := WithTransform(reasonOf, Or(Equal(session.ReasonSilent), Equal(session.ReasonUnheard)))
+		Eventually(ended, "5s").Should(Receive(noticed))
+		Eventually(entry.ended, "5s").Should(Receive(noticed))
+
+		again, acks, _ := agentSide(r.addr(), quick)
+		again.Send(&wire.ToEntry{Reports: []wire.Report{{Seq: 8}}})
+		Eventually(acks, "5s").Should(Receive(Equal(uint64(8))))
+	})
+
+	// Bytes vanish in one direction only. The side whose frames are lost goes on
+	// hearing the other's heartbeats, so it must notice that it is not heard: an
+	// agent would otherwise hold results, or an entry starts, that never arrive.
+	// The deaf side is given all the time of the world here, to see the other act.
+	It("ends when the agent's frames vanish and the entry's arrive", func() {
+		entry := newEntrySide(session.Options{Heartbeat: quick.Heartbeat, Silent: time.Minute})
+		r := startRelay(entry.addr())
+		_, _, ended := agentSide(r.addr(), quick)
+		r.cut(true, false)
+		Eventually(ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonUnheard))))
+	})
+	It("ends when the entry's frames vanish and the agent's arrive", func() {
+		entry := newEntrySide(quick)
+		r := startRelay(entry.addr())
+		agentSide(r.addr(), session.Options{Heartbeat: quick.Heartbeat, Silent: time.Minute})
+		Eventually(entry.conns).Should(Receive())
+		r.cut(false, true)
+		Eventually(entry.ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonUnheard))))
+	})
+
+	// A peer reads, but more slowly than frames are made for it. Without a bound
+	// the queue for this one peer would take the memory of the whole process.
+	It("ends when more waits than the queue may hold", func() {
+		entry := newEntrySide(session.Options{Silent: time.Minute})
+		entry.gate = make(chan struct{})
+		DeferCleanup(func() { close(entry.gate) })
+		conn, _, ended := agentSide(entry.addr(), session.Options{Silent: time.Minute, MaxQueueBytes: 1 << 20})
+		for range 100 {
+			conn.Send(&wire.ToEntry{Reports: []wire.Report{{Result: make([]byte, 512<<10)}}})
+		}
+		Eventually(ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonOverflow))))
+	})
+
+	// A peer of another build, or none of ours at all, sends what can't be
+	// understood. Half understanding it could start or settle the wrong attempt.
+	DescribeTable("ends on a malformed frame", func(messages ...[]byte) {
+		entry := newEntrySide(session.Options{MaxFrameBytes: 1000})
+		ws, _, err := websocket.DefaultDialer.Dial("ws://"+entry.addr()+session.Path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ws.Close)
+		for _, m := range messages {
+			Expect(ws.WriteMessage(websocket.BinaryMessage, m)).To(Succeed())
+		}
+		Eventually(entry.ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonFrame))))
+	},
+		Entry("that is no CBOR", []byte("GET / HTTP/1.1")),
+		Entry("with an unknown field", []byte("\xa3\x01\x01\x02\x00\x18\x63\x01")),
+		Entry("with a number that was left out", encoded(&wire.ToEntry{Seq: 1}), encoded(&wire.ToEntry{Seq: 3})),
+		Entry("with a number that came before", encoded(&wire.ToEntry{Seq: 1}), encoded(&wire.ToEntry{Seq: 1})),
+		Entry("that acknowledges what was never sent", encoded(&wire.ToEntry{Seq: 1, Heard: 5})),
+		Entry("that is too large", encoded(&wire.ToEntry{Seq: 1, Config: make([]byte, 2000)})),
+	)
+})
+
+func startRelay(target string) *relay {
+	r, err := newRelay(target)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.close)
+	return r
+}
+
+func encoded(f *wire.ToEntry) []byte {
+	b, err := wire.Encode(f)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/wire/sequence.go
@@ -0,0 +1,36 @@
+package wire
+
+// frameOverhead is a generous guess of the encoded size of one part of a frame
+// without its payloads, in bytes.
+const frameOverhead = 64
+
+// Stamp numbers the frame and acknowledges the other side's frames.
+func (f *ToEntry) Stamp(seq, heard uint64) { f.Seq, f.Heard = seq, heard }
+
+// Sequence returns the frame's number and the highest number its sender heard.
+func (f *ToEntry) Sequence() (seq, heard uint64) { return f.Seq, f.Heard }
+
+// Weight estimates the frame's encoded size in bytes, without encoding it.
+func (f *ToEntry) Weight() int {
+	n := frameOverhead + len(f.Config)
+	for i := range f.Reports {
+		n += frameOverhead + len(f.Reports[i].Result) + len(f.Reports[i].Detail)
+	}
+	return n
+}
+
+// Stamp numbers the frame and acknowledges the other side's frames.
+func (f *ToAgent) Stamp(seq, heard uint64) { f.Seq, f.Heard = seq, heard }
+
+// Sequence returns the frame's number and the highest number its sender heard.
+func (f *ToAgent) Sequence() (seq, heard uint64) { return f.Seq, f.Heard }
+
+// Weight estimates the frame's encoded size in bytes, without encoding it.
+func (f *ToAgent) Weight() int {
+	const number = 9 // the longest CBOR integer
+	n := frameOverhead + len(f.Config) + number*(len(f.Cancels)+len(f.Queries)+len(f.Acks))
+	for i := range f.Starts {
+		n += frameOverhead + len(f.Starts[i].Payload) + len(f.Starts[i].Job)
+	}
+	return n
+}
