--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,7 @@
 	JobAttached  ID = 205
 	JobForwarded ID = 206
 	JobUndecided ID = 207
+	JobShed      ID = 208
 
 	TaskPlaced   ID = 301
 	TaskReported ID = 302
@@ -49,6 +50,9 @@
 	TargetSilent    ID = 602
 	TargetLeaving   ID = 603
 	TargetFailed    ID = 604
+	CreditsChanged  ID = 605
+	TaskBegun       ID = 606
+	AttemptRefused  ID = 607
 )
 
 // Entry describes an event for the catalogue.
@@ -72,6 +76,7 @@
 	{JobAttached, "job_attached", "a submission came again and waits for the first one's answer"},
 	{JobForwarded, "job_forwarded", "the submission belongs to another entry and was sent there"},
 	{JobUndecided, "job_undecided", "the owner can't be reached and is not proved dead"},
+	{JobShed, "job_shed", "a job that was let in can't be done before its deadline any more"},
 	{TaskPlaced, "task_placed", "a task was sent to a target"},
 	{TaskReported, "task_reported", "a target's outcome for a task arrived"},
 	{TaskReplaced, "task_replaced", "a task that certainly did not run goes to another target"},
@@ -93,6 +98,9 @@
 	{TargetSilent, "target_silent", "a target stopped announcing itself"},
 	{TargetLeaving, "target_leaving", "a target said that it leaves"},
 	{TargetFailed, "target_failed", "a call to a target failed"},
+	{CreditsChanged, "credits_changed", "an agent granted free slots to an owner or recalled credits from it"},
+	{TaskBegun, "task_begun", "an agent called its target for a task"},
+	{AttemptRefused, "attempt_refused", "an agent refused a start; the task did not run there"},
 }
 
 var names = func() map[ID]string {
