Agent daemon and the stand-in target

Cause: tasks need a process beside each target that grants its slots, calls it and answers for every attempt.

Ruled out: trusting net/http's errors to tell whether a request left the process (a closed idle connection, a cancelled call and a lost answer look alike); writes are counted on the connection instead, which is sealed before the judgement. Dialling a balancer's address beside the entry's own (the two would replace each other for ever).

--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/invariant"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	drainPoll     = 20 * time.Millisecond
+	// closeTimeout bounds the end of the last HTTP requests.
+	closeTimeout = 2 * time.Second
+)
+
+// ErrDrainTimeout is a shutdown that cut off tasks or left reports undelivered.
+var ErrDrainTimeout = errors.New("the drain timeout was over before every task had ended and was reported")
+
+// Agent is the daemon.
+type Agent struct {
+	o        Options
+	log      logr.Logger
+	clock    clock.Clock
+	metrics  *counters
+	control  *control
+	dialers  *dialers
+	listener net.Listener
+	server   *http.Server
+
+	lastConn  atomic.Uint64
+	open      atomic.Int64 // sessions that are welcomed
+	draining  atomic.Bool
+	drainOnce sync.Once
+}
+
+// New returns a daemon that is bound to its address but does not serve yet.
+func New(o Options, log logr.Logger) (*Agent, error) {
+	invariant.SetCrash(o.CrashOnBreach)
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", o.Listen)
+	}
+	a := &Agent{o: o, log: log, clock: clock.NewAnchored(), listener: listener}
+	a.metrics = newCounters(func() int { return len(a.control.commands) })
+	s := newState(o, log, a.metrics)
+	s.runTask = a.runTask
+	a.control = newControl(s, a.clock)
+	a.dialers = newDialers(a)
+	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout}
+	return a, nil
+}
+
+// Addr returns the bound address.
+func (a *Agent) Addr() string { return a.listener.Addr().String() }
+
+// Start serves and dials until Stop.
+func (a *Agent) Start() {
+	go a.control.run()
+	go func() {
+		// Shutdown makes Serve return; any other end shows as a target that can't announce.
+		if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+			event.Log(a.log, event.ProcessStopping, "error", err.Error())
+		}
+	}()
+	for _, addr := range a.o.entries() {
+		a.dialers.configured(addr)
+	}
+	event.Log(a.log, event.ProcessStarted, "addr", a.Addr(), "worker", a.o.Worker,
+		"incarnation", a.control.state.incarnation.String(), "data_centre", a.o.DataCentre, "rack", a.o.Rack, "policy", a.o.Policy)
+}
+
+// beginDrain takes no new work from now on.
+func (a *Agent) beginDrain() {
+	a.drainOnce.Do(func() {
+		a.draining.Store(true)
+		event.Log(a.log, event.DrainStarted)
+		// The error means that the process ends anyway.
+		_ = a.control.push(func(now time.Time, s *state) { s.table.Drain(now) })
+	})
+}
+
+// Stop drains and ends the daemon: nothing new begins, what runs is finished and
+// reported. The error is ErrDrainTimeout, or of ctx, when that took too long.
+func (a *Agent) Stop(ctx context.Context) error {
+	event.Log(a.log, event.ProcessStopping, "drain_timeout", a.o.DrainTimeout.String())
+	a.beginDrain()
+	err := a.waitIdle(ctx)
+	a.dialers.end()
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if closeErr := a.server.Shutdown(closing); err == nil && closeErr != nil {
+		err = errors.Wrap(closeErr, "close HTTP connections")
+	}
+	close(a.control.stop)
+	<-a.control.stopped
+	event.Log(a.log, event.ProcessStopped, "clean", err == nil)
+	return err
+}
+
+func (a *Agent) waitIdle(ctx context.Context) error {
+	timeout := time.After(a.o.DrainTimeout)
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for {
+		idle := false
+		if err := a.control.do(func(_ time.Time, s *state) { idle = s.table.Idle() }); err != nil || idle {
+			return err
+		}
+		select {
+		case <-poll.C:
+		case <-timeout:
+			return errors.WithStack(ErrDrainTimeout)
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "drain")
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/caller.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/attempt"
+	"github.com/camphorrack/camphorrack/internal/targetapi"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+const (
+	// dialTimeout bounds connecting to the target, which is on the same host or
+	// next to it. Nothing was sent by then, so the task may go elsewhere.
+	dialTimeout = time.Second
+	// maxResultBytes caps a task's result: a job of 290 such results still fits
+	// in an entry's memory, and one fits in a frame beside others.
+	maxResultBytes = 1 << 20
+	// maxDetailBytes caps what is passed on of a target's own words on a failure.
+	maxDetailBytes = 1 << 10
+)
+
+// caller calls one target over HTTP. It never sends a request twice: the body
+// can't be read again and POST is not retried by the transport.
+type caller struct {
+	address   string
+	transport *http.Transport
+}
+
+func newCaller(address string, connections int) *caller {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &caller{address: address, transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+		Protocols:           onlyHTTP1(),
+	}}
+}
+
+func onlyHTTP1() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
+
+// onceBody hides the reader's type, without which net/http would make the body
+// readable again and send the request a second time on a broken connection.
+type onceBody struct{ io.Reader }
+
+// call runs a task on the target and returns how that ended. Cancelling ctx
+// closes the connection.
+func (c *caller) call(ctx context.Context, s *wire.Start) attempt.Outcome {
+	began := time.Now()
+	out := c.exchange(ctx, s)
+	out.RunMs = float64(time.Since(began).Microseconds()) / 1000
+	return out
+}
+
+func (c *caller) exchange(ctx context.Context, s *wire.Start) attempt.Outcome {
+	var p proof
+	request, err := c.request(httptrace.WithClientTrace(ctx, p.trace()), s)
+	if err != nil {
+		return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonTarget, Detail: err.Error()}
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil && p.nothingWritten() {
+		return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonTarget, Detail: err.Error()}
+	}
+	if err != nil {
+		return attempt.Outcome{State: wire.Unknown, Detail: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }() // nothing is left to be learned from it
+	return read(response)
+}
+
+func (c *caller) request(ctx context.Context, s *wire.Start) (*http.Request, error) {
+	var body io.Reader = http.NoBody
+	if len(s.Payload) > 0 {
+		body = onceBody{bytes.NewReader(s.Payload)}
+	}
+	url := "http://" + c.address + targetapi.RunPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(s.Payload))
+	request.Header.Set(targetapi.HeaderTask, s.Job+"/"+strconv.Itoa(s.Task))
+	request.Header.Set(targetapi.HeaderClass, s.Class)
+	return request, nil
+}
+
+func read(response *http.Response) attempt.Outcome {
+	if response.StatusCode == http.StatusOK {
+		return readResult(response.Body)
+	}
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes)) // what came is enough
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(targetapi.HeaderNotRun) == "1" {
+		return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonTarget, Detail: string(detail)}
+	}
+	return attempt.Outcome{State: wire.FailedRun, Detail: fmt.Sprintf("status %d: %s", response.StatusCode, detail)}
+}
+
+func readResult(body io.Reader) attempt.Outcome {
+	result, err := io.ReadAll(io.LimitReader(body, maxResultBytes+1))
+	switch {
+	case err != nil:
+		return attempt.Outcome{State: wire.Unknown, Detail: "the answer broke off: " + err.Error()}
+	case len(result) > maxResultBytes:
+		return attempt.Outcome{State: wire.FailedRun, Detail: "it ran, but its result is larger than 1048576 bytes"}
+	}
+	return attempt.Outcome{State: wire.Succeeded, Result: result}
+}
+
+// close drops idle connections; calls under way go on.
+func (c *caller) close() { c.transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/agent/module.go
@@ -0,0 +1,33 @@
+package agent
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"github.com/camphorrack/camphorrack/internal/logging"
+)
+
+// Module wires the daemon for fx.
+func Module(o *Options) fx.Option {
+	return fx.Options(
+		fx.Supply(*o),
+		fx.Provide(newLogger, New),
+		fx.StopTimeout(o.DrainTimeout+2*closeTimeout),
+		fx.Invoke(run),
+	)
+}
+
+func newLogger(o Options) logr.Logger { return logging.New(os.Stderr, Program, o.LogLevel) }
+
+func run(life fx.Lifecycle, a *Agent) {
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			a.Start()
+			return nil
+		},
+		OnStop: a.Stop,
+	})
+}
--- /dev/null
+++ b/internal/agent/options.go
@@ -0,0 +1,100 @@
+// Package agent is the daemon beside a target. It takes the target's
+// announcements, dials every entry it knows, runs tasks on the target and reports
+// how they ended.
+//
+// The control state (internal/attempt and the tables beside it) belongs to one
+// goroutine; connections, calls to the target and HTTP requests run on others and
+// hand it commands through a channel.
+package agent
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/attempt"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/settings"
+)
+
+// Program is the daemon's name.
+const Program = "camphorrack-agent"
+
+// Options are the daemon's settings.
+type Options struct {
+	Listen        string
+	Worker        string // name of the worker the agent runs on
+	DataCentre    string
+	Rack          string
+	Entries       string // addresses of entries, comma separated
+	MaxEntries    int
+	Policy        string
+	LogLevel      int
+	CrashOnBreach bool
+	DrainTimeout  time.Duration
+}
+
+// Define adds the daemon's settings to a set and returns where they will be read to.
+func Define(s *settings.Set) *Options {
+	o := &Options{}
+	s.StringVar(&o.Listen, "listen", "127.0.0.1:7500", "address for the target's announcements and for operators")
+	s.StringVar(&o.Worker, "worker", "", "name of the worker that the target runs on")
+	s.StringVar(&o.DataCentre, "data-centre", "", "name of the worker's data centre")
+	s.StringVar(&o.Rack, "rack", "", "name of the worker's rack")
+	s.StringVar(&o.Entries, "entries", "", "addresses of entries, comma separated; more are learned from them")
+	s.IntVar(&o.MaxEntries, "max-entries", 64, "most entries to connect to")
+	s.StringVar(&o.Policy, "policy", string(attempt.Grants), "grants: owners start tasks against granted slots; push: they send at will")
+	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: every decision, 2: debugging")
+	s.BoolVar(&o.CrashOnBreach, "crash-on-breach", false, "end the process when an invariant is broken")
+	s.DurationVar(&o.DrainTimeout, "drain-timeout", time.Minute, "longest graceful shutdown")
+	o.check(s)
+	return o
+}
+
+func (o *Options) check(s *settings.Set) {
+	s.Check("listen", func() string { return checkAddr(o.Listen) })
+	s.Check("worker", func() string {
+		return failIf(o.Worker == "" || len(o.Worker) > job.MaxNameBytes, "takes 1 to 64 bytes")
+	})
+	s.Check("entries", func() string {
+		for _, addr := range o.entries() {
+			if wrong := checkAddr(addr); wrong != "" {
+				return wrong
+			}
+		}
+		return failIf(len(o.entries()) == 0, "takes at least one address")
+	})
+	s.Check("max-entries", func() string {
+		return failIf(o.MaxEntries < len(o.entries()), "takes at least the number of -entries")
+	})
+	s.Check("policy", func() string {
+		policies := []attempt.Policy{attempt.Grants, attempt.Push}
+		return failIf(!slices.Contains(policies, attempt.Policy(o.Policy)), "takes grants or push")
+	})
+	s.Check("log-level", func() string { return failIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
+	s.Check("drain-timeout", func() string { return failIf(o.DrainTimeout <= 0, "takes more than 0") })
+}
+
+func checkAddr(addr string) string {
+	_, err := netip.ParseAddrPort(addr)
+	return failIf(err != nil, "takes ip:port, got "+addr)
+}
+
+func failIf(wrong bool, text string) string {
+	if wrong {
+		return text
+	}
+	return ""
+}
+
+func (o *Options) entries() []string {
+	var addrs []string
+	for _, addr := range strings.Split(o.Entries, ",") {
+		if addr = strings.TrimSpace(addr); addr != "" {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
--- /dev/null
+++ b/internal/standin/target/options.go
@@ -0,0 +1,78 @@
+package target
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/camphorrack/camphorrack/internal/settings"
+)
+
+// Program is the stand-in's name.
+const Program = "camphorrack-standin-target"
+
+// Options are the stand-in's settings.
+type Options struct {
+	Listen       string
+	Agent        string // address of the agent to announce to
+	Name         string
+	Classes      string // comma separated
+	Slots        int
+	Speed        float64
+	Declared     float64 // speed that is announced; 0 means the real one
+	Connections  int
+	CPUMilli     int
+	MemoryMB     int
+	Accelerators int
+}
+
+// Define adds the stand-in's settings to a set and returns where they will be read to.
+func Define(s *settings.Set) *Options {
+	o := &Options{}
+	s.StringVar(&o.Listen, "listen", "127.0.0.1:0", "address for the agent's calls")
+	s.StringVar(&o.Agent, "agent", "127.0.0.1:7500", "address of the agent to announce to")
+	s.StringVar(&o.Name, "name", "standin", "the target's name")
+	s.StringVar(&o.Classes, "classes", "", "task classes it serves, comma separated; empty means all")
+	s.IntVar(&o.Slots, "slots", 8, "tasks it runs at a time")
+	s.Float64Var(&o.Speed, "speed", 1, "real speed: a task's run time is divided by it")
+	s.Float64Var(&o.Declared, "declared-speed", 0, "speed to announce (default: the real one)")
+	s.IntVar(&o.Connections, "connections", 64, "most connections the agent may open")
+	s.IntVar(&o.CPUMilli, "cpu-milli", 64000, "processors of the worker, in thousandths")
+	s.IntVar(&o.MemoryMB, "memory-mb", 262144, "memory of the worker")
+	s.IntVar(&o.Accelerators, "accelerators", 0, "accelerators of the worker")
+	s.Check("listen", func() string { return checkAddr(o.Listen) })
+	s.Check("agent", func() string { return checkAddr(o.Agent) })
+	s.Check("speed", func() string {
+		if o.Speed <= 0 || o.Declared < 0 {
+			return "speeds are above 0"
+		}
+		return ""
+	})
+	s.Check("slots", func() string {
+		if o.Slots < 1 {
+			return "takes 1 or more"
+		}
+		return ""
+	})
+	return o
+}
+
+func checkAddr(addr string) string {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return "takes ip:port, got " + addr
+	}
+	return ""
+}
+
+func (o *Options) classes() []string {
+	if o.Classes == "" {
+		return nil
+	}
+	return strings.Split(o.Classes, ",")
+}
+
+func (o *Options) declaredSpeed() float64 {
+	if o.Declared == 0 {
+		return o.Speed
+	}
+	return o.Declared
+}
--- /dev/null
+++ b/internal/targetapi/targetapi.go
@@ -0,0 +1,103 @@
+// Package targetapi is the HTTP protocol between an agent and the target beside
+// it: the target announces itself to the agent, the agent runs tasks on it.
+package targetapi
+
+import (
+	"math"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// Paths of the protocol. The first is served by the agent, the second by the target.
+const (
+	AnnouncePath = "/v1/announce"
+	RunPath      = "/run"
+)
+
+// Headers of a call. HeaderNotRun in an answer of status 503 states that the task
+// has certainly not begun.
+const (
+	HeaderTask   = "Camphorrack-Task" // "<job id>/<task index>"
+	HeaderClass  = "Camphorrack-Class"
+	HeaderNotRun = "Camphorrack-Not-Run"
+)
+
+// Timing of announcements. Silence is three announcements, so that one that was
+// lost or late does not take a healthy target out of service.
+const (
+	AnnounceEvery = 500 * time.Millisecond
+	SilentAfter   = 3 * AnnounceEvery
+)
+
+// Limits of an announcement: far above any target, to catch mistakes.
+const (
+	maxSlots       = 1 << 12
+	maxConnections = 1 << 16
+	maxClasses     = 64
+	maxSpeed       = 1000
+	maxCapacity    = 1 << 30
+)
+
+// Announcement is what a target says about itself.
+type Announcement struct {
+	Name         string   `json:"name"`
+	Address      string   `json:"address"` // ip:port that serves RunPath
+	Classes      []string `json:"classes"` // empty means all
+	Slots        int      `json:"slots"`
+	Speed        float64  `json:"speed"`
+	Connections  int      `json:"connections"` // most that the agent may open
+	CPUMilli     int      `json:"cpu_milli"`
+	MemoryMB     int      `json:"memory_mb"`
+	Accelerators int      `json:"accelerators"`
+	Leaving      bool     `json:"leaving"`
+}
+
+// Check validates the announcement. The error is a *fault.Fault that names the field.
+func (a *Announcement) Check() error {
+	addr, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case a.Name == "" || len(a.Name) > job.MaxNameBytes:
+		return fault.Input(fault.BadField, "name", "takes 1 to 64 bytes")
+	case err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified():
+		return fault.Input(fault.BadField, "address", "takes ip:port")
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return outOfRange("slots", 1, maxSlots)
+	case a.Connections < 1 || a.Connections > maxConnections:
+		return outOfRange("connections", 1, maxConnections)
+	case math.IsNaN(a.Speed) || a.Speed <= 0 || a.Speed > maxSpeed:
+		return fault.Input(fault.BadField, "speed", "takes more than 0 and up to 1000")
+	case len(a.Classes) > maxClasses:
+		return fault.Input(fault.BadField, "classes", "takes up to 64 names")
+	}
+	return a.checkCapacity()
+}
+
+func (a *Announcement) checkCapacity() error {
+	capacities := []struct {
+		field string
+		value int
+	}{{"cpu_milli", a.CPUMilli}, {"memory_mb", a.MemoryMB}, {"accelerators", a.Accelerators}}
+	for _, c := range capacities {
+		if c.value < 0 || c.value > maxCapacity {
+			return outOfRange(c.field, 0, maxCapacity)
+		}
+	}
+	return nil
+}
+
+func outOfRange(field string, low, high int) error {
+	return fault.Input(fault.BadField, field, "takes "+strconv.Itoa(low)+" to "+strconv.Itoa(high))
+}
+
+// Target is the announcement as owners get it.
+func (a *Announcement) Target() wire.Target {
+	return wire.Target{
+		Name: a.Name, Classes: a.Classes, Slots: a.Slots, Speed: a.Speed, Leaving: a.Leaving,
+		Capacity: job.Demand{CPUMilli: a.CPUMilli, MemoryMB: a.MemoryMB, Accelerators: a.Accelerators},
+	}
+}
