--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,6 +41,8 @@
 	open      atomic.Int64 // sessions that are welcomed
 	draining  atomic.Bool
 	drainOnce sync.Once
+	endOnce   sync.Once
+	endAsked  chan struct{} // closed when the process should end
 }
 
 // New returns a daemon that is bound to its address but does not serve yet.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", o.Listen)
 	}
-	a := &Agent{o: o, log: log, clock: clock.NewAnchored(), listener: listener}
+	a := &Agent{o: o, log: log, clock: clock.NewAnchored(), listener: listener, endAsked: make(chan struct{})}
 	a.metrics = newCounters(func() int { return len(a.control.commands) })
 	s := newState(o, log, a.metrics)
 	s.runTask = a.runTask
@@ -66,12 +68,7 @@
 // Start serves and dials until Stop.
 func (a *Agent) Start() {
 	go a.control.run()
-	go func() {
-		// Shutdown makes Serve return; any other end shows as a target that can't announce.
-		if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
-			event.Log(a.log, event.ProcessStopping, "error", err.Error())
-		}
-	}()
+	go a.serve()
 	for _, addr := range a.o.entries() {
 		a.dialers.configured(addr)
 	}
@@ -79,6 +76,19 @@
 		"incarnation", a.control.state.incarnation.String(), "data_centre", a.o.DataCentre, "rack", a.o.Rack, "policy", a.o.Policy)
 }
 
+func (a *Agent) serve() {
+	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		event.Log(a.log, event.ProcessStopping, "error", err.Error())
+		a.askEnd() // without announcements there is no target
+	}
+}
+
+// EndAsked is closed when an operator asked for a drain, or when serving failed:
+// the process should stop the agent then, as after a signal.
+func (a *Agent) EndAsked() <-chan struct{} { return a.endAsked }
+
+func (a *Agent) askEnd() { a.endOnce.Do(func() { close(a.endAsked) }) }
+
 // beginDrain takes no new work from now on.
 func (a *Agent) beginDrain() {
 	a.drainOnce.Do(func() {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -86,6 +86,7 @@
 
 func (a *Agent) takeDrain(g *gin.Context) {
 	a.beginDrain()
+	a.askEnd()
 	g.JSON(http.StatusOK, struct{}{})
 }
 
--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -10,7 +10,8 @@
 	"github.com/camphorrack/camphorrack/internal/logging"
 )
 
-// Module wires the daemon for fx.
+// Module wires the daemon for fx. A drain that an operator asked for ends the
+// program like a signal does.
 func Module(o *Options) fx.Option {
 	return fx.Options(
 		fx.Supply(*o),
@@ -22,10 +23,14 @@
 
 func newLogger(o Options) logr.Logger { return logging.New(os.Stderr, Program, o.LogLevel) }
 
-func run(life fx.Lifecycle, a *Agent) {
+func run(life fx.Lifecycle, shutdown fx.Shutdowner, a *Agent) {
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			a.Start()
+			go func() {
+				<-a.EndAsked()
+				_ = shutdown.Shutdown() // fails only when the program is ending already
+			}()
 			return nil
 		},
 		OnStop: a.Stop,
--- a/internal/attempt/board.go
+++ b/internal/attempt/board.go
@@ -104,7 +104,7 @@
 
 func newBoard(o Options) *board {
 	return &board{
-		log:       o.Log,
+		log:       o.Log.WithValues("agent", o.Incarnation.String()),
 		out:       o.Outbox,
 		policy:    o.Policy,
 		owners:    map[job.Incarnation]*owner{},
--- a/internal/attempt/status.go
+++ b/internal/attempt/status.go
@@ -1,7 +1,6 @@
 package attempt
 
 import (
-	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -67,12 +66,3 @@
 	}
 	return true
 }
-
-// Owners returns the connected owners' incarnations in order of connecting.
-func (t *Table) Owners() []job.Incarnation {
-	ids := make([]job.Incarnation, 0, len(t.b.connected))
-	for _, o := range t.b.connected {
-		ids = append(ids, o.incarnation)
-	}
-	return ids
-}
--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -60,7 +60,7 @@
 
 // Options of a Table.
 type Options struct {
-	Incarnation job.Incarnation
+	Incarnation job.Incarnation // of the agent, for the log
 	Log         logr.Logger
 	Outbox      Outbox
 	Policy      Policy // empty means Grants
