Entry: the daemon, its HTTP API, forwarding to owners and the drain

Cause: the owner's control state needs callers, other entries and agents around it: HTTP on one listener, agents' WebSockets on the same one.

Change: one goroutine runs commands on the control state; handlers and agents' readers hand them over through a bounded channel and frames are flushed once a batch. A draining entry refuses new ids and stays until every answer is given and was fetched, or its deadline is past.

Ruled out: a typed 'not run' when the channel is full (a copy of the request may have got in), decoding a foreign body strictly (two versions side by side would contradict each other), ending a drain as soon as the last job ends (callers that poll would find their finished jobs gone).

--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/forward"
+	"github.com/camphorrack/camphorrack/internal/invariant"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/owner"
+	"github.com/camphorrack/camphorrack/internal/session"
+)
+
+const (
+	headerTimeout  = 5 * time.Second // for a request's header
+	idleTimeout    = 2 * time.Minute // of a caller's connection between requests
+	maxHeaderBytes = 16 << 10
+)
+
+// Entry is the daemon.
+type Entry struct {
+	o        Options
+	log      logr.Logger
+	clock    clock.Clock
+	api      *api
+	control  *control
+	listener net.Listener
+	server   *http.Server
+
+	draining  atomic.Bool
+	drainOnce sync.Once
+	drainedCh chan struct{} // closed when the drain is over
+	drainErr  error         // written before drainedCh is closed
+}
+
+// New returns a daemon that is bound to its address but does not serve yet.
+func New(o Options, log logr.Logger) (*Entry, error) {
+	invariant.SetCrash(o.CrashOnBreach)
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", o.Listen)
+	}
+	self, err := identity(o, listener)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	e := &Entry{o: o, log: log, clock: clock.NewAnchored(), listener: listener, drainedCh: make(chan struct{})}
+	out := newOutbox()
+	e.control = newControl(owner.New(owner.Options{
+		Owner: self, Outbox: out, Log: log, Policy: owner.Policy(o.Policy), MaxJobs: o.MaxJobs,
+		MaxTimeout: o.MaxTimeout, DataCentre: o.DataCentre, Entries: o.entries(), Seed: uint64(self.Incarnation),
+	}), e.clock)
+	if err := e.build(self, out); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return e, nil
+}
+
+// identity draws this run's incarnation and ties it to the address in tokens.
+func identity(o Options, listener net.Listener) (job.Owner, error) {
+	addr := o.Advertise
+	if addr == "" {
+		addr = listener.Addr().String()
+	}
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return job.Owner{}, errors.Wrapf(err, "address %s", addr)
+	}
+	return job.Owner{Incarnation: job.NewIncarnation(), Addr: parsed}, nil
+}
+
+// build wires the traffic side.
+func (e *Entry) build(self job.Owner, out *outbox) error {
+	metrics, err := newCounters(func() int { return len(e.control.commands) })
+	if err != nil {
+		return errors.Wrap(err, "register metrics")
+	}
+	e.api = &api{
+		log: e.log, clock: e.clock, key: e.o.key(), owner: self, token: self.Token(e.o.key()),
+		dataCentre: e.o.DataCentre, maxTimeout: e.o.MaxTimeout, control: e.control,
+		forwarder: forward.New(forward.Options{Log: e.log, Clock: e.clock, Counters: metrics.forward}),
+		unclaimed: newUnclaimed(), metrics: metrics, draining: &e.draining, drain: e.beginDrain,
+		agents: &agents{
+			log: e.log, control: e.control, outbox: out,
+			options: session.Options{Counters: metrics.sessions},
+		},
+	}
+	e.server = &http.Server{
+		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return nil
+}
+
+// Addr returns the bound address.
+func (e *Entry) Addr() string { return e.listener.Addr().String() }
+
+// Start serves until Stop.
+func (e *Entry) Start() {
+	go e.control.run()
+	go func() {
+		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+			e.finish(errors.Wrap(err, "serve"))
+		}
+	}()
+	event.Log(e.log, event.ProcessStarted, "addr", e.Addr(), "advertise", e.api.owner.Addr.String(),
+		"incarnation", e.api.owner.Incarnation.String(), "data_centre", e.o.DataCentre, "policy", e.o.Policy)
+}
+
+// Drained is closed when a drain is over, or when serving failed.
+func (e *Entry) Drained() <-chan struct{} { return e.drainedCh }
+
+// Stop drains and ends the daemon. It returns once everything accepted has its
+// answer and callers have had the time to fetch it, or with an error when the
+// drain timeout, or the context, was over before.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.beginDrain()
+	select {
+	case <-e.drainedCh:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "drain")
+	}
+	return e.drainErr
+}
--- /dev/null
+++ b/internal/entry/options.go
@@ -0,0 +1,141 @@
+// Package entry is the daemon that callers talk to. It serves their HTTP API, owns
+// the submissions whose ids carry its token, passes the others on to their owners,
+// and serves the agents' connections.
+//
+// The control state (internal/owner) belongs to one goroutine; the goroutines of
+// HTTP requests and of agents' connections hand it commands through a channel.
+package entry
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/owner"
+	"github.com/camphorrack/camphorrack/internal/settings"
+)
+
+// Program is the daemon's name.
+const Program = "camphorrack-entry"
+
+// minKeyBytes is the shortest key that signs tokens.
+const minKeyBytes = 16
+
+// Options are the daemon's settings.
+type Options struct {
+	Listen        string
+	Advertise     string // "ip:port" in tokens; empty means the bound address
+	DataCentre    string
+	Entries       string // addresses of other entries, comma separated
+	Key           string
+	MaxTimeout    time.Duration
+	MaxJobs       int
+	LogLevel      int
+	Policy        string
+	CrashOnBreach bool
+	// DrainTimeout bounds a graceful shutdown; 0 means as long as a job may take.
+	DrainTimeout time.Duration
+}
+
+// drainSlack is added to the longest job to give its caller time to fetch the answer.
+const drainSlack = 5 * time.Second
+
+// Define adds the daemon's settings to a set and returns where they will be read to.
+func Define(s *settings.Set) *Options {
+	o := &Options{}
+	s.StringVar(&o.Listen, "listen", "127.0.0.1:7400", "address for callers, other entries and agents")
+	s.StringVar(&o.Advertise, "advertise", "", "address by which others reach this entry, ip:port (default: the bound address)")
+	s.StringVar(&o.DataCentre, "data-centre", "", "name of the data centre")
+	s.StringVar(&o.Entries, "entries", "", "addresses of other entries to tell agents about, comma separated")
+	key := s.Secret("key", "secret of the fleet that signs tokens, at least 16 bytes")
+	s.DurationVar(&o.MaxTimeout, "max-timeout", 10*time.Minute, "longest time from now to a submission's deadline")
+	s.IntVar(&o.MaxJobs, "max-jobs", owner.DefaultMaxJobs, "most submission ids held")
+	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: every decision, 2: debugging")
+	s.StringVar(&o.Policy, "policy", string(owner.PolicyLeastWork), "how tasks reach targets: "+policyNames())
+	s.BoolVar(&o.CrashOnBreach, "crash-on-breach", false, "end the process when an invariant is broken")
+	s.DurationVar(&o.DrainTimeout, "drain-timeout", 0, "longest graceful shutdown (default: max-timeout and 5s more)")
+	o.check(s, key)
+	return o
+}
+
+func (o *Options) check(s *settings.Set, key *string) {
+	s.Check("listen", func() string { return checkAddr(o.Listen) })
+	s.Check("advertise", o.checkAdvertise)
+	s.Check("entries", func() string {
+		for _, addr := range o.entries() {
+			if wrong := checkAddr(addr); wrong != "" {
+				return wrong
+			}
+		}
+		return ""
+	})
+	s.Check("key", func() string {
+		o.Key = *key
+		return failIf(len(o.Key) < minKeyBytes, "takes at least 16 bytes")
+	})
+	s.Check("max-timeout", func() string {
+		return failIf(o.MaxTimeout < time.Second || o.MaxTimeout > 24*time.Hour, "takes 1s to 24h")
+	})
+	s.Check("max-jobs", func() string { return failIf(o.MaxJobs < 1, "takes 1 or more") })
+	s.Check("log-level", func() string { return failIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
+	s.Check("policy", func() string {
+		return failIf(!slices.Contains(owner.Policies, owner.Policy(o.Policy)), "takes "+policyNames())
+	})
+	s.Check("drain-timeout", func() string { return failIf(o.DrainTimeout < 0, "takes 0 or more") })
+}
+
+// checkAdvertise refuses an address that others can't dial. Tokens carry it, so a
+// wildcard would send every forwarded request to the forwarder's own host.
+func (o *Options) checkAdvertise() string {
+	addr, from := o.Advertise, ""
+	if addr == "" {
+		addr, from = o.Listen, "needed, since -listen names no single address; "
+	}
+	parsed, err := netip.ParseAddrPort(addr)
+	if o.Advertise == "" && checkAddr(o.Listen) != "" {
+		return "" // reported for -listen
+	}
+	return failIf(err != nil || parsed.Addr().IsUnspecified(), from+"takes ip:port with a single address")
+}
+
+func checkAddr(addr string) string {
+	_, err := netip.ParseAddrPort(addr)
+	return failIf(err != nil, "takes ip:port, got "+addr)
+}
+
+func failIf(wrong bool, text string) string {
+	if wrong {
+		return text
+	}
+	return ""
+}
+
+func policyNames() string {
+	names := make([]string, len(owner.Policies))
+	for i, p := range owner.Policies {
+		names[i] = string(p)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (o *Options) entries() []string {
+	var addrs []string
+	for _, addr := range strings.Split(o.Entries, ",") {
+		if addr = strings.TrimSpace(addr); addr != "" {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+func (o *Options) key() job.Key { return job.Key(o.Key) }
+
+func (o *Options) drainTimeout() time.Duration {
+	if o.DrainTimeout == 0 {
+		return o.MaxTimeout + drainSlack
+	}
+	return o.DrainTimeout
+}
--- /dev/null
+++ b/internal/entry/submissions.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/forward"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/owner"
+)
+
+const (
+	// defaultTimeout is the time to the deadline of a submission without an id:
+	// several times the longest usual task.
+	defaultTimeout = 30 * time.Second
+	// waitSlack is how long a wait for the final answer goes on past the deadline,
+	// at which the owner gives it.
+	waitSlack = time.Second
+	// bodyTimeout bounds the reading of a body, so that a caller that sends a byte
+	// a minute can't hold a connection and a buffer for ever.
+	bodyTimeout = 30 * time.Second
+)
+
+// submit serves POST /v1/jobs and, for single requests, POST /v1/requests.
+func (a *api) submit(single bool) gin.HandlerFunc {
+	return func(g *gin.Context) {
+		wait, given, err := decodeWait(g.Request.URL.Query())
+		if err != nil {
+			writeFault(g, "", err)
+			return
+		}
+		body, err := a.readBody(g)
+		if err != nil {
+			writeFault(g, "", err)
+			return
+		}
+		b, err := decodeSubmission(body, single)
+		if err != nil {
+			a.undecodable(g, body, wait, given, err)
+			return
+		}
+		id, err := a.identify(b.ID)
+		if err != nil {
+			writeFault(g, b.ID, err)
+			return
+		}
+		if !given {
+			wait = a.untilAnswered(id)
+		}
+		if !a.owns(id) {
+			a.pass(g, id, a.request(g, id, body, wait))
+			return
+		}
+		b.Submission.ID = id
+		a.accept(g, &b.Submission, wait)
+	}
+}
+
+// undecodable handles a body that this entry can't decode. Where it names another
+// owner, only that one may judge it: entries of two versions side by side would
+// otherwise disagree, and one say "not run" of what the other has started.
+func (a *api) undecodable(g *gin.Context, body []byte, wait time.Duration, given bool, cause error) {
+	id, err := job.ParseID(peekID(body), a.key)
+	if err != nil || a.owns(id) {
+		writeFault(g, "", cause)
+		return
+	}
+	if !given {
+		wait = a.untilAnswered(id)
+	}
+	a.pass(g, id, a.request(g, id, body, wait))
+}
+
+// accept hands a submission that this entry owns to the control state.
+func (a *api) accept(g *gin.Context, s *job.Submission, wait time.Duration) {
+	if err := s.Check(); err != nil {
+		writeFault(g, s.ID.String(), err)
+		return
+	}
+	a.await(g, s.ID, wait, func(now time.Time, c core, w owner.Waiter) (func(), error) {
+		return c.Submit(now, s, w)
+	})
+}
+
+// lookup serves GET /v1/jobs/{id}.
+func (a *api) lookup(g *gin.Context) {
+	wait, given, err := decodeWait(g.Request.URL.Query())
+	if err != nil {
+		writeFault(g, "", err)
+		return
+	}
+	id, err := job.ParseID(g.Param("id"), a.key)
+	if err != nil {
+		writeFault(g, "", err)
+		return
+	}
+	if !given {
+		wait = a.untilAnswered(id)
+	}
+	if !a.owns(id) {
+		a.pass(g, id, a.request(g, id, nil, wait))
+		return
+	}
+	a.await(g, id, wait, func(now time.Time, c core, w owner.Waiter) (func(), error) {
+		return c.Await(now, id, w)
+	})
+}
+
+// await asks the control state for an answer and writes what comes of it.
+func (a *api) await(g *gin.Context, id job.ID, wait time.Duration,
+	ask func(time.Time, core, owner.Waiter) (func(), error),
+) {
+	answers := make(chan job.Answer, 1) // the waiter never blocks
+	var stop func()
+	var refusal error
+	err := a.control.do(func(now time.Time, c core) {
+		stop, refusal = ask(now, c, func(answer job.Answer) { answers <- answer })
+	})
+	if err == nil {
+		err = refusal
+	}
+	if err != nil {
+		writeFault(g, id.String(), err)
+		return
+	}
+	answer, ok := receive(g, answers, wait)
+	if !ok {
+		// Where there is no room for this command, the waiter stays until the job
+		// ends; the job itself goes on in any case.
+		_ = a.control.post(func(time.Time, core) { stop() })
+		answer = job.Answer{ID: id.String(), State: job.Pending}
+	}
+	a.deliver(g, id, answer)
+}
+
+// receive waits for the answer until the wait is over or the caller is gone.
+func receive(g *gin.Context, answers <-chan job.Answer, wait time.Duration) (job.Answer, bool) {
+	select {
+	case answer := <-answers:
+		return answer, true
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		return answer, true
+	case <-timer.C:
+	case <-g.Request.Context().Done():
+	}
+	return job.Answer{}, false
+}
+
+// deliver writes an answer and notes whether its caller will come back for it.
+func (a *api) deliver(g *gin.Context, id job.ID, answer job.Answer) {
+	written := writeAnswer(g, answer) && g.Request.Context().Err() == nil
+	if written && answer.Final() {
+		a.unclaimed.claimed(id.String())
+		return
+	}
+	a.unclaimed.add(a.clock.Now(), id.String(), id.Deadline)
+}
+
+// identify parses a submission's id, or makes one where the caller left it out.
+func (a *api) identify(text string) (job.ID, error) {
+	if text != "" {
+		return job.ParseID(text, a.key)
+	}
+	timeout := min(defaultTimeout, a.maxTimeout)
+	return job.NewID(a.token, a.clock.Now().Add(timeout), rand.Text(), a.key)
+}
+
+func (a *api) owns(id job.ID) bool { return id.Owner.Incarnation == a.owner.Incarnation }
+
+// untilAnswered is the wait of a caller who named none: the owner gives the final
+// answer by the deadline.
+func (a *api) untilAnswered(id job.ID) time.Duration {
+	return max(id.Deadline.Sub(a.clock.Now()), 0) + waitSlack
+}
+
+func (a *api) readBody(g *gin.Context) ([]byte, error) {
+	controller := http.NewResponseController(g.Writer)
+	// Neither call fails on a connection that still works.
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := readBody(g.Request)
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+// request describes this request for its owner.
+func (a *api) request(g *gin.Context, id job.ID, body []byte, wait time.Duration) forward.Request {
+	return forward.Request{
+		Owner: id.Owner, ID: id.String(), Deadline: id.Deadline,
+		Method: g.Request.Method, Path: g.Request.URL.Path, Body: body, Wait: wait, Waits: true,
+	}
+}
+
+// pass sends a request on to the owner of its id and writes the owner's reply.
+func (a *api) pass(g *gin.Context, id job.ID, r forward.Request) {
+	if f := a.dontPass(g, id.Owner); f != nil {
+		writeFault(g, id.String(), f)
+		return
+	}
+	reply, err := a.forwarder.Do(g.Request.Context(), r)
+	if err != nil {
+		writeFault(g, id.String(), err)
+		return
+	}
+	writeReply(g, reply)
+}
+
+// dontPass returns why a request must not be passed on to the owner, or nil.
+func (a *api) dontPass(g *gin.Context, o job.Owner) *fault.Fault {
+	if o.Addr == a.owner.Addr {
+		// This process listens where the owner did, so the owner has ended.
+		return forward.OwnerGone(o)
+	}
+	if g.GetHeader(forward.HeaderForwarded) != "" {
+		return fault.New(fault.Undecided, "a request that was forwarded already belongs to yet another entry")
+	}
+	return nil
+}
