Entry: tests of the API, leaving, bad input and agents' connections

Each runs real daemons on loopback with an agent that speaks the protocol. The control state gets its first tick before the first command: without it the admission rules took an entry that had just started for one without capacity and refused what came in its first 10 ms.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -76,6 +76,7 @@
 	defer close(c.stopped)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	c.core.Tick(c.clock.Now()) // sets its time before the first submission
 	for {
 		select {
 		case <-c.stop:
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,257 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/entry"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/forward"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/session"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+var _ = Describe("the callers' API", func() {
+	var first, second *entry.Entry
+	var agent *fakeAgent
+	var token string
+	BeforeEach(func() {
+		first, second = startEntry(GinkgoT()), startEntry(GinkgoT())
+		agent = startAgent(GinkgoT(), first.Addr())
+		token = tokenOf(first.Addr())
+	})
+
+	// A caller's connection broke and it sends its job again, through whichever
+	// entry the balancer picks, several at once. A task started twice bills a
+	// customer twice; an answer that differs makes the caller act on a wrong one.
+	It("answers a resubmission through any entry with the one answer, and starts each task once", func() {
+		id := newID(token, time.Minute, "job")
+		payloads := numbered(job.MaxTasks)
+		agent.holding(true)
+		addrs := []string{first.Addr(), second.Addr()}
+		replies := make(chan reply, 20)
+		for i := range 20 {
+			go func() {
+				defer GinkgoRecover()
+				replies <- call(http.MethodPost, addrs[i%2], "/v1/jobs", submission(id, payloads...))
+			}()
+		}
+		Eventually(agent.startCounts).Should(HaveLen(job.MaxTasks))
+		agent.holding(false)
+		for range 20 {
+			var r reply
+			Eventually(replies, "10s").Should(Receive(&r))
+			Expect(r.status).To(Equal(http.StatusOK))
+			Expect(r.State).To(Equal(job.Complete))
+			for i, p := range payloads {
+				Expect(string(r.Results[i])).To(Equal(p))
+			}
+		}
+		Expect(agent.startCounts()).To(HaveEach(1))
+		Expect(call(http.MethodGet, second.Addr(), "/v1/jobs/"+id, nil).Results).To(HaveLen(job.MaxTasks))
+		other := call(http.MethodPost, second.Addr(), "/v1/jobs", submission(id, "another body"))
+		Expect(other.Failure.Code).To(Equal(fault.BodyMismatch))
+	})
+
+	// The caller's process dies while it waits. What it asked for is still done
+	// once, and whoever asks for the id later gets the answer.
+	It("goes on with a job whose caller is gone, and keeps the answer for a look-up", func() {
+		agent.holding(true)
+		id := newID(token, time.Minute, "job")
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := make(chan error, 1)
+		go func() {
+			_, err := try(ctx, http.MethodPost, second.Addr(), "/v1/requests", submission(id, "p"))
+			gone <- err
+		}()
+		Eventually(agent.startCounts).Should(HaveLen(1))
+		cancel()
+		Eventually(gone).Should(Receive(MatchError(context.Canceled)))
+		pending := call(http.MethodGet, second.Addr(), "/v1/jobs/"+id+"?wait_ms=30", nil)
+		Expect(pending.status).To(Equal(http.StatusAccepted))
+		Expect(pending.State).To(Equal(job.Pending))
+		agent.holding(false)
+		Expect(call(http.MethodGet, second.Addr(), "/v1/jobs/"+id, nil).State).To(Equal(job.Complete))
+	})
+
+	It("makes an id for a submission without one, and names itself on every response", func() {
+		r := call(http.MethodPost, second.Addr(), "/v1/requests?wait_ms=0", submission("", "p"))
+		Expect(r.State).To(Equal(job.Pending))
+		id, err := job.ParseID(r.ID, job.Key(testKey))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(id.Owner.Addr.String()).To(Equal(second.Addr()))
+		Expect(r.header.Get(forward.HeaderIncarnation)).To(Equal(id.Owner.Incarnation.String()))
+	})
+
+	// Whatever a caller sends that can't be understood must start nothing, name
+	// what is wrong, and leave the process serving everybody else.
+	It("refuses bad input with a numbered fault that names the field, and starts nothing", func() {
+		good := newID(token, time.Minute, "x")
+		long := make([]byte, job.MaxPayloadBytes+1)
+		bad := []struct {
+			path  string
+			body  any
+			code  fault.Code
+			field string
+		}{
+			{"/v1/jobs", []byte(`{`), fault.BadBody, "body"},
+			{"/v1/jobs", []byte(``), fault.BadBody, "body"},
+			{"/v1/jobs", []byte("\xff\xfe"), fault.BadBody, "body"},
+			{"/v1/jobs", []byte(`{"team":"t"} {}`), fault.BadBody, "body"},
+			{"/v1/jobs", []byte(`{"tasksets":[]}`), fault.BadBody, "tasksets"},
+			{"/v1/jobs", []byte(`{"tasks":[{"payload":"aGk=","priority":1}]}`), fault.BadBody, "priority"},
+			{"/v1/jobs", []byte(`{"team":7}`), fault.BadBody, "team"},
+			{"/v1/jobs", []byte(`{"tasks":[{"estimate_ms":"long"}]}`), fault.BadBody, "tasks.estimate_ms"},
+			{"/v1/jobs", []byte(`{"id":"` + strings.Repeat("x", job.MaxBodyBytes) + `"}`), fault.BodyTooLarge, "body"},
+			{"/v1/jobs", submission(good), fault.BadTaskCount, "tasks"},
+			{"/v1/jobs", submission(good, numbered(job.MaxTasks+1)...), fault.BadTaskCount, "tasks"},
+			{"/v1/requests", submission(good, "a", "b"), fault.BadTaskCount, "tasks"},
+			{"/v1/jobs", submission(good, string(long)), fault.BodyTooLarge, "tasks[0].payload"},
+			{"/v1/jobs", submission("my-own-id", "p"), fault.BadID, "id"},
+			{"/v1/jobs", submission(strings.Replace(good, "c1-", "c1-f", 1), "p"), fault.BadID, "id"},
+			{"/v1/jobs", submission(newID(token, time.Minute, "a b"), "p"), fault.BadID, "id"},
+			{"/v1/jobs?wait_ms=-1", submission(good, "p"), fault.BadField, "wait_ms"},
+			{"/v1/jobs?wait=1", submission(good, "p"), fault.BadField, "wait"},
+			{"/v1/jobs", submission(newID(token, -time.Second, "x"), "p"), fault.DeadlinePast, "id"},
+			{"/v1/cancel", []byte(`{"ids":[]}`), fault.BadField, "ids"},
+			{"/v1/nothing", nil, fault.UnknownResource, "path"},
+		}
+		for _, b := range bad {
+			r := call(http.MethodPost, first.Addr(), b.path, b.body)
+			Expect(r).To(haveFailure(b.code, true), "%s %.100v", b.path, b.body)
+			Expect(r.Failure.Field).To(Equal(b.field), "%s %.100v", b.path, b.body)
+		}
+		far := call(http.MethodPost, first.Addr(), "/v1/jobs", submission(newID(token, time.Hour, "x"), "p"))
+		Expect(far).To(haveFailure(fault.DeadlineTooFar, false))
+		Expect(agent.startCounts()).To(BeEmpty())
+		Expect(call(http.MethodPost, first.Addr(), "/v1/jobs", submission(good, "p")).State).To(Equal(job.Complete))
+	})
+
+	// An editor cancels everything at press time: hundreds of jobs at once, of
+	// several owners, some of them ended or never seen.
+	It("cancels in waves across owners and tells of each id", func() {
+		agent.holding(true)
+		var ids []string
+		tokens := []string{token, tokenOf(second.Addr())}
+		for i := range 40 {
+			id := newID(tokens[i%2], time.Minute, fmt.Sprint("job", i))
+			Expect(call(http.MethodPost, first.Addr(), "/v1/jobs?wait_ms=0", submission(id, "p")).State).To(Equal(job.Pending))
+			ids = append(ids, id)
+		}
+		r := call(http.MethodPost, second.Addr(), "/v1/cancel", map[string]any{"ids": append(ids, "nonsense")})
+		Expect(r.status).To(Equal(http.StatusOK))
+		var wave struct {
+			Results []struct {
+				ID      string
+				Failure *fault.Fault
+			}
+		}
+		Expect(json.Unmarshal([]byte(r.raw), &wave)).To(Succeed())
+		Expect(wave.Results).To(HaveLen(41))
+		for i, id := range ids {
+			Expect(wave.Results[i].ID).To(Equal(id))
+			Expect(wave.Results[i].Failure).To(BeNil())
+			Expect(call(http.MethodGet, first.Addr(), "/v1/jobs/"+id, nil).Failure.Code).To(Equal(fault.Cancelled))
+		}
+		Expect(wave.Results[40].Failure.Code).To(Equal(fault.BadID))
+
+		one := newID(token, time.Minute, "one")
+		call(http.MethodPost, first.Addr(), "/v1/jobs?wait_ms=0", submission(one, "p"))
+		Expect(call(http.MethodDelete, second.Addr(), "/v1/jobs/"+one, nil).status).To(Equal(http.StatusOK))
+		Expect(call(http.MethodGet, first.Addr(), "/v1/jobs/"+one, nil).Failure.Code).To(Equal(fault.Cancelled))
+	})
+})
+
+var _ = Describe("leaving", func() {
+	// An operator replaces the entry's host. Its callers must get their answers, also
+	// those that poll and are between two questions when the last task ends.
+	It("refuses new work, finishes the rest, waits for its callers and then ends", func() {
+		e, other := startEntry(GinkgoT()), startEntry(GinkgoT())
+		agent := startAgent(GinkgoT(), e.Addr())
+		agent.holding(true)
+		token := tokenOf(e.Addr())
+		waiting, polling := newID(token, time.Minute, "waiting"), newID(token, time.Minute, "polling")
+		replies := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			replies <- call(http.MethodPost, e.Addr(), "/v1/jobs", submission(waiting, "p"))
+		}()
+		Expect(call(http.MethodPost, other.Addr(), "/v1/jobs?wait_ms=0", submission(polling, "p")).State).To(Equal(job.Pending))
+		Eventually(agent.startCounts).Should(HaveLen(2))
+
+		Expect(call(http.MethodGet, e.Addr(), "/healthz", nil).status).To(Equal(http.StatusOK))
+		Expect(call(http.MethodPost, e.Addr(), "/v1/drain", nil).status).To(Equal(http.StatusAccepted))
+		Expect(call(http.MethodGet, e.Addr(), "/healthz", nil)).To(haveFailure(fault.Draining, true))
+		Expect(call(http.MethodGet, e.Addr(), "/v1/token", nil)).To(haveFailure(fault.Draining, true))
+		Eventually(func() reply {
+			return call(http.MethodPost, other.Addr(), "/v1/jobs", submission(newID(token, time.Minute, "late"), "p"))
+		}).Should(haveFailure(fault.Draining, true))
+		Expect(call(http.MethodPost, e.Addr(), "/v1/jobs?wait_ms=0", submission(polling, "p")).State).To(Equal(job.Pending))
+
+		agent.holding(false)
+		var r reply
+		Eventually(replies).Should(Receive(&r))
+		Expect(r.State).To(Equal(job.Complete))
+		Consistently(e.Drained(), "100ms").ShouldNot(BeClosed())
+		Expect(call(http.MethodGet, other.Addr(), "/v1/jobs/"+polling, nil).State).To(Equal(job.Complete))
+		Eventually(e.Drained(), "5s").Should(BeClosed())
+		Expect(e.Stop(context.Background())).To(Succeed())
+	})
+
+	It("ends with an error when the drain timeout is over first", func() {
+		e := startEntry(GinkgoT(), func(o *entry.Options) { o.DrainTimeout = 50 * time.Millisecond })
+		id := newID(tokenOf(e.Addr()), time.Minute, "job")
+		call(http.MethodPost, e.Addr(), "/v1/jobs?wait_ms=0", submission(id, "p"))
+		Expect(e.Stop(context.Background())).To(MatchError(entry.ErrDrainTimeout))
+	})
+})
+
+var _ = Describe("an agent's connection", func() {
+	// An agent of another build, or another program altogether, connects. It must
+	// be turned away without harm to the process or to other agents.
+	DescribeTable("is closed when it does not open as it must", func(f *wire.ToEntry) {
+		e := startEntry(GinkgoT())
+		agent := startAgent(GinkgoT(), e.Addr())
+		conn, err := session.Dial(context.Background(), e.Addr(), session.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		conn.Send(f)
+		ended := make(chan error, 1)
+		go func() { ended <- conn.Serve(func(*wire.ToAgent) error { return nil }) }()
+		Eventually(ended, "5s").Should(Receive())
+		Expect(agent.conn.Err()).NotTo(HaveOccurred())
+		id := newID(tokenOf(e.Addr()), time.Minute, "job")
+		Expect(call(http.MethodPost, e.Addr(), "/v1/jobs", submission(id, "p")).State).To(Equal(job.Complete))
+	},
+		Entry("without hello", &wire.ToEntry{Credits: &wire.Credits{Total: 1}}),
+		Entry("of another version", &wire.ToEntry{Hello: &wire.Hello{Version: 99, Incarnation: 1, Worker: "w"}}),
+		Entry("without an incarnation", &wire.ToEntry{Hello: &wire.Hello{Version: wire.Version, Worker: "w"}}),
+	)
+})
+
+var _ = Describe("the operators' pages", func() {
+	It("show status, targets and metrics as JSON", func() {
+		e := startEntry(GinkgoT(), func(o *entry.Options) { o.DataCentre = "khangai-1" })
+		startAgent(GinkgoT(), e.Addr())
+		Eventually(func() string { return call(http.MethodGet, e.Addr(), "/v1/targets", nil).raw }).
+			Should(ContainSubstring(`"worker":"worker"`))
+		Expect(call(http.MethodGet, e.Addr(), "/v1/status", nil).raw).To(ContainSubstring(`"data_centre":"khangai-1"`))
+		metrics := call(http.MethodGet, e.Addr(), "/metrics", nil).raw
+		Expect(metrics).To(And(ContainSubstring(`"owner.agents":{"value":1}`), ContainSubstring(`"sessions.frames_in"`)))
+		Expect(bytes.Contains([]byte(metrics), []byte(testKey))).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,208 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/entry"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/session"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+const testKey = "a key for tests only"
+
+// startEntry runs a daemon in this process until the test ends.
+func startEntry(t testingT, change ...func(*entry.Options)) *entry.Entry {
+	o := entry.Options{Listen: "127.0.0.1:0", Key: testKey, MaxTimeout: 10 * time.Minute, MaxJobs: 10000,
+		Policy: "least-work", CrashOnBreach: true}
+	for _, c := range change {
+		c(&o)
+	}
+	e, err := entry.New(o, logr.Discard())
+	if err != nil {
+		t.Fatalf("start an entry: %v", err)
+	}
+	e.Start()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = e.Stop(ctx) // the test has seen what it wanted
+	})
+	return e
+}
+
+// testingT is what the harness needs of a test or a benchmark.
+type testingT interface {
+	Fatalf(format string, args ...any)
+	Cleanup(func())
+}
+
+// reply is a response as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	job.Answer
+	raw string
+}
+
+func call(method, addr, path string, body any, headers ...string) reply {
+	GinkgoHelper()
+	r, err := try(context.Background(), method, addr, path, body, headers...)
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// try sends one request; a body of []byte goes out as it is.
+func try(ctx context.Context, method, addr, path string, body any, headers ...string) (reply, error) {
+	encoded, raw := body.([]byte)
+	if !raw && body != nil {
+		encoded, _ = json.Marshal(body)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(encoded))
+	if err != nil {
+		return reply{}, err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	r := reply{status: response.StatusCode, header: response.Header, raw: string(text)}
+	_ = json.Unmarshal(text, &r.Answer) // replies of another form are read from raw
+	return r, nil
+}
+
+func tokenOf(addr string) string {
+	GinkgoHelper()
+	r := call(http.MethodGet, addr, "/v1/token", nil)
+	var body struct{ Token string }
+	Expect(json.Unmarshal([]byte(r.raw), &body)).To(Succeed())
+	return body.Token
+}
+
+// newID makes an id from a token; unique within a test.
+func newID(token string, in time.Duration, unique string) string {
+	return token + "-" + strconv.FormatInt(time.Now().Add(in).UnixMilli(), 10) + "-" + unique
+}
+
+// submission is a body with one task per payload.
+func submission(id string, payloads ...string) map[string]any {
+	tasks := make([]map[string]any, len(payloads))
+	for i, p := range payloads {
+		tasks[i] = map[string]any{"payload": []byte(p), "estimate_ms": 50}
+	}
+	return map[string]any{"id": id, "team": "team", "class": "class", "tasks": tasks}
+}
+
+func numbered(n int) []string {
+	payloads := make([]string, n)
+	for i := range payloads {
+		payloads[i] = fmt.Sprint("payload ", i)
+	}
+	return payloads
+}
+
+func haveFailure(code fault.Code, notRun bool) OmegaMatcher {
+	return WithTransform(func(r reply) string {
+		if r.Failure == nil {
+			return "no failure: " + r.raw
+		}
+		return fmt.Sprintf("%s not_run=%v status=%d", r.Failure.Name, r.Failure.NotRun, r.status)
+	}, Equal(fmt.Sprintf("%s not_run=%v status=%d", code, notRun, code.Status())))
+}
+
+// fakeAgent serves every task at once by echoing its payload, or holds it back.
+type fakeAgent struct {
+	mu     sync.Mutex
+	starts map[string]int // by job and task
+	hold   bool
+	held   []wire.Start
+	conn   *session.ToEntryConn
+}
+
+const manyCredits = 1 << 20
+
+func startAgent(t testingT, addr string) *fakeAgent {
+	a := &fakeAgent{starts: map[string]int{}}
+	conn, err := session.Dial(context.Background(), addr, session.Options{})
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	a.conn = conn
+	t.Cleanup(func() { conn.Close(nil) })
+	conn.Send(&wire.ToEntry{Hello: &wire.Hello{
+		Version: wire.Version, Incarnation: job.NewIncarnation(), Worker: "worker",
+		Target: wire.Target{Name: "target", Slots: 1000, Speed: 1},
+	}})
+	go func() { _ = conn.Serve(a.receive) }()
+	return a
+}
+
+func (a *fakeAgent) receive(f *wire.ToAgent) error {
+	if f.Welcome != nil {
+		a.conn.Send(&wire.ToEntry{Credits: &wire.Credits{Total: manyCredits, Owners: 1}})
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range f.Starts {
+		a.starts[s.Job+"/"+strconv.Itoa(s.Task)]++
+	}
+	a.held = append(a.held, f.Starts...)
+	if !a.hold {
+		a.finish()
+	}
+	return nil
+}
+
+// finish reports what was held as done. Call it with the lock held.
+func (a *fakeAgent) finish() {
+	if len(a.held) == 0 {
+		return
+	}
+	done := &wire.ToEntry{}
+	for _, s := range a.held {
+		done.Reports = append(done.Reports, wire.Report{Seq: s.Seq, State: wire.Succeeded, Result: s.Payload, RunMs: 1})
+	}
+	a.held = nil
+	a.conn.Send(done)
+}
+
+// holding makes the agent keep its tasks running, or finish them all.
+func (a *fakeAgent) holding(hold bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hold = hold; !hold {
+		a.finish()
+	}
+}
+
+// startCounts returns how often each task was started, by "job/task".
+func (a *fakeAgent) startCounts() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counts := make(map[string]int, len(a.starts))
+	for k, n := range a.starts {
+		counts[k] = n
+	}
+	return counts
+}
