Tests of forwarding verdicts; fuzz tests of bodies, ids and frames

Cause: the verdicts are where an entry could say 'not run' of what runs, or give two callers answers that contradict each other; the decoders face any bytes.

Fuzzing found one fault in its first second: an unknown field with an empty name was refused without naming any field; its input stays as a seed.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -82,12 +82,22 @@
 		field := strings.TrimPrefix(wrongType.Field, embedded)
 		return fault.Input(fault.BadBody, field, "can't hold a JSON "+wrongType.Value)
 	}
-	if name, ok := strings.CutPrefix(err.Error(), unknownField); ok {
-		return fault.Input(fault.BadBody, strings.Trim(name, `"`), "unknown field")
+	if quoted, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		return fault.Input(fault.BadBody, fieldName(quoted), "unknown field")
 	}
 	return fault.Input(fault.BadBody, "body", err.Error())
 }
 
+// fieldName returns the name that a caller gave a field, cut to a length that a
+// reply may carry; "body" stands for an empty one.
+func fieldName(quoted string) string {
+	name, err := strconv.Unquote(quoted)
+	if err != nil || name == "" {
+		return "body"
+	}
+	return strings.ToValidUTF8(name[:min(len(name), job.MaxNameBytes)], "")
+}
+
 // decodeSubmission reads the body of a submission; the id in it is still a text.
 func decodeSubmission(body []byte, single bool) (*submissionBody, error) {
 	b := &submissionBody{}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -177,6 +177,56 @@
 	})
 })
 
+var _ = Describe("an owner that is not there", func() {
+	// The owner's process was killed and another started at its address. Its jobs
+	// may have run, so the successor must neither start them nor say "not run".
+	It("is reported gone by its successor and through another entry", func() {
+		former, other := startEntry(GinkgoT()), startEntry(GinkgoT())
+		token := tokenOf(former.Addr())
+		Expect(former.Stop(context.Background())).To(Succeed())
+		id := newID(token, time.Minute, "job")
+		undecided := call(http.MethodPost, other.Addr(), "/v1/jobs", submission(id, "p"))
+		Expect(undecided).To(haveFailure(fault.Undecided, false))
+		Expect(undecided.State).To(BeEmpty())
+		Expect(undecided.header.Get("Retry-After")).To(Equal("1"))
+
+		successor := startEntry(GinkgoT(), func(o *entry.Options) { o.Listen = former.Addr() })
+		agent := startAgent(GinkgoT(), successor.Addr())
+		for _, addr := range []string{other.Addr(), successor.Addr()} {
+			gone := call(http.MethodPost, addr, "/v1/jobs", submission(id, "p"))
+			Expect(gone).To(haveFailure(fault.OwnerGone, false))
+			Expect(gone.State).To(Equal(job.Failed))
+			Expect(call(http.MethodGet, addr, "/v1/jobs/"+id, nil)).To(haveFailure(fault.OwnerGone, false))
+			Expect(call(http.MethodDelete, addr, "/v1/jobs/"+id, nil)).To(haveFailure(fault.OwnerGone, false))
+			wave := call(http.MethodPost, addr, "/v1/cancel", map[string]any{"ids": []string{id}}).raw
+			Expect(wave).To(ContainSubstring(`"owner_gone"`))
+		}
+		Expect(agent.startCounts()).To(BeEmpty())
+	})
+
+	// Two entries are configured with each other's address, or an address moved. A
+	// request that went round between them would take both down.
+	It("is not sought by a request that was forwarded already", func() {
+		first, second := startEntry(GinkgoT()), startEntry(GinkgoT())
+		agent := startAgent(GinkgoT(), first.Addr())
+		id := newID(tokenOf(first.Addr()), time.Minute, "job")
+		r := call(http.MethodPost, second.Addr(), "/v1/jobs", submission(id, "p"), forward.HeaderForwarded, "1")
+		Expect(r).To(haveFailure(fault.Undecided, false))
+		Expect(agent.startCounts()).To(BeEmpty())
+	})
+
+	// Entries of two versions run side by side during an upgrade. What the older one
+	// can't decode the owner may understand, and may have started already.
+	It("judges a body that another entry can't decode", func() {
+		first, second := startEntry(GinkgoT()), startEntry(GinkgoT())
+		id := newID(tokenOf(first.Addr()), time.Minute, "job")
+		r := call(http.MethodPost, second.Addr(), "/v1/jobs", []byte(`{"id":"`+id+`","of_a_later_version":1}`))
+		Expect(r).To(haveFailure(fault.BadBody, true))
+		metrics := call(http.MethodGet, second.Addr(), "/metrics", nil).raw
+		Expect(metrics).To(ContainSubstring(`"forward.requests":{"count":1}`))
+	})
+})
+
 var _ = Describe("leaving", func() {
 	// An operator replaces the entry's host. Its callers must get their answers, also
 	// those that poll and are between two questions when the last task ends.
--- /dev/null
+++ b/internal/wire/codec_fuzz_test.go
@@ -0,0 +1,56 @@
+package wire_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// A frame of any bytes arrives on an open connection. It is either refused with a
+// typed error, which closes that connection alone, or it means the same after it
+// has been written and read again.
+func FuzzDecode(f *testing.F) {
+	toEntry, err := wire.Encode(&wire.ToEntry{
+		Seq: 3, Heard: 2, Hello: &wire.Hello{Version: wire.Version, Incarnation: 9, Worker: "w"},
+		Reports: []wire.Report{{Seq: 1, State: wire.Succeeded, Result: []byte("r"), RunMs: 1.5}},
+		Credits: &wire.Credits{Total: 8, Owners: 2},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	toAgent, err := wire.Encode(&wire.ToAgent{
+		Seq: 4, Heard: 3, Starts: []wire.Start{{Seq: 1, Job: "j", Payload: []byte("p"), DeadlineMs: 1}},
+		Acks: []uint64{1, 2}, Settled: 3, Demand: &wire.Demand{Waiting: 1},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{toEntry, toAgent, {}, {0xa0}, {0xa1, 0x01, 0x01}, {0xbf, 0xff}, {0x9b, 0xff}, {0xf6},
+		{0xa2, 0x01, 0x01, 0x01, 0x02}, {0xa1, 0x18, 0x63, 0x01}, {0xa1, 0x05, 0x9a, 0xff, 0xff, 0xff, 0xff}} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		roundTrip[wire.ToEntry](t, data)
+		roundTrip[wire.ToAgent](t, data)
+	})
+}
+
+func roundTrip[F wire.ToEntry | wire.ToAgent](t *testing.T, data []byte) {
+	g := NewWithT(t)
+	frame, err := wire.Decode[F](data)
+	if err != nil {
+		var bad *wire.FrameError
+		g.Expect(errors.As(err, &bad)).To(BeTrue())
+		return
+	}
+	encoded, err := wire.Encode(frame)
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := wire.Decode[F](encoded)
+	g.Expect(err).NotTo(HaveOccurred())
+	twice, err := wire.Encode(again)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(twice).To(Equal(encoded))
+}
