--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,10 @@
 	headerTimeout  = 5 * time.Second // for a request's header
 	idleTimeout    = 2 * time.Minute // of a caller's connection between requests
 	maxHeaderBytes = 16 << 10
+	// writeSlack is how long a caller may take to read its answer, beyond the
+	// longest wait for it. One that stops reading would otherwise hold the answer's
+	// memory until TCP gives up.
+	writeSlack = 30 * time.Second
 )
 
 // Entry is the daemon.
@@ -99,6 +103,7 @@
 	}
 	e.server = &http.Server{
 		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		WriteTimeout: e.o.MaxTimeout + writeSlack,
 	}
 	return nil
 }
