Scheduler: tests of the decisions, and a livelock between two waiting owners mended

Cause: the sharer counted a granted credit as idle while the owner's start was under way, so with two waiting owners a slot was granted and called back in the same round for ever. Found by the randomised test that delays messages between agent and owner. Now a credit is idle only if no reported waiting task needs it.

--- a/internal/scheduler/grants/sharer.go
+++ b/internal/scheduler/grants/sharer.go
@@ -56,6 +56,15 @@
 // outstanding is the number of credits the owner may still spend.
 func (o *owner) outstanding() int { return int(o.total - o.spent - o.returned) }
 
+// unmet is the number of waiting tasks that no credit in hand or under way covers.
+func (o *owner) unmet() int { return max(o.waiting-o.outstanding(), 0) }
+
+// idle is the number of credits that no waiting task needs and that were not
+// asked back yet. A credit granted to a waiting owner must not count as idle
+// while the start is under way: it would be called back at once for the next
+// waiting owner, and with two of them the slot would go to and fro for ever.
+func (o *owner) idle() int { return o.outstanding() - o.recalled - o.waiting }
+
 // settled reports whether no recall is under way. While one is, the owner gets
 // nothing new: the recall could then take back a later credit than was meant,
 // and both sides would count differently.
@@ -108,7 +117,8 @@
 }
 
 // Demand notes what an owner wants: how many of its tasks wait, the rank of the
-// best of them, and how many credits it has handed back since it came up.
+// best of them, and how many credits it has handed back since it came up. Starts
+// that came in the same frame are to be counted with Spent first.
 // It reports false when the owner claims to return more than it holds.
 func (s *Sharer) Demand(id uint64, waiting int, rankMs int64, returned uint64) bool {
 	i, ok := s.find(id)
@@ -140,6 +150,7 @@
 	}
 	o := s.owners[i]
 	o.spent++
+	o.waiting = max(o.waiting-1, 0)
 	o.recalled = min(o.recalled, o.outstanding())
 	o.askBack = min(o.askBack, o.recalled)
 	s.running++
@@ -172,7 +183,6 @@
 			return
 		}
 		o.total++
-		o.waiting = max(o.waiting-1, 0)
 	}
 }
 
@@ -180,7 +190,7 @@
 func (s *Sharer) next() *owner {
 	waiting := 0
 	for _, o := range s.owners {
-		if o.waiting > 0 && o.settled() {
+		if o.unmet() > 0 && o.settled() {
 			waiting++
 		}
 	}
@@ -197,7 +207,7 @@
 	}
 	winner := s.best(rule)
 	for _, o := range s.owners {
-		if o.waiting > 0 {
+		if o.unmet() > 0 {
 			o.passed++
 		}
 	}
@@ -214,7 +224,7 @@
 func (s *Sharer) best(rule func(a, b *owner) int) *owner {
 	var best *owner
 	for _, o := range s.owners {
-		if o.waiting > 0 && o.settled() && (best == nil || rule(o, best) < 0) {
+		if o.unmet() > 0 && o.settled() && (best == nil || rule(o, best) < 0) {
 			best = o
 		}
 	}
@@ -241,32 +251,28 @@
 	empty := false
 	for _, o := range s.owners {
 		pending += o.recalled
-		wanted += o.waiting
+		wanted += o.unmet()
 		empty = empty || o.outstanding() == 0 && o.settled()
 	}
 	if over := -s.free() - pending; over > 0 {
-		s.callBack(over, 0, false)
+		s.callBack(over, func(o *owner) int { return o.outstanding() - o.recalled })
 		return
 	}
 	if wanted > pending {
-		s.callBack(wanted-pending, 0, true)
+		s.callBack(wanted-pending, (*owner).idle)
 		return
 	}
 	if wanted == 0 && pending == 0 && empty && s.free() <= 0 {
-		s.callBack(1, 1, true)
+		s.callBack(1, func(o *owner) int { return o.idle() - 1 })
 	}
 }
 
-// callBack asks for n credits, one by one from the owner that has the most
-// besides those already asked back, and leaves each owner at least keep.
-func (s *Sharer) callBack(n, keep int, idleOnly bool) {
+// callBack asks for n credits, one by one from the owner that can spare most.
+func (s *Sharer) callBack(n int, spare func(*owner) int) {
 	for ; n > 0; n-- {
 		var most *owner
 		for _, o := range s.owners {
-			if idleOnly && o.waiting > 0 || o.outstanding()-o.recalled <= keep {
-				continue
-			}
-			if most == nil || o.outstanding()-o.recalled > most.outstanding()-most.recalled {
+			if spare(o) > 0 && (most == nil || spare(o) > spare(most)) {
 				most = o
 			}
 		}
--- a/internal/scheduler/queueing/rank.go
+++ b/internal/scheduler/queueing/rank.go
@@ -29,7 +29,7 @@
 // AgeingFactor is how many milliseconds of waiting weigh as much as one
 // millisecond of size. Too small and the order becomes first come, first served;
 // too large and a large job waits for as long as small ones keep coming.
-const AgeingFactor = 8
+const AgeingFactor = 2
 
 // maxSizeMs caps the size of a job in a rank, so that an absurd declaration
 // can't overflow it: 290 tasks of one hour.
--- /dev/null
+++ b/internal/scheduler/quota/quota_test.go
@@ -0,0 +1,74 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+var _ = Describe("the limiter", func() {
+	var l *Limiter
+	BeforeEach(func() {
+		l = New()
+		l.SetSlots(80)
+	})
+	startAll := func(team string) int {
+		n := 0
+		for ; n < 1000 && l.MayStart(team); n++ {
+			l.Started(team)
+		}
+		return n
+	}
+
+	// Four entries share a quota and none asks another. Each must keep to its part,
+	// or the team runs four times what was agreed.
+	It("enforces its part of a quota", func() {
+		l.SetLimits(map[string]int{"big": 42, "tiny": 2, "none": 0})
+		l.SetOwners(4)
+		Expect(startAll("big")).To(Equal(10))
+		Expect(startAll("tiny")).To(Equal(1))
+		Expect(startAll("none")).To(BeZero())
+		l.SetOwners(2)
+		Expect(startAll("big")).To(Equal(11))
+		l.Finished("big")
+		Expect(l.MayStart("big")).To(BeTrue())
+	})
+
+	// One team sends 90 % of the work and fills every slot, so that the others
+	// wait behind its long tasks; alone in the system it may use them all.
+	It("holds a team without a quota to its share while others wait", func() {
+		l.Waiting("flood", 1000)
+		Expect(startAll("flood")).To(Equal(1000))
+		for range 920 {
+			l.Finished("flood")
+		}
+		for n := range 4 {
+			l.Waiting(fmt.Sprint("small", n), 1)
+		}
+		Expect(l.MayStart("flood")).To(BeFalse())
+		for range 80 - FairSlack*80/5 + 1 {
+			l.Finished("flood")
+		}
+		Expect(l.MayStart("flood")).To(BeTrue())
+		Expect(l.MayStart("small1")).To(BeTrue())
+	})
+
+	It("forgets teams that are gone", func() {
+		for n := range 1000 {
+			name := fmt.Sprint(n)
+			l.Waiting(name, 1)
+			l.Started(name)
+			l.Waiting(name, 0)
+			l.Finished(name)
+		}
+		Expect(l.teams).To(BeEmpty())
+		Expect(l.waiting).To(BeZero())
+	})
+})
