Owner: starts by the critical path, shares of teams only under a long queue

Placement gets the job's slack and the spread of its estimates from the owner. Demand at an agent is nothing while credits of that agent are unspent: tasks that are held or wait for other resources kept the agent from giving the slots to other owners. The limiter of teams knew no slots, so a team was held to one task while others waited; it now gets slots, owners and whether the queue is long, and shares apply only then. Shedding looked at the capacity of targets without a list of classes only; it now counts all.

--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -21,6 +21,12 @@
 	// be done in time any more. The look sorts the queue, so it is not done on
 	// every event; a caller learns at most this much later than it could.
 	shedEvery = 100 * time.Millisecond
+	// contendedAfter is how long the queue must take to work off before teams are
+	// held to their shares: less than what admission lets in of a flood, so that
+	// shares apply by the time the flood's jobs fill the queue.
+	contendedAfter = time.Second
+	// anyClass asks for the capacity of all targets together.
+	anyClass = ""
 )
 
 // team is what is known of one team's work.
@@ -62,7 +68,7 @@
 // share of the targets it knows, and the speed of the fastest that serves the class.
 func (c *Core) capacity(now time.Time, class string) (perMs, fastest float64) {
 	for _, a := range c.roster {
-		if a.conn == 0 && now.Sub(a.lastSeen) > reconnectGrace || a.target.Leaving || a.target.Down || !a.serves(class) {
+		if a.conn == 0 && now.Sub(a.lastSeen) > reconnectGrace || a.target.Leaving || a.target.Down || class != anyClass && !a.serves(class) {
 			continue
 		}
 		speed := c.estimator.Speed(uint64(a.incarnation), a.target.Speed)
@@ -105,13 +111,30 @@
 	return fault.Refused(fault.Overloaded, decision.Reason.String(), decision.RetryAfter)
 }
 
+// shareOut tells the limiter of teams what there is to share.
+func (c *Core) shareOut(perMs float64) {
+	slots, owners := 0, 1
+	for _, a := range c.byConn {
+		slots += a.target.Slots
+		owners = max(owners, a.owners)
+	}
+	c.limiter.SetSlots(slots / owners)
+	c.limiter.SetOwners(owners)
+	c.limiter.SetContended(c.queuedMs > perMs*ms(contendedAfter))
+}
+
 // shed ends waiting jobs that can't be done in time any more, so that their
 // callers can act and the targets don't work for answers that come too late.
 func (c *Core) shed(now time.Time) {
-	if c.opts.Policy != PolicyLeastWork || now.Sub(c.lastShed) < shedEvery || c.ready.Len() == 0 {
+	if c.opts.Policy != PolicyLeastWork || now.Sub(c.lastShed) < shedEvery {
 		return
 	}
 	c.lastShed = now
+	perMs, fastest := c.capacity(now, anyClass)
+	c.shareOut(perMs)
+	if c.ready.Len() == 0 || perMs == 0 {
+		return // where nobody is there now, agents may come back before the deadlines
+	}
 	waiting := make([]*liveJob, 0, c.ready.Len())
 	c.ready.Each(func(it *queueing.Item[*liveJob]) bool {
 		waiting = append(waiting, it.Value)
@@ -125,10 +148,6 @@
 			DeadlineIn: l.sub.ID.Deadline.Sub(now),
 		}
 	}
-	perMs, fastest := c.capacity(now, "")
-	if perMs == 0 {
-		return // nobody is there now; agents may come back before the deadlines
-	}
 	for _, d := range shedding.Pick(shedding.Fleet{CapacityMsPerMs: perMs, FastestSpeed: fastest}, jobs, nil) {
 		l := waiting[d.Index]
 		event.Log(c.log, event.JobShed, "job", l.sub.ID.String(), "team", l.sub.Team, "reason", d.Reason.String())
--- a/internal/owner/board.go
+++ b/internal/owner/board.go
@@ -127,6 +127,7 @@
 	live       *liveJob // nil once the job has ended: the outcome no longer matters
 	task       int
 	sentAt     time.Time
+	endsAt     time.Time // as expected when it was sent
 	team       string
 	class      string
 	estimateMs float64
--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -65,6 +65,8 @@
 	t := placement.Task{
 		EstimateMs: l.tasks[task].estimateMs,
 		Demand:     l.sub.Tasks[task].Demand,
+		SlackMs:    l.slackMs(now),
+		Spread:     c.estimator.Spread(l.sub.Class),
 		DeadlineIn: l.sub.ID.Deadline.Sub(now),
 	}
 	if l.sub.SpreadRacks {
@@ -73,6 +75,17 @@
 	return t
 }
 
+// slackMs is when the last of the job's running tasks is expected to end, from now.
+func (l *liveJob) slackMs(now time.Time) float64 {
+	last := now
+	for i := range l.tasks {
+		if at := l.tasks[i].attempt; at != nil && at.endsAt.After(last) {
+			last = at.endsAt
+		}
+	}
+	return ms(last.Sub(now))
+}
+
 // racks returns the racks in which tasks of the job run.
 func (l *liveJob) racks() []string {
 	var racks []string
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -33,6 +33,11 @@
 
 func (c *Core) demandFor(a *agent, ranks map[string]int64) wire.Demand {
 	d := wire.Demand{Returned: a.returned}
+	if a.credits() > 0 {
+		// What could start here has started; the rest waits for other targets. Asking
+		// for it here would keep the agent from giving the slots to other owners.
+		return d
+	}
 	for class, n := range c.waitingTasks {
 		if n == 0 || !a.serves(class) {
 			continue
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -79,7 +79,8 @@
 	l.tasks[task].state = taskSent
 	l.tasks[task].tries++
 	l.mayHaveRun = true
-	at := &attempt{seq: seq, agent: a, live: l, task: task, sentAt: now, team: l.sub.Team,
+	at := &attempt{seq: seq, agent: a, live: l, task: task, sentAt: now,
+		endsAt: now.Add(time.Duration(choice.EndMs * float64(time.Millisecond))), team: l.sub.Team,
 		class: l.sub.Class, estimateMs: l.tasks[task].estimateMs, declaredMs: t.EstimateMs, demand: t.Demand}
 	a.attempts[seq] = at
 	a.order = append(a.order, seq)
--- a/internal/scheduler/quota/quota.go
+++ b/internal/scheduler/quota/quota.go
@@ -13,10 +13,14 @@
 // at least one: a quota smaller than the number of entries is exceeded at worst
 // by one task an entry, and a team is never shut out.
 //
-// A team without a quota may use every slot as long as no other team waits. While
-// others wait it is held to FairSlack times its equal share.
+// A team without a quota may use every slot, until the owner says that the queue
+// is long (SetContended) and other teams wait: then it is held to FairSlack times
+// its equal share. In a short queue the order by work already lets small teams
+// through, and a share would only leave slots idle that a large job could use.
 package quota
 
+import "math"
+
 // FairSlack is how far above its equal share a team without a quota may go while
 // others wait. At 1 a team with long tasks idles slots each time a small team
 // passes by; at 2 half of the slots change hands soon enough.
@@ -33,6 +37,7 @@
 	limits  map[string]int // fleet-wide; absent: none
 	owners  int
 	slots   int
+	crowded bool // the queue is long
 	teams   map[string]*team
 	waiting int // teams with waiting tasks
 }
@@ -56,6 +61,9 @@
 // SetSlots sets how many tasks this entry can run at a time.
 func (l *Limiter) SetSlots(n int) { l.slots = max(n, 0) }
 
+// SetContended says whether the queue is long, so that shares matter.
+func (l *Limiter) SetContended(yes bool) { l.crowded = yes }
+
 // Waiting sets how many tasks of the team wait.
 func (l *Limiter) Waiting(name string, n int) {
 	t := l.team(name)
@@ -96,18 +104,15 @@
 		}
 		return max(quota/l.owners, 1), true
 	}
-	if l.othersWaiting(name) == 0 {
-		return max(l.slots, 1), false
+	if !l.crowded || l.othersWaiting(name) == 0 {
+		return math.MaxInt, false
 	}
 	return max(FairSlack*l.slots/len(l.teams), 1), false
 }
 
 // MayStart reports whether one more task of the team may start.
 func (l *Limiter) MayStart(name string) bool {
-	limit, isQuota := l.Limit(name)
-	if !isQuota && l.othersWaiting(name) == 0 {
-		return true
-	}
+	limit, _ := l.Limit(name)
 	return l.Running(name) < limit
 }
 
--- a/internal/scheduler/quota/quota_test.go
+++ b/internal/scheduler/quota/quota_test.go
@@ -44,6 +44,7 @@
 	// One team sends 90 % of the work and fills every slot, so that the others
 	// wait behind its long tasks; alone in the system it may use them all.
 	It("holds a team without a quota to its share while others wait", func() {
+		l.SetContended(true)
 		l.Waiting("flood", 1000)
 		Expect(startAll("flood")).To(Equal(1000))
 		for range 920 {
@@ -58,6 +59,8 @@
 		}
 		Expect(l.MayStart("flood")).To(BeTrue())
 		Expect(l.MayStart("small1")).To(BeTrue())
+		l.SetContended(false)
+		Expect(startAll("flood")).To(Equal(1000)) // every one it tries
 	})
 
 	It("forgets teams that are gone", func() {
