Configuration on the platform's log: fold, publisher, holder, follower, stand-in log

Cause: an accepted configuration must be in force everywhere within seconds and never revert, with nothing of ours that keeps state.

Ruled out: versions counted one by one (they repeat after lost records; offsets never do); judging keys and values in the fold (two programs of different age would part for good; content is checked before a change is appended); folding on across records that retention dropped (a change accepted there is unknown).

--- /dev/null
+++ b/apps/camphorrack-standin-log/main.go
@@ -0,0 +1,11 @@
+// Command camphorrack-standin-log stands in for the platform's log service in
+// tests and demonstrations. It keeps nothing and is not for production.
+package main
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/camphorrack/camphorrack/internal/standin/logservice"
+)
+
+func main() { fx.New(logservice.Module).Run() }
--- /dev/null
+++ b/internal/config/follower/follower.go
@@ -0,0 +1,222 @@
+// Package follower keeps an entry's configuration up with the platform's log: it
+// polls the log, puts what it reads in force, and writes a snapshot now and then,
+// before retention drops what a new reader needs. Only entries, which are few,
+// read the log; agents hear of changes on their sessions.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+	"github.com/go-logr/logr"
+
+	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/config"
+	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/platformlog"
+)
+
+// Timing. A change is in force at an entry within about 1.25 * PollEvery and at
+// its agents within config.FanOutSpread and two heartbeats more: below 6 s of the
+// letter's 13 s, which leaves a whole poll to be lost.
+const (
+	DefaultPollEvery = 1500 * time.Millisecond
+	// MaxBackoff bounds the pause between polls in an outage. Entries come back to
+	// a log that just recovered within it, each at a time of its own.
+	MaxBackoff = 5 * time.Second
+	// DefaultSnapshotEvery must be at most half of the log's retention.
+	DefaultSnapshotEvery = 6 * time.Hour
+	// DefaultStaleAfter is when a process says that it may be out of date.
+	DefaultStaleAfter = 30 * time.Second
+	// recoveryJitter spreads the snapshots after a long outage, so that most
+	// entries see one of another's and leave theirs out.
+	recoveryJitter = 10 * time.Second
+)
+
+// Options of a follower; zero durations take the defaults.
+type Options struct {
+	Log           platformlog.Log
+	Holder        *config.Holder
+	Clock         clock.Clock
+	Logger        logr.Logger
+	Rand          *rand.Rand
+	PollEvery     time.Duration
+	SnapshotEvery time.Duration
+	StaleAfter    time.Duration
+}
+
+// Follower reads the log for one process. Its methods belong to one goroutine.
+type Follower struct {
+	o           Options
+	fold        *config.Fold
+	backoff     *backoff.ExponentialBackOff
+	downSince   time.Time // zero while the log answers
+	snapshotAt  time.Time
+	snapshots   uint64
+	caughtUp    bool // has been at the end of the log
+	missed      bool // found records dropped, and no snapshot since
+	staleLogged bool
+}
+
+// New returns a follower that goes on from what the holder has.
+func New(o Options) *Follower {
+	setDefault(&o.PollEvery, DefaultPollEvery)
+	setDefault(&o.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&o.StaleAfter, DefaultStaleAfter)
+	f := &Follower{o: o, fold: config.NewFold(o.Holder.Get().State)}
+	f.backoff = backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(o.PollEvery),
+		backoff.WithMaxInterval(MaxBackoff),
+		backoff.WithMaxElapsedTime(0),
+	)
+	// How old the newest snapshot is can't be told from another host's clock. A
+	// start counts as half-way, at random, so some entry of a fleet that is
+	// restarted often still gets to write one.
+	f.snapshotAt = o.Clock.Now().Add(f.jitter(o.SnapshotEvery / 2))
+	return f
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func (f *Follower) jitter(d time.Duration) time.Duration {
+	return time.Duration(f.o.Rand.Int64N(int64(d)))
+}
+
+// Run polls until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for {
+		pause := f.Poll(ctx)
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// Poll does one bounded read, and the snapshot if one is due. It returns how long
+// to wait before the next.
+func (f *Follower) Poll(ctx context.Context) time.Duration {
+	f.fold.Adopt(f.o.Holder.Get().State) // a peer may have been faster, or this process is new
+	more, err := f.read(ctx)
+	f.sayStale()
+	if err != nil {
+		return f.failed(err)
+	}
+	f.recovered()
+	if more {
+		return 0
+	}
+	if f.fold.Attached() {
+		f.o.Holder.Confirm()
+		f.snapshot(ctx)
+	}
+	return f.o.PollEvery*3/4 + f.jitter(f.o.PollEvery/2)
+}
+
+func (f *Follower) read(ctx context.Context) (more bool, err error) {
+	b, err := config.Read(ctx, f.o.Log, f.fold)
+	if b.Truncated {
+		f.missed = true
+	}
+	if f.fold.Attached() {
+		f.o.Holder.Extend(f.fold.State(), b)
+	}
+	return b.More, err
+}
+
+func (f *Follower) failed(err error) time.Duration {
+	if f.downSince.IsZero() {
+		f.downSince = f.o.Clock.Now()
+		event.Log(f.o.Logger, event.LogUnreachable, "cause", err.Error(), "version", f.o.Holder.Get().State.Version)
+	}
+	return f.backoff.NextBackOff()
+}
+
+// recovered brings the next snapshot forward after an outage that may have
+// outlived every snapshot on the log: until one is there again, neither a new
+// process nor an operator's tool can tell what is in force.
+func (f *Follower) recovered() {
+	if f.downSince.IsZero() {
+		return
+	}
+	f.backoff.Reset()
+	now := f.o.Clock.Now()
+	outage := now.Sub(f.downSince)
+	f.downSince = time.Time{}
+	if outage >= f.o.SnapshotEvery/2 {
+		f.snapshotSoon(now)
+	}
+}
+
+// snapshot appends the state where one is due. Another's that was seen meanwhile
+// puts it off. Any number of them is harmless, and so is a lost answer.
+func (f *Follower) snapshot(ctx context.Context) {
+	now := f.o.Clock.Now()
+	f.noteSnapshots(now)
+	if now.Before(f.snapshotAt) {
+		return
+	}
+	state := f.fold.State()
+	data, err := config.EncodeRecord(&config.Record{Snapshot: state})
+	if err == nil {
+		_, err = f.o.Log.Append(ctx, config.Stream, data)
+	}
+	f.snapshotAt = now.Add(f.jitter(recoveryJitter))
+	if err != nil {
+		event.Log(f.o.Logger, event.LogUnreachable, "op", "snapshot", "cause", err.Error())
+		return
+	}
+	event.Log(f.o.Logger, event.ConfigSnapshot, "version", state.Version, "as_of", state.AsOf)
+}
+
+// noteSnapshots moves the time of the next snapshot. One seen while following is
+// new and puts it off; one seen on the way to the end for the first time may be
+// old, and says nothing. Records that were dropped with no snapshot after them
+// bring it forward.
+func (f *Follower) noteSnapshots(now time.Time) {
+	seen := f.fold.Snapshots()
+	fresh := seen != f.snapshots && f.caughtUp
+	if seen != f.snapshots {
+		f.missed = false
+	}
+	f.snapshots, f.caughtUp = seen, true
+	if fresh {
+		f.snapshotAt = now.Add(f.o.SnapshotEvery/2 + f.jitter(f.o.SnapshotEvery/2))
+	}
+	if f.missed {
+		f.missed = false
+		f.snapshotSoon(now)
+	}
+}
+
+func (f *Follower) snapshotSoon(now time.Time) {
+	soon := now.Add(f.jitter(recoveryJitter))
+	if soon.Before(f.snapshotAt) {
+		f.snapshotAt = soon
+	}
+}
+
+// sayStale logs once when the process has not found its configuration to be
+// current for too long, and again only after it had.
+func (f *Follower) sayStale() {
+	age := f.o.Holder.Age()
+	if age < f.o.StaleAfter {
+		f.staleLogged = false
+		return
+	}
+	if f.staleLogged {
+		return
+	}
+	f.staleLogged = true
+	event.Log(f.o.Logger, event.ConfigStale, "age_ms", age.Milliseconds(),
+		"version", f.o.Holder.Get().State.Version, "attached", f.fold.Attached())
+}
--- /dev/null
+++ b/internal/config/link.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// FanOutSpread is over how long an entry spreads the updates to its agents. An
+// agent is connected to several entries that all hear of a change at about the
+// same time; waiting a while, each at random, lets most of them see that another
+// was first. It also spreads the bytes. The letter allows 13 s in all.
+const FanOutSpread = 3 * time.Second
+
+// Link decides what one end of a connection tells the other about configuration,
+// on frames that are sent anyway. It belongs to the goroutine of the control
+// state. A new connection gets a new Link.
+type Link struct {
+	holder  *Holder
+	rng     *rand.Rand // nil: updates are sent at once
+	confirm bool
+	known   bool
+	peer    uint64 // the peer's mark
+	told    uint64 // the mark of the last update sent
+	behind  bool
+	due     time.Time
+}
+
+// NewEntryLink returns an entry's end of a new connection to an agent.
+func NewEntryLink(h *Holder, rng *rand.Rand) *Link { return &Link{holder: h, rng: rng} }
+
+// NewAgentLink returns an agent's end of a new connection to an entry. It sends at
+// once, because an entry that is behind its agents is one that just started. An
+// agent counts itself current while an entry holds the same as it does; an entry
+// hears that from the log only, and how old it is would else stay hidden while
+// all of them miss the log.
+func NewAgentLink(h *Holder) *Link { return &Link{holder: h, confirm: true} }
+
+// Heard takes the mark and the update, if any, of a frame that arrived. The error
+// is a *CodecError or a *FormatError: the update was not used.
+func (l *Link) Heard(mark uint64, update []byte) error {
+	l.peer, l.known = mark, true
+	var err error
+	if len(update) > 0 {
+		err = l.holder.OfferUpdate(update)
+	}
+	if l.confirm && mark == l.holder.Mark() {
+		l.holder.Confirm()
+	}
+	return err
+}
+
+// Next returns the mark and the update, if one is due, for a frame about to be sent.
+func (l *Link) Next(now time.Time) (mark uint64, update []byte) {
+	mark = l.holder.Mark()
+	if !l.known || l.peer >= mark || l.told >= mark {
+		l.behind = false
+		return mark, nil
+	}
+	if !l.behind {
+		l.behind = true
+		l.due = now.Add(l.delay())
+	}
+	if now.Before(l.due) {
+		return mark, nil
+	}
+	b, err := l.holder.Update(l.peer)
+	if err != nil {
+		return mark, nil // a state that can't be encoded is one the peer can't have either
+	}
+	l.told, l.behind = mark, false
+	return mark, b
+}
+
+func (l *Link) delay() time.Duration {
+	if l.rng == nil {
+		return 0
+	}
+	return time.Duration(l.rng.Int64N(int64(FanOutSpread)))
+}
