--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -111,7 +111,8 @@
 
 // Take folds the records of one read that began at from. Records that were folded
 // before are passed over, so a read that is answered twice or late does no harm;
-// one that leaves a gap is refused with ErrGap. At a record of an unknown format
+// one that leaves a gap is refused with ErrGap. After a snapshot that attaches the
+// fold the position is the snapshot's, and what follows is read again. At a record of an unknown format
 // it stops with a *FormatError and keeps its place.
 func (f *Fold) Take(from uint64, records []platformlog.Record, next uint64) ([]Verdict, error) {
 	if from > f.Next() {
@@ -129,6 +130,9 @@
 		if v.Outcome != Ignored {
 			out = append(out, v)
 		}
+		if f.Next() <= r.Offset {
+			return out, nil // a snapshot took the position back: read again from there
+		}
 	}
 	f.moveTo(next)
 	return out, nil
--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -87,6 +87,20 @@
 		Expect(late.State().Version).To(Equal(second.Version))
 	})
 
+	// A snapshot was on its way while a change was accepted, and lands after it. A
+	// reader that starts at the snapshot and goes on behind it would miss the change
+	// and keep the old limit for good.
+	It("takes the changes between a snapshot's position and its place", func() {
+		first := publish(setQuota(0, "a", 1))
+		second := publish(setQuota(first.Version, "a", 2))
+		appendRecord(log, &config.Record{Snapshot: first})
+		log.Truncate(config.Stream, first.Version)
+		late := config.NewFold(&config.State{})
+		_, err := config.ReadToEnd(ctx, log, late)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(late.State().Version).To(Equal(second.Version))
+	})
+
 	// Two programs of different age run side by side during a roll-out and an
 	// operator sets a key that only the newer one knows. If the older one held the
 	// change void, the two halves of the fleet would part for good.
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -122,6 +122,9 @@
 	return f.o.PollEvery*3/4 + f.jitter(f.o.PollEvery/2)
 }
 
+// Attached reports whether the follower has seen every record up to its position.
+func (f *Follower) Attached() bool { return f.fold.Attached() }
+
 func (f *Follower) read(ctx context.Context) (more bool, err error) {
 	b, err := config.Read(ctx, f.o.Log, f.fold)
 	if b.Truncated {
