Local fleet of real processes and the demonstration that drives it

internal/localfleet starts daemons on ports that the system chooses, reads each address from the daemon's log and stops what it started by process id. internal/demo submits work through every entry, doubles, cancels and looks up, kills an agent and restarts it, and compares callers' answers with the targets' own counts. Not run yet: the entry, agent and target daemons are still under way.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 GOFLAGS += -trimpath
 export GOFLAGS
 
+# ARGS adds flags, such as ARGS=-keep.
 .PHONY: build check test run bench bench-short slopes
 
 build:
@@ -15,4 +16,4 @@
 	go test -race -count=1 ./... -rapid.seed=20261202
 
 run: build
-	bin/camphorrack-demo -bin bin
+	bin/camphorrack-demo -bin bin $(ARGS)
--- /dev/null
+++ b/internal/demo/callers.go
@@ -0,0 +1,125 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+)
+
+// answerAllowance is how long after its deadline a final answer may come: half a
+// second in which an entry that can't reach the owner waits for the owner's own
+// end, and the time to notice silent connections on the way.
+const answerAllowance = 3 * time.Second
+
+// callers submits orders as independent callers would, and notes what they see.
+type callers struct {
+	clients []*client.Client // one an entry; each falls back to the others
+	book    *book
+	calls   sync.WaitGroup
+}
+
+func newCallers(entries []string) (*callers, error) {
+	c := &callers{book: &book{}}
+	for i := range entries {
+		order := append(append([]string(nil), entries[i:]...), entries[:i]...)
+		cl, err := client.New(client.Options{Entries: order})
+		if err != nil {
+			return nil, err
+		}
+		c.clients = append(c.clients, cl)
+	}
+	return c, nil
+}
+
+// tokens takes one token from each entry.
+func (c *callers) tokens(ctx context.Context) ([]string, error) {
+	var all []string
+	for _, cl := range c.clients {
+		token, err := cl.Token(ctx)
+		if err != nil {
+			return nil, errors.Wrap(err, "token")
+		}
+		all = append(all, token)
+	}
+	return all, nil
+}
+
+// place submits an order in the background, and doubles and cancels it as it says.
+func (c *callers) place(ctx context.Context, o *order, token string) {
+	at := time.Now()
+	seen := &observed{order: o, id: client.NewID(token, at.Add(o.deadline), o.unique)}
+	c.book.add(seen)
+	c.calls.Go(func() {
+		c.submit(ctx, seen, o.entry)
+		seen.finish()
+	})
+	if o.doubled {
+		c.calls.Go(func() {
+			time.Sleep(o.doubleLag)
+			c.submit(ctx, seen, c.other(o.entry))
+		})
+	}
+	if o.cancelled {
+		c.calls.Go(func() {
+			time.Sleep(o.cancelLag)
+			c.cancel(ctx, c.other(o.entry), []*observed{seen})
+		})
+	}
+}
+
+// again resubmits a submission through another entry than it went through first.
+func (c *callers) again(ctx context.Context, o *observed) {
+	c.calls.Go(func() { c.submit(ctx, o, c.other(o.order.entry)) })
+}
+
+func (c *callers) submit(ctx context.Context, o *observed, entry int) {
+	ctx, cancel := context.WithTimeout(ctx, o.order.deadline+answerAllowance)
+	defer cancel()
+	begun := time.Now()
+	answer, err := c.clients[entry].Submit(ctx, o.id, o.order.submission)
+	o.see(sighting{entry: entry, answer: refusalAsAnswer(o.id, answer, err), err: err, response: time.Since(begun)})
+}
+
+// lookUp asks for an answer that was given before.
+func (c *callers) lookUp(ctx context.Context, o *observed, entry int) {
+	ctx, cancel := context.WithTimeout(ctx, answerAllowance)
+	defer cancel()
+	answer, err := c.clients[entry].Await(ctx, o.id)
+	if err == nil {
+		o.see(sighting{entry: entry, answer: answer})
+	}
+}
+
+// refusalAsAnswer turns a refusal of the request itself into the answer that it is.
+func refusalAsAnswer(id string, answer *job.Answer, err error) *job.Answer {
+	var f *fault.Fault
+	if answer != nil || !errors.As(err, &f) || !f.NotRun {
+		return answer
+	}
+	return &job.Answer{ID: id, State: job.Refused, Failure: f}
+}
+
+// cancel cancels many at once. What became of them shows in their answers.
+func (c *callers) cancel(ctx context.Context, entry int, wave []*observed) {
+	var ids []string
+	for _, o := range wave {
+		ids = append(ids, o.id)
+	}
+	if len(ids) > 0 {
+		_, _ = c.clients[entry].Cancel(ctx, ids) // may be lost like any call; the jobs are then answered otherwise
+	}
+}
+
+func (c *callers) other(entry int) int { return (entry + 1) % len(c.clients) }
+
+func (c *callers) close() {
+	for _, cl := range c.clients {
+		cl.Close()
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,162 @@
+// Package demo drives a small fleet of real processes on loopback: it submits
+// jobs and single requests through every entry, sends some of them twice, cancels
+// some, kills an agent and restarts it, and then compares what the callers saw
+// with what the targets counted. None of its figures comes from the system's own
+// counters.
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/localfleet"
+)
+
+// Options of a run.
+type Options struct {
+	Bin      string
+	LogDir   string
+	Duration time.Duration // for which work is submitted
+	Load     float64       // share of the targets' capacity
+	Seed     uint64
+	Listen   string // of the first entry; empty: any port
+	Out      io.Writer
+}
+
+// What happens in a run, as shares of its duration.
+const (
+	killAt   = 0.3
+	cancelAt = 0.7
+
+	restartAfter = 500 * time.Millisecond
+	cancelWave   = 10
+	lookUps      = 100
+	// settleTime lets starts that are still under way reach their targets before
+	// these are counted.
+	settleTime = 500 * time.Millisecond
+)
+
+// ErrBroken says that an invariant did not hold; the breaches were printed.
+var ErrBroken = errors.New("an invariant was broken")
+
+// Run starts a fleet, drives it, prints the table and stops everything. The error
+// is ErrBroken where the run found a breach.
+func Run(ctx context.Context, o Options) (err error) {
+	f, err := start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer f.fleet.Close() // harmless after the close below
+	run, err := f.drive(ctx, o)
+	if err != nil {
+		return err
+	}
+	verdict, err := run.judge(ctx)
+	if err != nil {
+		return err
+	}
+	verdict.judgeProcesses(f.fleet.Crashed(), f.fleet.Close())
+	run.print(o.Out, verdict)
+	if len(verdict.Breaches) > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
+// Keep starts a fleet and leaves it running until ctx ends.
+func Keep(ctx context.Context, o Options) error {
+	f, err := start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer f.fleet.Close()
+	for _, p := range f.fleet.Processes() {
+		fmt.Fprintf(o.Out, "%-10s %s\n", p.Name, p.Addr)
+	}
+	fmt.Fprintln(o.Out, "the fleet runs until ^C")
+	<-ctx.Done()
+	return nil
+}
+
+// scene is a running fleet.
+type scene struct {
+	fleet   *localfleet.Fleet
+	entries []*localfleet.Process
+	agents  []*localfleet.Process
+	targets []*localfleet.Process
+	logAddr string
+}
+
+func start(ctx context.Context, o Options) (*scene, error) {
+	s := &scene{fleet: localfleet.New(localfleet.Options{Bin: o.Bin, LogDir: o.LogDir, Key: rand.Text()})}
+	err := s.startAll(ctx, o)
+	if err == nil {
+		err = awaitTargets(ctx, s.entryAddrs(), len(speeds))
+	}
+	if err != nil {
+		s.fleet.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *scene) startAll(ctx context.Context, o Options) error {
+	log, err := s.fleet.StartLog(ctx)
+	if err != nil {
+		return err
+	}
+	s.logAddr = log.Addr
+	for i := range entryCount {
+		listen := ""
+		if i == 0 {
+			listen = o.Listen
+		}
+		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, log.Addr, s.entryAddrs())
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, entry)
+	}
+	for i, speed := range speeds {
+		if err := s.startWorker(ctx, i, speed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startWorker starts an agent and the target beside it.
+func (s *scene) startWorker(ctx context.Context, i int, speed float64) error {
+	agent, err := s.startAgent(ctx, i, "")
+	if err != nil {
+		return err
+	}
+	s.agents = append(s.agents, agent)
+	target, err := s.fleet.StartTarget(ctx, localfleet.TargetOptions{
+		Name: fmt.Sprintf("target-%d", i+1), Agent: agent.Addr, Slots: slots, Speed: speed,
+	})
+	if err != nil {
+		return err
+	}
+	s.targets = append(s.targets, target)
+	return nil
+}
+
+func (s *scene) startAgent(ctx context.Context, i int, listen string) (*localfleet.Process, error) {
+	return s.fleet.StartAgent(ctx, fmt.Sprintf("agent-%d", i+1), listen, s.entryAddrs())
+}
+
+func (s *scene) entryAddrs() []string { return addrs(s.entries) }
+
+func addrs(processes []*localfleet.Process) []string {
+	var all []string
+	for _, p := range processes {
+		all = append(all, p.Addr)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/demo/drive.go
@@ -0,0 +1,153 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/localfleet"
+)
+
+// run is one pass of work over a scene, and what was done meanwhile.
+type run struct {
+	scene   *scene
+	callers *callers
+	counted starts
+
+	killed     string // name of the agent
+	killedPID  int
+	resubmits  int // calls made while the agent was gone
+	cancelWave int
+	lookUps    int
+}
+
+// drive submits work for the duration, with the failures on the way, and returns
+// when every caller has its answer or gave up.
+func (s *scene) drive(ctx context.Context, o Options) (*run, error) {
+	callers, err := newCallers(s.entryAddrs())
+	if err != nil {
+		return nil, err
+	}
+	defer callers.close()
+	tokens, err := callers.tokens(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{scene: s, callers: callers}
+	generator := newGenerator(o.Seed, len(s.entries), capacity(), o.Load)
+	steps := r.steps(ctx, o.Duration)
+	begun := time.Now()
+	for time.Since(begun) < o.Duration && ctx.Err() == nil {
+		if err := steps.run(time.Since(begun)); err != nil {
+			return nil, err
+		}
+		next := generator.order()
+		pause(ctx, next.gap)
+		callers.place(ctx, next, tokens[next.owner])
+	}
+	callers.calls.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	r.lookUpSome(ctx)
+	return r, nil
+}
+
+// step is something that happens once, at a time after the begin.
+type step struct {
+	at time.Duration
+	do func() error
+}
+
+type steps struct{ left []step }
+
+// run does what is due.
+func (s *steps) run(elapsed time.Duration) error {
+	for len(s.left) > 0 && elapsed >= s.left[0].at {
+		due := s.left[0]
+		s.left = s.left[1:]
+		if err := due.do(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// steps lists the failures of a run. The slowest agent but one is killed, so that
+// the fast targets, which set the ideal, stay.
+func (r *run) steps(ctx context.Context, d time.Duration) *steps {
+	kill := time.Duration(killAt * float64(d))
+	victim := len(r.scene.agents) - 1
+	return &steps{left: []step{
+		{kill, func() error { r.kill(ctx, victim); return nil }},
+		{kill + restartAfter, func() error { return r.restart(ctx, victim) }},
+		{time.Duration(cancelAt * float64(d)), func() error { r.cancelSome(ctx); return nil }},
+	}}
+}
+
+// kill ends an agent at once; every caller that still waits takes its job for
+// lost and submits it again through another entry.
+func (r *run) kill(ctx context.Context, victim int) {
+	agent := r.scene.agents[victim]
+	r.killed, r.killedPID = agent.Name, agent.PID()
+	agent.Kill()
+	for _, o := range r.callers.book.pending() {
+		r.resubmits++
+		r.callers.again(ctx, o)
+	}
+}
+
+// restart starts a new agent at the dead one's address, where the target beside
+// it still announces itself.
+func (r *run) restart(ctx context.Context, victim int) error {
+	agent, err := r.scene.startAgent(ctx, victim, r.scene.agents[victim].Addr)
+	if err != nil {
+		return err
+	}
+	r.scene.agents[victim] = agent
+	return nil
+}
+
+func (r *run) cancelSome(ctx context.Context) {
+	wave := r.callers.book.pending()
+	wave = wave[:min(len(wave), cancelWave)]
+	r.cancelWave = len(wave)
+	r.callers.calls.Go(func() { r.callers.cancel(ctx, 0, wave) })
+}
+
+// lookUpSome asks again, through the other entry, for the answers given last.
+func (r *run) lookUpSome(ctx context.Context) {
+	all := r.callers.book.list()
+	for _, o := range all[max(0, len(all)-lookUps):] {
+		r.lookUps++
+		r.callers.lookUp(ctx, o, r.callers.other(o.order.entry))
+	}
+}
+
+// judge counts at the targets and compares.
+func (r *run) judge(ctx context.Context) (*Verdict, error) {
+	pause(ctx, settleTime)
+	counted, err := countStarts(ctx, addrs(r.scene.targets))
+	if err != nil {
+		return nil, err
+	}
+	r.counted = counted
+	return judge(r.callers.book.list(), counted, fastest()), nil
+}
+
+func (v *Verdict) judgeProcesses(crashed, stuck []*localfleet.Process) {
+	for _, p := range crashed {
+		v.breach(RuleProcesses, p.Name, "ended by itself; its last log lines: %q", p.Tail())
+	}
+	for _, p := range stuck {
+		v.breach(RuleProcesses, p.Name, "did not end after SIGTERM and was killed")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/demo/table.go
@@ -0,0 +1,47 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+// maxBreachesShown keeps a run that went all wrong readable.
+const maxBreachesShown = 20
+
+// print writes the table; its last line is Verdict.LastLine.
+func (r *run) print(out io.Writer, v *Verdict) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(what string, count int, note string) { fmt.Fprintf(table, "%s\t%d\t%s\n", what, count, note) }
+	row("jobs submitted", v.Jobs, "jobs and single requests, through every entry")
+	row("calls made", r.calls(), "doubled, resubmitted and looked up ones included")
+	row("resubmitted", r.resubmits, fmt.Sprintf("while %s (pid %d) was killed and restarted", r.killed, r.killedPID))
+	row("cancelled in a wave", r.cancelWave, "besides those cancelled one by one")
+	row("looked up again", r.lookUps, "through another entry than the first")
+	row("complete", v.Complete, "every result was there and its own")
+	row("failed", v.Failed, "accepted and reported as failed")
+	row("refused", v.Refused, "none of it ran")
+	row("unanswered", v.Unanswered, "no answer by the deadline and its allowance")
+	for _, name := range slices.Sorted(maps.Keys(v.Failures)) {
+		row("  "+name, v.Failures[name], "among the failed and refused")
+	}
+	row("starts at targets", v.Starts, "counted by the targets")
+	row("starts that were used", v.Used, "their result was part of a complete answer")
+	row("started twice", v.StartedTwice, "tasks that may run at most once")
+	row("breaches", len(v.Breaches), "")
+	table.Flush()
+	for _, b := range v.Breaches[:min(len(v.Breaches), maxBreachesShown)] {
+		fmt.Fprintf(out, "BREACH %s %s: %s\n", b.Rule, b.ID, b.Detail)
+	}
+	fmt.Fprintln(out, v.LastLine())
+}
+
+func (r *run) calls() int {
+	n := 0
+	for _, o := range r.callers.book.list() {
+		n += len(o.sightings)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/demo/verdict.go
@@ -0,0 +1,207 @@
+package demo
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+)
+
+// Rule names an invariant that the demonstration checks.
+type Rule string
+
+// The rules. Each is checked from what targets and callers saw.
+const (
+	RuleStartedTwice Rule = "started_twice" // a task that may run at most once was started twice
+	RuleOneAnswer    Rule = "one_answer"    // two callers got different answers to one id
+	RuleWhole        Rule = "whole"         // a complete answer lacks results, or has another task's
+	RuleAnswered     Rule = "answered"      // no answer by the deadline and its allowance
+	RuleNotRun       Rule = "not_run"       // an answer said "not run" of a task that was started
+	RuleCompleteRan  Rule = "complete_ran"  // a complete answer of a task that no target started
+	RuleProcesses    Rule = "processes"     // a process crashed or had to be killed
+)
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule   Rule
+	ID     string
+	Detail string
+}
+
+// Verdict is the outcome of a run.
+type Verdict struct {
+	Jobs, Complete, Failed, Refused, Unanswered int
+	// StartedTwice counts tasks that may run at most once and were started again.
+	StartedTwice int
+	// P50 and P99 are of the response over the ideal, over complete answers.
+	P50, P99 float64
+	// Starts counts starts at targets; Used those whose result was part of a
+	// complete answer.
+	Starts, Used int
+	// Failures counts failed and refused jobs by the name of their fault.
+	Failures map[string]int
+	Breaches []Breach
+}
+
+// Wasted is the share of starts that were never part of a complete answer, in percent.
+func (v *Verdict) Wasted() float64 {
+	if v.Starts == 0 {
+		return 0
+	}
+	return 100 * float64(v.Starts-v.Used) / float64(v.Starts)
+}
+
+// LastLine is the line that a run ends with.
+func (v *Verdict) LastLine() string {
+	return fmt.Sprintf("jobs=%d complete=%d failed=%d refused=%d unanswered=%d started_twice=%d p50_ratio=%.2f p99_ratio=%.2f wasted=%.2f%%",
+		v.Jobs, v.Complete, v.Failed, v.Refused, v.Unanswered, v.StartedTwice, v.P50, v.P99, v.Wasted())
+}
+
+func (v *Verdict) breach(rule Rule, id, format string, args ...any) {
+	v.Breaches = append(v.Breaches, Breach{Rule: rule, ID: id, Detail: fmt.Sprintf(format, args...)})
+}
+
+// judge compares what callers saw with what targets counted. fastest is the speed
+// of the fastest target.
+func judge(all []*observed, counted starts, fastest float64) *Verdict {
+	v := &Verdict{Jobs: len(all), Starts: counted.total(), Failures: map[string]int{}}
+	var ratios []float64
+	for _, o := range all {
+		v.judgeStarts(o, counted)
+		answer := v.judgeAnswers(o)
+		if answer == nil {
+			v.Unanswered++
+			continue
+		}
+		v.count(answer)
+		v.judgeAgainstStarts(o, answer, counted)
+		if answer.State == job.Complete {
+			ratios = append(ratios, ratio(o, fastest))
+		}
+	}
+	v.P50, v.P99 = quantile(ratios, 0.5), quantile(ratios, 0.99)
+	return v
+}
+
+func (v *Verdict) count(a *job.Answer) {
+	switch a.State {
+	case job.Complete:
+		v.Complete++
+	case job.Refused:
+		v.Refused++
+	default:
+		v.Failed++
+	}
+	if a.Failure != nil {
+		v.Failures[a.Failure.Name]++
+	}
+}
+
+func (v *Verdict) judgeStarts(o *observed, counted starts) {
+	if o.order.submission.Idempotent {
+		return // may run again where its outcome is unknown
+	}
+	for i := range o.order.submission.Tasks {
+		if n := counted[taskKey(o.id, i)]; n > 1 {
+			v.StartedTwice++
+			v.breach(RuleStartedTwice, o.id, "task %d was started %d times", i, n)
+		}
+	}
+}
+
+// judgeAnswers returns the one answer, or nil where a caller got none.
+func (v *Verdict) judgeAnswers(o *observed) *job.Answer {
+	var first *job.Answer
+	missing := len(o.sightings) == 0
+	for _, s := range o.sightings {
+		if s.answer == nil {
+			missing = true
+			v.breach(RuleAnswered, o.id, "through entry %d: %v", s.entry+1, s.err)
+			continue
+		}
+		if first == nil {
+			first = s.answer
+		}
+		if !same(first, s.answer) {
+			v.breach(RuleOneAnswer, o.id, "%s and, through entry %d, %s", describe(first), s.entry+1, describe(s.answer))
+		}
+	}
+	if missing {
+		return nil
+	}
+	return first
+}
+
+func (v *Verdict) judgeAgainstStarts(o *observed, a *job.Answer, counted starts) {
+	if a.State == job.Complete {
+		v.judgeComplete(o, a, counted)
+		return
+	}
+	if a.Failure == nil || !a.Failure.NotRun {
+		return
+	}
+	for i := range o.order.submission.Tasks {
+		if n := counted[taskKey(o.id, i)]; n > 0 {
+			v.breach(RuleNotRun, o.id, "%s, and task %d was started %d times", describe(a), i, n)
+		}
+	}
+}
+
+func (v *Verdict) judgeComplete(o *observed, a *job.Answer, counted starts) {
+	tasks := len(o.order.submission.Tasks)
+	if len(a.Results) != tasks {
+		v.breach(RuleWhole, o.id, "%d results for %d tasks", len(a.Results), tasks)
+		return
+	}
+	for i, result := range a.Results {
+		if want := echoOf(o.order.unique, i); string(result) != want {
+			v.breach(RuleWhole, o.id, "task %d returned %q and not %q", i, result, want)
+		}
+		if counted[taskKey(o.id, i)] == 0 {
+			v.breach(RuleCompleteRan, o.id, "no target started task %d", i)
+			continue
+		}
+		v.Used++ // one result a task, however often it was started
+	}
+}
+
+// same reports whether two answers say the same. The time to come back may differ.
+func same(a, b *job.Answer) bool {
+	if a.State != b.State || (a.Failure == nil) != (b.Failure == nil) {
+		return false
+	}
+	if a.Failure != nil && (a.Failure.Code != b.Failure.Code || a.Failure.NotRun != b.Failure.NotRun) {
+		return false
+	}
+	return slices.EqualFunc(a.Results, b.Results, bytes.Equal)
+}
+
+func describe(a *job.Answer) string {
+	if a.Failure == nil {
+		return string(a.State)
+	}
+	return fmt.Sprintf("%s (%v, not_run=%t)", a.State, a.Failure, a.Failure.NotRun)
+}
+
+// ratio is the first caller's response over the ideal: the longest task on the
+// fastest target, with no wait.
+func ratio(o *observed, fastest float64) float64 {
+	ideal := float64(o.order.longestMs) * float64(time.Millisecond) / fastest
+	for _, s := range o.sightings {
+		if s.entry == o.order.entry && s.response > 0 {
+			return float64(s.response) / ideal
+		}
+	}
+	return 0
+}
+
+// quantile returns the q-th quantile by the nearest rank; 0 where there is none.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(len(values)-1, int(q*float64(len(values))))]
+}
--- /dev/null
+++ b/internal/localfleet/process.go
@@ -0,0 +1,217 @@
+package localfleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/event"
+)
+
+// Times of starting and stopping a process.
+const (
+	startTimeout = 10 * time.Second
+	stopTimeout  = 5 * time.Second // for a graceful end, before it is killed
+	tailLines    = 20              // last log lines kept for the message about a crash
+	maxLogLine   = 1 << 20
+)
+
+// StartError is a process that did not come up.
+type StartError struct {
+	Name  string
+	Cause error
+	Tail  []string // its last log lines
+}
+
+// Error implements error.
+func (e *StartError) Error() string { return e.Name + " did not start: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+var (
+	errEnded   = errors.New("it ended before it served")
+	errTimeout = errors.New("it did not serve in time")
+)
+
+// Process is one running daemon.
+type Process struct {
+	Name string // of the instance, such as "entry-1"
+	Addr string // where it serves, from its log
+
+	cmd     *exec.Cmd
+	serving chan string
+	ended   chan struct{}
+	log     io.Closer
+
+	mu      sync.Mutex
+	tail    []string
+	wanted  bool // its end was asked for
+	waitErr error
+}
+
+// logLine is what is read from a daemon's log.
+type logLine struct {
+	Event event.ID `json:"event"`
+	Addr  string   `json:"addr"`
+}
+
+// start starts a program of the bin directory and waits until it serves.
+func (f *Fleet) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(f.options.Bin, program), args...)
+	// A group of its own, so that a ^C at the terminal reaches this program
+	// alone and the daemons end in the order that it chooses.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	sink, err := f.logSink(name)
+	if err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	p := &Process{Name: name, cmd: cmd, serving: make(chan string, 1), ended: make(chan struct{}), log: sink}
+	f.add(p)
+	go p.follow(stderr, sink)
+	return p, p.awaitServing(ctx)
+}
+
+// logSink returns where the log of a process goes.
+func (f *Fleet) logSink(name string) (io.WriteCloser, error) {
+	if f.options.LogDir == "" {
+		return discard{}, nil
+	}
+	path := filepath.Join(f.options.LogDir, name+".log")
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) Close() error                { return nil }
+
+// follow reads the log until the process ends.
+func (p *Process) follow(stderr io.Reader, sink io.WriteCloser) {
+	lines := bufio.NewScanner(stderr)
+	lines.Buffer(make([]byte, 0, 4096), maxLogLine)
+	for lines.Scan() {
+		p.keep(lines.Text())
+		fmt.Fprintln(sink, lines.Text()) // a line that can't be written must not stop the run
+		var line logLine
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == event.ProcessStarted {
+			p.announce(line.Addr)
+		}
+	}
+	// A line beyond the buffer ends the scanner; the rest is drained so that the
+	// process doesn't block on a full pipe.
+	_, _ = io.Copy(io.Discard, stderr)
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.waitErr = err
+	p.mu.Unlock()
+	_ = sink.Close()
+	close(p.ended)
+}
+
+func (p *Process) announce(addr string) {
+	select {
+	case p.serving <- addr:
+	default:
+	}
+}
+
+func (p *Process) keep(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tail = append(p.tail, line)
+	if len(p.tail) > tailLines {
+		p.tail = p.tail[1:]
+	}
+}
+
+// Tail returns the last lines of the log.
+func (p *Process) Tail() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.tail...)
+}
+
+func (p *Process) awaitServing(ctx context.Context) error {
+	timer := time.NewTimer(startTimeout)
+	defer timer.Stop()
+	var cause error
+	select {
+	case p.Addr = <-p.serving:
+		return nil
+	case <-p.ended:
+		cause = errEnded
+	case <-timer.C:
+		cause = errTimeout
+	case <-ctx.Done():
+		cause = ctx.Err()
+	}
+	return &StartError{Name: p.Name, Cause: cause, Tail: p.Tail()}
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Kill ends the process at once, as the loss of a host would, and waits until it
+// is gone.
+func (p *Process) Kill() {
+	p.want()
+	_ = p.cmd.Process.Kill() // fails only where it has ended
+	<-p.ended
+}
+
+// Signal sends a signal, such as SIGSTOP for a pause.
+func (p *Process) Signal(s os.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
+}
+
+// Stop asks the process to end gracefully and reports whether it did so in time;
+// one that doesn't is killed.
+func (p *Process) Stop() bool {
+	p.want()
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(stopTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.ended:
+		return true
+	case <-timer.C:
+		p.Kill()
+		return false
+	}
+}
+
+func (p *Process) want() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = true
+}
+
+// Crashed reports whether the process ended although nobody asked it to.
+func (p *Process) Crashed() bool {
+	select {
+	case <-p.ended:
+	default:
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.wanted
+}
