--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -34,7 +34,13 @@
 }
 
 // Error implements error.
-func (e *StartError) Error() string { return e.Name + " did not start: " + e.Cause.Error() }
+func (e *StartError) Error() string {
+	text := e.Name + " did not start: " + e.Cause.Error()
+	if len(e.Tail) > 0 {
+		text += "; its last log line: " + e.Tail[len(e.Tail)-1]
+	}
+	return text
+}
 
 // Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Cause }
