--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -89,7 +89,6 @@
 	entries []*localfleet.Process
 	agents  []*localfleet.Process
 	targets []*localfleet.Process
-	logAddr string
 }
 
 func start(ctx context.Context, o Options) (*scene, error) {
@@ -106,17 +105,15 @@
 }
 
 func (s *scene) startAll(ctx context.Context, o Options) error {
-	log, err := s.fleet.StartLog(ctx)
-	if err != nil {
+	if _, err := s.fleet.StartLog(ctx); err != nil {
 		return err
 	}
-	s.logAddr = log.Addr
 	for i := range entryCount {
 		listen := ""
 		if i == 0 {
 			listen = o.Listen
 		}
-		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, log.Addr, s.entryAddrs())
+		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, s.entryAddrs())
 		if err != nil {
 			return err
 		}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -83,17 +83,11 @@
 }
 
 // StartEntry starts an entry. listen may be empty; peers are entries it knows.
-func (f *Fleet) StartEntry(ctx context.Context, name, listen, logAddr string, peers []string, extra ...string) (*Process, error) {
+func (f *Fleet) StartEntry(ctx context.Context, name, listen string, peers []string, extra ...string) (*Process, error) {
 	if listen == "" {
 		listen = anyPort
 	}
-	args := []string{"-listen", listen, "-key", f.options.Key}
-	if len(peers) > 0 {
-		args = append(args, "-peers", strings.Join(peers, ","))
-	}
-	if logAddr != "" {
-		args = append(args, "-log-addr", logAddr)
-	}
+	args := []string{"-listen", listen, "-entries", strings.Join(peers, ","), "-crash-on-breach"}
 	return f.start(ctx, name, entryProgram, append(args, extra...)...)
 }
 
@@ -103,7 +97,7 @@
 	if listen == "" {
 		listen = anyPort
 	}
-	args := []string{"-listen", listen, "-key", f.options.Key, "-worker", name, "-entries", strings.Join(entries, ",")}
+	args := []string{"-listen", listen, "-worker", name, "-entries", strings.Join(entries, ",")}
 	return f.start(ctx, name, agentProgram, append(args, extra...)...)
 }
 
--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -54,7 +54,7 @@
 var _ = Describe("a local fleet", func() {
 	It("learns where a process serves and stops it by its id", func(ctx context.Context) {
 		f := newFleet("serve")
-		p, err := f.StartEntry(ctx, "entry-1", "", "", nil)
+		p, err := f.StartEntry(ctx, "entry-1", "", nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Addr).To(Equal("127.0.0.1:4711"))
 		Expect(f.Close()).To(BeEmpty())
@@ -65,7 +65,7 @@
 	// A daemon refuses a setting of the demonstration. Waiting for it to serve
 	// until the time is up would hide the daemon's own words about why.
 	It("tells at once why a process did not come up", func(ctx context.Context) {
-		_, err := newFleet("fail").StartEntry(ctx, "entry-1", "", "", nil)
+		_, err := newFleet("fail").StartEntry(ctx, "entry-1", "", nil)
 		var start *StartError
 		Expect(errors.As(err, &start)).To(BeTrue())
 		Expect(err).To(MatchError(errEnded))
@@ -76,7 +76,7 @@
 	// the figures may look whole; the crash itself must still fail the run.
 	It("notices a process that ended although nobody asked it to", func(ctx context.Context) {
 		f := newFleet("serve")
-		p, err := f.StartEntry(ctx, "entry-1", "", "", nil)
+		p, err := f.StartEntry(ctx, "entry-1", "", nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(syscall.Kill(p.PID(), syscall.SIGKILL)).To(Succeed())
 		Eventually(p.ended).Should(BeClosed())
--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/settings"
 )
 
 // Times of starting and stopping a process.
@@ -75,6 +76,8 @@
 // start starts a program of the bin directory and waits until it serves.
 func (f *Fleet) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
 	cmd := exec.Command(filepath.Join(f.options.Bin, program), args...)
+	// By the environment, because arguments show in process lists.
+	cmd.Env = append(os.Environ(), settings.EnvName("key")+"="+f.options.Key)
 	// A group of its own, so that a ^C at the terminal reaches this program
 	// alone and the daemons end in the order that it chooses.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
