--- a/command/answer.go
+++ b/command/answer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
 )
 
@@ -33,9 +34,17 @@
 	case job.Complete:
 		return ExitDone
 	case job.Refused:
-		return ExitNotTaken
+		return exitOfRefusal(a.Failure)
 	case job.Pending:
 		return ExitUndecided
 	}
 	return ExitFailed
 }
+
+// exitOfRefusal tells wrong input from a refusal that may be tried again later.
+func exitOfRefusal(f *fault.Fault) int {
+	if f != nil && exitOfFault(f) == ExitUsage {
+		return ExitUsage
+	}
+	return ExitNotTaken
+}
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -108,6 +108,7 @@
 		Entry("complete", 200, job.Answer{State: job.Complete}, ExitDone),
 		Entry("failed", 502, job.Answer{State: job.Failed, Failure: fault.New(fault.OutcomeUnknown, "")}, ExitFailed),
 		Entry("refused", 429, job.Answer{State: job.Refused, Failure: fault.Refused(fault.Overloaded, "", time.Second)}, ExitNotTaken),
+		Entry("wrong input", 400, job.Answer{State: job.Refused, Failure: fault.Input(fault.BadField, "team", "")}, ExitUsage),
 		Entry("pending", 202, job.Answer{State: job.Pending}, ExitUndecided),
 	)
 
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -4,11 +4,25 @@
 	"context"
 	"encoding/json"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/owner"
 )
 
 // Targets returns what the entry knows of its targets.
-func (c *Client) Targets(ctx context.Context) (json.RawMessage, error) {
-	return c.page(ctx, http.MethodGet, "/v1/targets")
+func (c *Client) Targets(ctx context.Context) ([]owner.TargetStatus, error) {
+	page, err := c.page(ctx, http.MethodGet, "/v1/targets")
+	if err != nil {
+		return nil, err
+	}
+	var body struct {
+		Targets []owner.TargetStatus `json:"targets"`
+	}
+	if err := json.Unmarshal(page, &body); err != nil {
+		return nil, errors.Wrap(err, "reply to /v1/targets")
+	}
+	return body.Targets, nil
 }
 
 // Status returns how the entry stands.
--- a/internal/demo/capacity.go
+++ b/internal/demo/capacity.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/client"
-	"github.com/camphorrack/camphorrack/internal/owner"
 )
 
 // The fleet: its targets differ in speed as machines bought over many years do.
@@ -66,18 +64,12 @@
 
 // usable counts the targets that the entry can use now.
 func usable(ctx context.Context, c *client.Client) int {
-	page, err := c.Targets(ctx)
+	targets, err := c.Targets(ctx)
 	if err != nil {
 		return 0
 	}
-	var body struct {
-		Targets []owner.TargetStatus `json:"targets"`
-	}
-	if json.Unmarshal(page, &body) != nil {
-		return 0
-	}
 	n := 0
-	for _, t := range body.Targets {
+	for _, t := range targets {
 		if t.Connected && !t.Down && !t.Leaving {
 			n++
 		}
--- a/internal/demo/witness.go
+++ b/internal/demo/witness.go
@@ -55,10 +55,10 @@
 	}
 	defer response.Body.Close()
 	var body struct {
-		Starts starts `json:"starts"`
+		Counts starts `json:"counts"`
 	}
 	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return body.Starts, nil
+	return body.Counts, nil
 }
