--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/client"
 	"github.com/camphorrack/camphorrack/internal/localfleet"
+	"github.com/camphorrack/camphorrack/internal/owner"
 )
 
 // run is one pass of work over a scene, and what was done meanwhile.
 type run struct {
 	scene   *scene
 	callers *callers
-	counted starts
+
+	perTarget []int        // starts that each target counted
+	counts    owner.Counts // the entries' own, summed
 
 	killed     string // name of the agent
 	killedPID  int
@@ -126,14 +133,41 @@
 // judge counts at the targets and compares.
 func (r *run) judge(ctx context.Context) (*Verdict, error) {
 	pause(ctx, settleTime)
-	counted, err := countStarts(ctx, addrs(r.scene.targets))
+	counted, perTarget, err := countStarts(ctx, addrs(r.scene.targets))
 	if err != nil {
 		return nil, err
 	}
-	r.counted = counted
+	r.perTarget = perTarget
+	if r.counts, err = sumCounts(ctx, r.scene.entryAddrs()); err != nil {
+		return nil, err
+	}
 	return judge(r.callers.book.list(), counted, fastest()), nil
 }
 
+// sumCounts adds up the entries' own counters, which are shown beside the figures
+// and judge nothing.
+func sumCounts(ctx context.Context, entries []string) (owner.Counts, error) {
+	var sum owner.Counts
+	for _, entry := range entries {
+		c, err := client.New(client.Options{Entries: []string{entry}})
+		if err != nil {
+			return sum, err
+		}
+		page, err := c.Status(ctx)
+		if err != nil {
+			return sum, err
+		}
+		var status owner.Status
+		if err := json.Unmarshal(page, &status); err != nil {
+			return sum, errors.Wrapf(err, "status of %s", entry)
+		}
+		sum.Starts += status.Counts.Starts
+		sum.NotRun += status.Counts.NotRun
+		sum.Cancels += status.Counts.Cancels
+	}
+	return sum, nil
+}
+
 func (v *Verdict) judgeProcesses(crashed, stuck []*localfleet.Process) {
 	for _, p := range crashed {
 		v.breach(RuleProcesses, p.Name, "ended by itself; its last log lines: %q", p.Tail())
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -30,8 +30,12 @@
 	row("starts at targets", v.Starts, "counted by the targets")
 	row("starts that were used", v.Used, "their result was part of a complete answer")
 	row("started twice", v.StartedTwice, "tasks that may run at most once")
+	row("start messages", int(r.counts.Starts), "by the entries' own counters, as the next two")
+	row("  turned away", int(r.counts.NotRun), "an agent did not begin them")
+	row("  called back", int(r.counts.Cancels), "their job had ended meanwhile")
 	row("breaches", len(v.Breaches), "")
 	table.Flush()
+	r.printTargets(out)
 	for _, b := range v.Breaches[:min(len(v.Breaches), maxBreachesShown)] {
 		fmt.Fprintf(out, "BREACH %s %s: %s\n", b.Rule, b.ID, b.Detail)
 	}
@@ -45,3 +49,12 @@
 	}
 	return n
 }
+
+func (r *run) printTargets(out io.Writer) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "target\tspeed\tslots\tstarts")
+	for i, target := range r.scene.targets {
+		fmt.Fprintf(table, "%s\t%g\t%d\t%d\n", target.Name, speeds[i], slots, r.perTarget[i])
+	}
+	table.Flush()
+}
--- a/internal/demo/witness.go
+++ b/internal/demo/witness.go
@@ -27,19 +27,22 @@
 	return n
 }
 
-// countStarts asks every target.
-func countStarts(ctx context.Context, targets []string) (starts, error) {
+// countStarts asks every target and returns all counts together, and how many
+// starts each target counted.
+func countStarts(ctx context.Context, targets []string) (starts, []int, error) {
 	all := starts{}
+	var perTarget []int
 	for _, addr := range targets {
 		one, err := startsOf(ctx, addr)
 		if err != nil {
-			return nil, errors.Wrapf(err, "starts of target %s", addr)
+			return nil, nil, errors.Wrapf(err, "starts of target %s", addr)
 		}
 		for key, count := range one {
 			all[key] += count
 		}
+		perTarget = append(perTarget, one.total())
 	}
-	return all, nil
+	return all, perTarget, nil
 }
 
 func startsOf(ctx context.Context, addr string) (starts, error) {
