--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -168,12 +168,12 @@
 	return sum, nil
 }
 
-func (v *Verdict) judgeProcesses(crashed, stuck []*localfleet.Process) {
+func (v *Verdict) judgeProcesses(crashed, unclean []*localfleet.Process) {
 	for _, p := range crashed {
 		v.breach(RuleProcesses, p.Name, "ended by itself; its last log lines: %q", p.Tail())
 	}
-	for _, p := range stuck {
-		v.breach(RuleProcesses, p.Name, "did not end after SIGTERM and was killed")
+	for _, p := range unclean {
+		v.breach(RuleProcesses, p.Name, "did not end gracefully after SIGTERM; its last log lines: %q", p.Tail())
 	}
 }
 
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,17 +65,40 @@
 	return crashed
 }
 
-// Close stops every process, the last started first, and returns those that had
-// to be killed because they did not end by themselves.
+// stopOrder is the order in which an operator takes a whole fleet down: workers
+// settle what they have with the entries, which need the log last.
+var stopOrder = [][]string{{targetProgram, agentProgram}, {entryProgram}, {logProgram}}
+
+// Close stops every process and returns those that did not end gracefully: they
+// had to be killed or ended with an error.
 func (f *Fleet) Close() []*Process {
-	processes := f.Processes()
-	var stuck []*Process
-	for i := len(processes) - 1; i >= 0; i-- {
-		if !processes[i].Stop() {
-			stuck = append(stuck, processes[i])
+	var bad []*Process
+	for _, programs := range stopOrder {
+		bad = append(bad, f.stopAll(programs)...)
+	}
+	return bad
+}
+
+// stopAll stops the processes of the programs, all at a time.
+func (f *Fleet) stopAll(programs []string) []*Process {
+	var bad []*Process
+	var mu sync.Mutex
+	var stops sync.WaitGroup
+	for _, p := range f.Processes() {
+		if !slices.Contains(programs, p.program) {
+			continue
 		}
+		stops.Go(func() {
+			if p.Stop() {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			bad = append(bad, p)
+		})
 	}
-	return stuck
+	stops.Wait()
+	return bad
 }
 
 // StartLog starts the stand-in of the platform's log.
--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -56,6 +56,7 @@
 	Name string // of the instance, such as "entry-1"
 	Addr string // where it serves, from its log
 
+	program string
 	cmd     *exec.Cmd
 	serving chan string
 	ended   chan struct{}
@@ -63,8 +64,9 @@
 
 	mu      sync.Mutex
 	tail    []string
-	wanted  bool // its end was asked for
-	waitErr error
+	wanted  bool  // its end was asked for
+	killed  bool  // by Kill
+	waitErr error // how it ended
 }
 
 // logLine is what is read from a daemon's log.
@@ -92,7 +94,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, &StartError{Name: name, Cause: err}
 	}
-	p := &Process{Name: name, cmd: cmd, serving: make(chan string, 1), ended: make(chan struct{}), log: sink}
+	p := &Process{Name: name, program: program, cmd: cmd, serving: make(chan string, 1), ended: make(chan struct{}), log: sink}
 	f.add(p)
 	go p.follow(stderr, sink)
 	return p, p.awaitServing(ctx)
@@ -181,7 +183,7 @@
 // Kill ends the process at once, as the loss of a host would, and waits until it
 // is gone.
 func (p *Process) Kill() {
-	p.want()
+	p.want(true)
 	_ = p.cmd.Process.Kill() // fails only where it has ended
 	<-p.ended
 }
@@ -191,26 +193,36 @@
 	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
 }
 
-// Stop asks the process to end gracefully and reports whether it did so in time;
-// one that doesn't is killed.
+// Stop asks the process to end, waits for it and reports whether it did so
+// gracefully; one that takes too long is killed. One that Kill ended before, on
+// purpose, counts as graceful.
 func (p *Process) Stop() bool {
-	p.want()
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	p.want(false)
+	_ = p.cmd.Process.Signal(syscall.SIGTERM) // fails only where it has ended
 	timer := time.NewTimer(stopTimeout)
 	defer timer.Stop()
 	select {
 	case <-p.ended:
-		return true
+		return p.endedWell()
 	case <-timer.C:
-		p.Kill()
+		_ = p.cmd.Process.Kill()
+		<-p.ended
 		return false
 	}
 }
 
-func (p *Process) want() {
+func (p *Process) endedWell() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed || p.waitErr == nil
+}
+
+// want notes that the end of the process is asked for.
+func (p *Process) want(kill bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.wanted = true
+	p.killed = p.killed || kill
 }
 
 // Crashed reports whether the process ended although nobody asked it to.
