--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -29,6 +29,7 @@
 	}
 	row("starts at targets", v.Starts, "counted by the targets")
 	row("starts that were used", v.Used, "their result was part of a complete answer")
+	row("starts of cancelled jobs", v.CalledOff, "among the others")
 	row("started twice", v.StartedTwice, "tasks that may run at most once")
 	row("start messages", int(r.counts.Starts), "by the entries' own counters, as the next two")
 	row("  turned away", int(r.counts.NotRun), "an agent did not begin them")
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -43,6 +43,9 @@
 	// Starts counts starts at targets; Used those whose result was part of a
 	// complete answer.
 	Starts, Used int
+	// CalledOff counts starts of jobs that their callers cancelled: part of the
+	// wasted starts that no dispatcher could have avoided.
+	CalledOff int
 	// Failures counts failed and refused jobs by the name of their fault.
 	Failures map[string]int
 	Breaches []Breach
@@ -149,11 +152,13 @@
 		v.judgeComplete(o, a, counted)
 		return
 	}
-	if a.Failure == nil || !a.Failure.NotRun {
-		return
-	}
+	cancelled := a.Failure != nil && a.Failure.Code == fault.Cancelled
 	for i := range o.order.submission.Tasks {
-		if n := counted[taskKey(o.id, i)]; n > 0 {
+		n := counted[taskKey(o.id, i)]
+		if cancelled {
+			v.CalledOff += n
+		}
+		if n > 0 && a.Failure != nil && a.Failure.NotRun {
 			v.breach(RuleNotRun, o.id, "%s, and task %d was started %d times", describe(a), i, n)
 		}
 	}
