Owner: no start past a deadline, no circling with an agent whose clock is ahead

Cause: an owner woken from a pause handles agents' frames before its next tick, and dispatch started tasks of jobs whose deadline had passed; agents turned each away as late and the owner put it back and started it again, a message each round trip. The same happens for as long as two clocks differ near a deadline. Change: dispatch ends jobs past their deadline first; an agent that says "late" is left alone for 200 ms and rated as turning work away. Before: TestWakePastDeadline and TestAgentClockAhead end at 5000 frames of one moment.

--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -56,6 +56,7 @@
 	table       *attempt.Table
 	target      wire.Target
 	frozen      bool
+	ahead       time.Duration // of its clock
 	running     []call
 }
 
@@ -144,6 +145,8 @@
 // Close implements owner.Outbox.
 func (e *entry) Close(conn owner.ConnID) { e.w.link(uint64(conn)).entryOpen = false }
 
+func (a *agent) now() time.Time { return a.w.now.Add(a.ahead) }
+
 // Send implements attempt.Outbox.
 func (a *agent) Send(conn attempt.ConnID, f *wire.ToEntry) {
 	b, err := wire.Encode(f)
@@ -222,21 +225,32 @@
 	}
 	table := l.agent.table
 	if f.Welcome != nil {
-		table.Connect(w.now, attempt.ConnID(l.id), f.Welcome)
+		table.Connect(l.agent.now(), attempt.ConnID(l.id), f.Welcome)
 	}
-	if err := table.Receive(w.now, attempt.ConnID(l.id), f); err != nil {
+	if err := table.Receive(l.agent.now(), attempt.ConnID(l.id), f); err != nil {
 		w.t.Fatalf("agent refused a frame: %v", err)
 	}
 	table.Flush()
 	return true
 }
 
+// maxFrames bounds the frames that one moment may bring forth. More means that
+// frames circle: each answers another and nothing is settled.
+const maxFrames = 5000
+
 func (w *world) deliverAll() {
+	frames := 0
 	for progress := true; progress; {
 		progress = false
 		for _, l := range w.links {
 			for w.deliverToEntry(l) || w.deliverToAgent(l) {
 				progress = true
+				if frames++; frames > maxFrames {
+					w.t.Fatalf("frames circle between entry %d and agent %d", l.entry.slot, l.agent.slot)
+				}
+				if frames > maxFrames-20 {
+					w.t.Logf("entry %d agent %d: toEntry %x toAgent %x", l.entry.slot, l.agent.slot, l.toEntry, l.toAgent)
+				}
 			}
 		}
 	}
@@ -259,7 +273,7 @@
 		return
 	}
 	l.agentOpen = false
-	l.agent.table.Disconnect(w.now, attempt.ConnID(l.id))
+	l.agent.table.Disconnect(l.agent.now(), attempt.ConnID(l.id))
 	l.agent.table.Flush()
 }
 
@@ -307,6 +321,6 @@
 		out.Reason = wire.ReasonTarget
 		w.starts[fmt.Sprintf("%s/%d", c.start.Job, c.start.Task)]--
 	}
-	a.table.Finished(w.now, c.key, out)
+	a.table.Finished(a.now(), c.key, out)
 	a.table.Flush()
 }
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -115,6 +115,7 @@
 		c.started = now
 	}
 	c.expire(now)
+	c.expireAgents(now)
 	c.shed(now)
 	c.dispatch(now)
 }
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -20,8 +20,11 @@
 	maxHeld = 4
 )
 
-// dispatch starts waiting tasks while there is room for them.
+// dispatch starts waiting tasks while there is room for them. It ends jobs past
+// their deadline first: an owner that was paused hears of free slots before its
+// next tick, and would send out work that every agent turns away as late.
 func (c *Core) dispatch(now time.Time) {
+	c.expire(now)
 	var aside []*liveJob
 	for c.ready.Len() > 0 && len(aside) < maxSetAside && c.anyRoom(now) {
 		l := c.ready.Min().Value
--- a/internal/owner/expire.go
+++ b/internal/owner/expire.go
@@ -30,6 +30,10 @@
 		heap.Pop(&c.timeline)
 		delete(c.jobs, r.id.String())
 	}
+}
+
+// expireAgents forgets agents that have been away for long and left nothing open.
+func (c *Core) expireAgents(now time.Time) {
 	for _, a := range slices.Clone(c.roster) {
 		if a.conn == 0 && len(a.attempts) == 0 && now.Sub(a.lastSeen) > agentKeep {
 			c.removeAgent(a)
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -10,9 +10,10 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// avoidAfterRefusal keeps an agent whose target could not be called from getting
-// the same task again at once: without it a task circles between the owner and a
-// target that is going down, a message each round trip.
+// avoidAfterRefusal keeps an agent whose target could not be called, or whose clock
+// says that the deadline is past, from getting the same task again at once:
+// without it a task circles between the owner and the agent, a message each round
+// trip.
 const avoidAfterRefusal = 200 * time.Millisecond
 
 // settle takes one report of an agent.
@@ -73,7 +74,7 @@
 		return health.Failed, true
 	case r.State == wire.Unknown:
 		return health.Lost, true
-	case r.Reason == wire.ReasonTarget:
+	case r.Reason == wire.ReasonTarget, r.Reason == wire.ReasonLate:
 		return health.TurnedAway, true
 	}
 	return health.Succeeded, false
@@ -87,7 +88,7 @@
 		c.succeed(now, l, at.task, r.Result)
 	case wire.NotRun:
 		c.counts.NotRun++
-		if r.Reason == wire.ReasonTarget {
+		if r.Reason == wire.ReasonTarget || r.Reason == wire.ReasonLate {
 			at.agent.avoidUntil = now.Add(avoidAfterRefusal)
 		}
 		c.putBack(l, at.task)
