--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"net/netip"
 	"time"
@@ -20,7 +21,15 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-func init() { invariant.SetCrash(true) }
+// The schedules are short and cheap; the default of 100 leaves rare orders out.
+const checks = "2000"
+
+func init() {
+	invariant.SetCrash(true)
+	if f := flag.Lookup("rapid.checks"); f != nil {
+		_ = f.Value.Set(checks) // a number; the command line is read later and wins
+	}
+}
 
 var key = job.Key("0123456789abcdef")
 
