Entry: a garbled copy of a submission that ran is not told "not run"

Cause: faults of decoding and checking carried not_run whatever the id in the body. A copy of a submission garbled on its way would tell its caller that nothing ran while the first copy had run. Ruled out: dropping the flag for every body with an id, since a caller with a plain mistake needs it. Change: the owner's table decides; known id, no "not run". Before: bad_body not_run=true for an id that had completed (the new test). After: not_run=false; the other bad inputs stay as they were.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -39,6 +39,7 @@
 	Submit(now time.Time, s *job.Submission, w owner.Waiter) (stop func(), err error)
 	Await(now time.Time, id job.ID, w owner.Waiter) (stop func(), err error)
 	Cancel(now time.Time, id job.ID) error
+	Knows(id job.ID) bool
 	Connect(now time.Time, conn owner.ConnID, h *wire.Hello)
 	Receive(now time.Time, conn owner.ConnID, f *wire.ToEntry) error
 	Disconnect(now time.Time, conn owner.ConnID)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -142,6 +142,18 @@
 		Expect(call(http.MethodPost, first.Addr(), "/v1/jobs", submission(good, "p")).State).To(Equal(job.Complete))
 	})
 
+	// A submission runs, and a copy of it is garbled on its way. Told "not run" about
+	// the copy, its caller would take the task for one that never ran, and bill or
+	// dose a second time under a new id.
+	It("does not say \"not run\" of a garbled copy of a submission that ran", func() {
+		id := newID(token, time.Minute, "ran")
+		Expect(call(http.MethodPost, first.Addr(), "/v1/jobs", submission(id, "p")).State).To(Equal(job.Complete))
+		garbled := call(http.MethodPost, second.Addr(), "/v1/jobs", []byte(`{"id":"`+id+`","tasks":[],"x":1}`))
+		Expect(garbled).To(haveFailure(fault.BadBody, false))
+		empty := call(http.MethodPost, second.Addr(), "/v1/jobs", submission(id))
+		Expect(empty).To(haveFailure(fault.BadTaskCount, false))
+	})
+
 	// An editor cancels everything at press time: hundreds of jobs at once, of
 	// several owners, some of them ended or never seen.
 	It("cancels in waves across owners and tells of each id", func() {
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -65,10 +65,14 @@
 // otherwise disagree, and one say "not run" of what the other has started.
 func (a *api) undecodable(g *gin.Context, body []byte, wait time.Duration, given bool, cause error) {
 	id, err := job.ParseID(peekID(body), a.key)
-	if err != nil || a.owns(id) {
+	if err != nil {
 		writeFault(g, "", cause)
 		return
 	}
+	if a.owns(id) {
+		writeFault(g, id.String(), a.unlessKnown(id, cause))
+		return
+	}
 	if !given {
 		wait = a.untilAnswered(id)
 	}
@@ -78,7 +82,7 @@
 // accept hands a submission that this entry owns to the control state.
 func (a *api) accept(g *gin.Context, s *job.Submission, wait time.Duration) {
 	if err := s.Check(); err != nil {
-		writeFault(g, s.ID.String(), err)
+		writeFault(g, s.ID.String(), a.unlessKnown(s.ID, err))
 		return
 	}
 	a.await(g, s.ID, wait, func(now time.Time, c core, w owner.Waiter) (func(), error) {
@@ -86,6 +90,19 @@
 	})
 }
 
+// unlessKnown withdraws the "not run" of a fault where the id is known: a copy of a
+// submission that was garbled on its way says nothing about the one that came
+// before, which may have run.
+func (a *api) unlessKnown(id job.ID, err error) error {
+	f := *asFault(err)
+	known := true
+	if doErr := a.control.do(func(_ time.Time, c core) { known = c.Knows(id) }); doErr != nil {
+		known = true
+	}
+	f.NotRun = f.NotRun && !known
+	return &f
+}
+
 // lookup serves GET /v1/jobs/{id}.
 func (a *api) lookup(g *gin.Context) {
 	wait, given, err := decodeWait(g.Request.URL.Query())
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -174,6 +174,12 @@
 	return nil, fault.New(fault.NotFound, "this owner has not accepted the id")
 }
 
+// Knows reports whether the id is in the table: accepted, refused or cancelled.
+func (c *Core) Knows(id job.ID) bool {
+	_, known := c.jobs[id.String()]
+	return known
+}
+
 func (c *Core) await(now time.Time, r *record, w Waiter) (func(), error) {
 	if r.live != nil {
 		return c.wait(r.live, w), nil
