--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -20,8 +20,11 @@
 	maxHeld = 4
 )
 
-// dispatch starts waiting tasks while there is room for them.
+// dispatch starts waiting tasks while there is room for them. It ends jobs past
+// their deadline first: an owner that was paused hears of free slots before its
+// next tick, and would send out work that every agent turns away as late.
 func (c *Core) dispatch(now time.Time) {
+	c.expire(now)
 	var aside []*liveJob
 	for c.ready.Len() > 0 && len(aside) < maxSetAside && c.anyRoom(now) {
 		l := c.ready.Min().Value
@@ -79,7 +82,8 @@
 	l.tasks[task].state = taskSent
 	l.tasks[task].tries++
 	l.mayHaveRun = true
-	at := &attempt{seq: seq, agent: a, live: l, task: task, sentAt: now, team: l.sub.Team,
+	at := &attempt{seq: seq, agent: a, live: l, task: task, sentAt: now,
+		endsAt: now.Add(time.Duration(choice.EndMs * float64(time.Millisecond))), team: l.sub.Team,
 		class: l.sub.Class, estimateMs: l.tasks[task].estimateMs, declaredMs: t.EstimateMs, demand: t.Demand}
 	a.attempts[seq] = at
 	a.order = append(a.order, seq)
