--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -59,6 +59,29 @@
 	}
 }
 
+// What an entry spends on agents that have nothing to do, for the budget of
+// control traffic. Name the entry as for BenchmarkRequest; the agents are here.
+// One operation is a second.
+func BenchmarkIdleAgents(b *testing.B) {
+	addr, _, external := strings.Cut(os.Getenv(envEntries), ",")
+	if !external {
+		addr = startEntry(b).Addr()
+	}
+	connected := 0
+	for _, agents := range []int{0, 100, 400} {
+		for ; connected < agents; connected++ {
+			startAgent(b, addr)
+		}
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			before, frames, bytes := processorTime(b, addr), figure(b, addr, "sessions.frames_out"), figure(b, addr, "sessions.bytes_out")
+			time.Sleep(time.Duration(b.N) * time.Second)
+			b.ReportMetric(float64(processorTime(b, addr)-before)/float64(b.N), "cpu-us/s")
+			b.ReportMetric(float64(figure(b, addr, "sessions.frames_out")-frames)/float64(b.N), "frames-out/s")
+			b.ReportMetric(float64(figure(b, addr, "sessions.bytes_out")-bytes)/float64(b.N), "frame-bytes-out/s")
+		})
+	}
+}
+
 func manyJobs(o *entry.Options) { o.MaxJobs = 10_000_000 }
 
 var unique atomic.Int64
@@ -77,15 +100,16 @@
 }
 
 // processorTime returns the microseconds of processor time that a daemon has used.
-func processorTime(b *testing.B, addr string) int64 {
+func processorTime(b *testing.B, addr string) int64 { return figure(b, addr, "process.cpu_us") }
+
+// figure reads one gauge of a daemon.
+func figure(b *testing.B, addr, name string) int64 {
 	r, err := try(context.Background(), http.MethodGet, addr, "/metrics", nil)
-	var metrics struct {
-		CPU struct{ Value int64 } `json:"process.cpu_us"`
-	}
+	var metrics map[string]struct{ Value int64 }
 	if err != nil || json.Unmarshal([]byte(r.raw), &metrics) != nil {
 		b.Fatalf("metrics of %s: %v %s", addr, err, r.raw)
 	}
-	return metrics.CPU.Value
+	return metrics[name].Value
 }
 
 // benchCall reports whether the answer is complete.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"github.com/camphorrack/camphorrack/internal/forward"
 	"github.com/camphorrack/camphorrack/internal/invariant"
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
@@ -104,6 +106,8 @@
 	e.server = &http.Server{
 		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.o.MaxTimeout + writeSlack,
+		// What the library would print to stderr as plain text is for debugging only.
+		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
 	}
 	return nil
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -298,7 +298,7 @@
 		e := startEntry(GinkgoT(), func(o *entry.Options) { o.DataCentre = "khangai-1" })
 		startAgent(GinkgoT(), e.Addr())
 		Eventually(func() string { return call(http.MethodGet, e.Addr(), "/v1/targets", nil).raw }).
-			Should(ContainSubstring(`"worker":"worker"`))
+			Should(ContainSubstring(`"target":"target","worker":"worker`))
 		Expect(call(http.MethodGet, e.Addr(), "/v1/status", nil).raw).To(ContainSubstring(`"data_centre":"khangai-1"`))
 		metrics := call(http.MethodGet, e.Addr(), "/metrics", nil).raw
 		Expect(metrics).To(And(ContainSubstring(`"owner.agents":{"value":1}`), ContainSubstring(`"sessions.frames_in"`)))
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -149,6 +150,9 @@
 // manyCredits outlasts any benchmark.
 const manyCredits = 1 << 40
 
+// workers numbers the agents' workers: two agents on one worker replace each other.
+var workers atomic.Int64
+
 func startAgent(t testingT, addr string) *fakeAgent {
 	a := &fakeAgent{starts: map[string]int{}}
 	conn, err := session.Dial(context.Background(), addr, session.Options{})
@@ -158,7 +162,7 @@
 	a.conn = conn
 	t.Cleanup(func() { conn.Close(nil) })
 	conn.Send(&wire.ToEntry{Hello: &wire.Hello{
-		Version: wire.Version, Incarnation: job.NewIncarnation(), Worker: "worker",
+		Version: wire.Version, Incarnation: job.NewIncarnation(), Worker: "worker" + strconv.FormatInt(workers.Add(1), 10),
 		Target: wire.Target{Name: "target", Slots: 1000, Speed: 1},
 	}})
 	go func() { _ = conn.Serve(a.receive) }()
