Session: a loose watch over idle connections; heartbeats stay out of the control state

Cause: 400 idle agents took an entry 31 % of a core and 100 of them 9 %: each connection looked eight times a second, sent four heartbeats, and each heartbeat was a command, a dispatch and a flush.

Ruled out: longer heartbeats for all (a cut under a running task would show later).

Change: for 5 s after a frame with content a connection is watched as before; later a heartbeat goes out every 2 s and 7 s of silence end it. Content that is not acknowledged within a second ends it at any time, so a first start into a cut is noticed as fast as any. Empty frames end at the session.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -83,6 +83,9 @@
 	if !s.opened {
 		return s.open(f)
 	}
+	if f.Heartbeat() {
+		return nil // the session has seen it, and the owner need not
+	}
 	return s.control.push(func(now time.Time, c core) {
 		if err := c.Receive(now, s.id, f); err != nil {
 			s.conn.Close(err)
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -72,6 +72,7 @@
 		for ; connected < agents; connected++ {
 			startAgent(b, addr)
 		}
+		time.Sleep(8 * time.Second) // connections count as active for that long after hello
 		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
 			before, frames, bytes := processorTime(b, addr), figure(b, addr, "sessions.frames_out"), figure(b, addr, "sessions.bytes_out")
 			time.Sleep(time.Duration(b.N) * time.Second)
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -22,17 +22,18 @@
 type sequenced interface {
 	Stamp(seq, heard uint64)
 	Sequence() (seq, heard uint64)
+	Heartbeat() bool
 	Weight() int
 }
 
 // Conn is one connection that receives In and sends Out. One goroutine writes;
 // the one that calls Serve reads.
 type Conn[In, Out Frame] struct {
-	ws       *websocket.Conn
-	o        Options
-	queue    *queue[Out]
-	progress progress
-	heard    atomic.Uint64 // highest number of the peer's frames that was delivered
+	ws    *websocket.Conn
+	o     Options
+	queue *queue[Out]
+	pulse *pulse
+	heard atomic.Uint64 // highest number of the peer's frames that was delivered
 
 	closeOnce sync.Once
 	done      chan struct{}
@@ -71,7 +72,7 @@
 func start[In, Out Frame](ws *websocket.Conn, o Options) *Conn[In, Out] {
 	o = o.withDefaults()
 	ws.SetReadLimit(int64(o.MaxFrameBytes))
-	c := &Conn[In, Out]{ws: ws, o: o, queue: newQueue[Out](o.MaxQueueBytes), done: make(chan struct{})}
+	c := &Conn[In, Out]{ws: ws, o: o, queue: newQueue[Out](o.MaxQueueBytes), pulse: newPulse(o, time.Now()), done: make(chan struct{})}
 	go c.write()
 	return c
 }
@@ -104,11 +105,8 @@
 	}
 }
 
-// read waits for one frame, at most Silent long.
+// read waits for one frame. The writer ends the connection when none comes.
 func (c *Conn[In, Out]) read() (*In, error) {
-	if err := c.ws.SetReadDeadline(time.Now().Add(c.o.Silent)); err != nil {
-		return nil, errors.Wrap(err, "set the read deadline")
-	}
 	_, data, err := c.ws.ReadMessage()
 	if err != nil {
 		return nil, errors.Wrap(err, "read a frame")
@@ -117,34 +115,37 @@
 	if err != nil {
 		return nil, err
 	}
-	seq, peerHeard := any(f).(sequenced).Sequence()
+	frame := any(f).(sequenced)
+	seq, ack := frame.Sequence()
 	if want := c.heard.Load() + 1; seq != want {
 		return nil, &SequenceError{Want: want, Got: seq}
 	}
-	if err := c.progress.acknowledge(peerHeard, time.Now()); err != nil {
+	woken, err := c.pulse.heard(time.Now(), ack, !frame.Heartbeat())
+	if err != nil {
 		return nil, err
 	}
+	if woken {
+		c.queue.wake() // the writer sleeps for as long as an idle heartbeat takes
+	}
 	c.o.Counters.FramesIn.Add(1)
 	c.o.Counters.BytesIn.Add(int64(len(data)))
 	return f, nil
 }
 
 // write sends what is queued, and a heartbeat whenever nothing went out for a
-// while. No heartbeat goes out before the first frame, which opens the session.
+// while, and ends the connection when it is silent.
 func (c *Conn[In, Out]) write() {
-	// Two ticks a heartbeat: a frame that just missed one goes out at the next.
-	tick := time.NewTicker(c.o.Heartbeat / 2)
-	defer tick.Stop()
-	var lastWrite time.Time
+	look := time.NewTimer(c.o.Heartbeat)
+	defer look.Stop()
 	for {
 		select {
 		case <-c.done:
 			return
 		case <-c.queue.ready:
-		case <-tick.C:
+		case <-look.C:
 		}
 		frames := c.queue.take()
-		if c.progress.sent() > 0 && len(frames) == 0 && time.Since(lastWrite) >= c.o.Heartbeat/2 {
+		if len(frames) == 0 && c.pulse.heartbeatDue(time.Now()) {
 			frames = append(frames, new(Out))
 			c.o.Counters.Heartbeats.Add(1)
 		}
@@ -153,20 +154,19 @@
 				c.end(ReasonWrite, err)
 				return
 			}
-			lastWrite = time.Now()
 		}
-		// The one-directional cut: the peer's heartbeats still come in, so silence
-		// never shows here, but nothing of ours gets there, and starts and answers
-		// would be lost for as long as the connection is kept.
-		if c.progress.stalled(time.Now(), c.o.Silent) {
-			c.end(ReasonUnheard, nil)
+		now := time.Now()
+		if reason := c.pulse.silence(now); reason != "" {
+			c.end(reason, nil)
 			return
 		}
+		look.Reset(c.pulse.nextLook(now))
 	}
 }
 
 func (c *Conn[In, Out]) writeFrame(f *Out) error {
-	any(f).(sequenced).Stamp(c.progress.next(time.Now()), c.heard.Load())
+	frame := any(f).(sequenced)
+	frame.Stamp(c.pulse.sending(time.Now(), !frame.Heartbeat()), c.heard.Load())
 	data, err := wire.Encode(f)
 	if err != nil {
 		return err
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -21,12 +21,24 @@
 	maxQueueBytes = 4 * wire.MaxFrameBytes
 	// writeBufferBytes holds a usual frame whole, so that it takes one system call.
 	writeBufferBytes = 16 << 10
+	// activeFor is how long after a frame with content a connection is watched
+	// closely. Most tasks take less than a second and few take several, so a task
+	// that runs keeps its connection active until its outcome comes.
+	activeFor = 5 * time.Second
+	// idleHeartbeat and idleSilent are the loose watch of an idle connection. A host
+	// that lost power while idle counts as connected for as long as idleSilent; a
+	// start sent to it meanwhile is missed after Silent.
+	idleHeartbeat = 2 * time.Second
+	idleSilent    = 7 * time.Second
 )
 
 // Options tune a connection. A zero field takes the default.
 type Options struct {
 	Heartbeat     time.Duration // longest pause between two frames of ours; default wire.HeartbeatMs
 	Silent        time.Duration // silence that closes the connection; default wire.SilentMs
+	ActiveFor     time.Duration // the two above hold so long after a frame with content
+	IdleHeartbeat time.Duration // in place of Heartbeat, later
+	IdleSilent    time.Duration // in place of Silent, later
 	MaxFrameBytes int           // largest frame taken; default wire.MaxFrameBytes
 	MaxQueueBytes int           // estimated bytes that may wait to be written
 	Counters      *Counters     // shared among connections; may be nil
@@ -39,6 +51,15 @@
 	if o.Silent == 0 {
 		o.Silent = wire.SilentMs * time.Millisecond
 	}
+	if o.ActiveFor == 0 {
+		o.ActiveFor = activeFor
+	}
+	if o.IdleHeartbeat == 0 {
+		o.IdleHeartbeat = idleHeartbeat
+	}
+	if o.IdleSilent == 0 {
+		o.IdleSilent = idleSilent
+	}
 	if o.MaxFrameBytes == 0 {
 		o.MaxFrameBytes = wire.MaxFrameBytes
 	}
--- a/internal/session/queue.go
+++ b/internal/session/queue.go
@@ -5,7 +5,7 @@
 // queue holds frames between their senders and the writing goroutine. It is
 // bounded by estimated bytes and not by frames, whose sizes differ a thousandfold.
 type queue[T any] struct {
-	ready chan struct{} // holds one token while frames may be waiting
+	ready chan struct{} // holds one token while the writer should look
 
 	mu     sync.Mutex
 	frames []*T
@@ -30,11 +30,16 @@
 	}
 	q.frames = append(q.frames, f)
 	q.bytes += weight
+	q.wake()
+	return true
+}
+
+// wake makes the writing goroutine look, whether or not a frame waits.
+func (q *queue[T]) wake() {
 	select {
 	case q.ready <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // take empties the queue.
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -149,6 +149,21 @@
 		Eventually(entry.ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonUnheard))))
 	})
 
+	// A connection with nothing to do is watched loosely, and the path forgets it
+	// meanwhile. The first start sent over it then must not wait for the loose watch.
+	It("ends soon after the first frame that is lost on an idle connection", func() {
+		o := session.Options{Heartbeat: 20 * time.Millisecond, Silent: 200 * time.Millisecond, ActiveFor: 50 * time.Millisecond,
+			IdleHeartbeat: 50 * time.Millisecond, IdleSilent: time.Minute}
+		entry := newEntrySide(o)
+		r := startRelay(entry.addr())
+		conn, _, ended := agentSide(r.addr(), o)
+		Consistently(ended, 2*o.Silent).ShouldNot(Receive())
+		r.cut(true, true)
+		Consistently(ended, 2*o.Silent).ShouldNot(Receive())
+		conn.Send(&wire.ToEntry{Reports: []wire.Report{{Seq: 1}}})
+		Eventually(ended, "5s").Should(Receive(WithTransform(reasonOf, Not(Equal(session.ReasonLocal)))))
+	})
+
 	// A peer reads, but more slowly than frames are made for it. Without a bound
 	// the queue for this one peer would take the memory of the whole process.
 	It("ends when more waits than the queue may hold", func() {
--- a/internal/wire/sequence.go
+++ b/internal/wire/sequence.go
@@ -10,6 +10,12 @@
 // Sequence returns the frame's number and the highest number its sender heard.
 func (f *ToEntry) Sequence() (seq, heard uint64) { return f.Seq, f.Heard }
 
+// Heartbeat reports whether the frame carries nothing but its numbers.
+func (f *ToEntry) Heartbeat() bool {
+	return f.Hello == nil && f.Target == nil && len(f.Reports) == 0 && f.Credits == nil &&
+		len(f.Config) == 0 && f.Version == 0
+}
+
 // Weight estimates the frame's encoded size in bytes, without encoding it.
 func (f *ToEntry) Weight() int {
 	n := frameOverhead + len(f.Config)
@@ -25,6 +31,12 @@
 // Sequence returns the frame's number and the highest number its sender heard.
 func (f *ToAgent) Sequence() (seq, heard uint64) { return f.Seq, f.Heard }
 
+// Heartbeat reports whether the frame carries nothing but its numbers.
+func (f *ToAgent) Heartbeat() bool {
+	return f.Welcome == nil && len(f.Starts) == 0 && len(f.Cancels) == 0 && len(f.Queries) == 0 && len(f.Acks) == 0 &&
+		f.Settled == 0 && f.Demand == nil && len(f.Config) == 0 && f.Version == 0 && len(f.Entries) == 0
+}
+
 // Weight estimates the frame's encoded size in bytes, without encoding it.
 func (f *ToAgent) Weight() int {
 	const number = 9 // the longest CBOR integer
--- /dev/null
+++ b/internal/wire/sequence_test.go
@@ -0,0 +1,37 @@
+package wire_test
+
+import (
+	"reflect"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// A field that is added to a frame but forgotten in Heartbeat would be taken for
+// an empty frame and never reach its receiver.
+func TestEveryFieldButTheNumbersIsContent(t *testing.T) {
+	g := NewWithT(t)
+	for _, frame := range []interface{ Heartbeat() bool }{&wire.ToEntry{}, &wire.ToAgent{}} {
+		fields := reflect.ValueOf(frame).Elem()
+		g.Expect(frame.Heartbeat()).To(BeTrue())
+		for i := range fields.NumField() {
+			name := fields.Type().Field(i).Name
+			fields.SetZero()
+			fill(fields.Field(i))
+			g.Expect(frame.Heartbeat()).To(Equal(name == "Seq" || name == "Heard"), "%T.%s", frame, name)
+		}
+	}
+}
+
+func fill(field reflect.Value) {
+	switch field.Kind() {
+	case reflect.Pointer:
+		field.Set(reflect.New(field.Type().Elem()))
+	case reflect.Slice:
+		field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+	default:
+		field.SetUint(1)
+	}
+}
