Queueing: nothing overtakes a job late in its time; admission soon after a start

A large job with a short deadline was begun, overtaken by small ones until its deadline, and given up. Its rank now stays within 0.8 of its time behind its arrival, approached smoothly. Ruled out: a sharp bound, under which jobs with tight deadlines go first come first served. First come takes any credit at random; it took the first in the list, which was always the slowest target, and so looked worse than late binding is.

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -23,7 +23,10 @@
 
 	readyTimeout = 15 * time.Second
 	readyPoll    = 20 * time.Millisecond
-	benchKey     = "bench-key-of-loopback-only"
+	// settleTime lets the entries end the time after their start in which they
+	// let everything in.
+	settleTime = 1500 * time.Millisecond
+	benchKey   = "bench-key-of-loopback-only"
 )
 
 var errNotReady = errors.New("the targets did not become known to every entry in time")
@@ -67,7 +70,11 @@
 			return f, err
 		}
 	}
-	return f, f.awaitReady(ctx)
+	if err := f.awaitReady(ctx); err != nil {
+		return f, err
+	}
+	sleepUntil(ctx, time.Now().Add(settleTime))
+	return f, ctx.Err()
 }
 
 func (f *fleet) startEntry(ctx context.Context, index int, listen string) error {
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -17,6 +17,10 @@
 	// reconnectGrace is how long a disconnected agent still counts as capacity. A
 	// session that is replaced must not make the entry refuse work meanwhile.
 	reconnectGrace = 2 * time.Second
+	// admitAll is how long after its start an entry lets everything in: until the
+	// agents have dialled, its capacity looks like nothing. Longer, and an entry that
+	// is replaced under saturation fills up with work it can't finish in time.
+	admitAll = time.Second
 	// shedEvery is how often waiting jobs are looked through for those that can't
 	// be done in time any more. The look sorts the queue, so it is not done on
 	// every event; a caller learns at most this much later than it could.
@@ -80,7 +84,7 @@
 
 // admit asks the admission rules; nil means that the job is let in.
 func (c *Core) admit(now time.Time, s *job.Submission) *fault.Fault {
-	if c.opts.Policy != PolicyLeastWork || now.Sub(c.started) < settleIn {
+	if c.opts.Policy != PolicyLeastWork || now.Sub(c.started) < admitAll {
 		return nil
 	}
 	var work, longest float64
--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -94,7 +94,7 @@
 	Policy Policy
 	// NoHold starts a task wherever a slot is free.
 	NoHold bool
-	// Random is used by the push policies only.
+	// Random is used by the baselines only.
 	Random *rand.Rand
 }
 
@@ -140,7 +140,7 @@
 	case Random, TwoChoices:
 		return push(t, cs, o)
 	case AnyFree:
-		return anyFree(t, cs)
+		return anyFree(t, cs, o)
 	default:
 		return late(t, cs, o)
 	}
@@ -241,11 +241,13 @@
 	return ms
 }
 
-// anyFree takes the first candidate with a credit, as late binding without a
-// view of speeds does.
-func anyFree(t Task, cs []Candidate) Choice {
+// anyFree takes a random candidate with a credit, as late binding without a view
+// of speeds does.
+func anyFree(t Task, cs []Candidate, o Options) Choice {
 	credits := false
-	for i := range cs {
+	start := o.Random.IntN(len(cs))
+	for n := range cs {
+		i := (start + n) % len(cs)
 		if cs[i].Credits <= 0 {
 			continue
 		}
--- a/internal/scheduler/placement/placement_test.go
+++ b/internal/scheduler/placement/placement_test.go
@@ -120,7 +120,12 @@
 			counts[Choose(Task{}, cs, Options{Policy: TwoChoices, Random: r}).Index]++
 		}
 		Expect(counts[1]).To(BeNumerically("<", 500))
-		Expect(Choose(Task{}, cs, Options{Policy: AnyFree}).Index).To(Equal(1))
+		clear(counts)
+		for range 3000 {
+			counts[Choose(Task{}, cs, Options{Policy: AnyFree, Random: r}).Index]++
+		}
+		Expect(counts[0]).To(BeZero())
+		Expect(counts[1:]).To(HaveEach(BeNumerically(">", 900)))
 	})
 })
 
--- a/internal/scheduler/queueing/queueing_test.go
+++ b/internal/scheduler/queueing/queueing_test.go
@@ -38,6 +38,14 @@
 		Expect(LeastWork.Rank(large)).To(BeNumerically("<", LeastWork.Rank(small)))
 	})
 
+	// Callers bring more than the targets can do, small jobs without end among it. A
+	// large job is begun, overtaken until its deadline, and what has run is wasted.
+	It("lets nothing overtake a job in the later part of its time", func() {
+		large := Job{RemainingMs: 64 * 500, LongestMs: 4000, Arrived: start, Deadline: after(10_000)}
+		tiny := Job{RemainingMs: 1, LongestMs: 1, Arrived: after(10_000 * OvertakenShare)}
+		Expect(LeastWork.Rank(large)).To(BeNumerically("<", LeastWork.Rank(tiny)))
+	})
+
 	// A job half done is overtaken by fresh ones again and again: what has run of
 	// it is of no use to anyone until the rest has run.
 	It("moves a job forward as its work gets done", func() {
--- a/internal/scheduler/queueing/rank.go
+++ b/internal/scheduler/queueing/rank.go
@@ -31,6 +31,14 @@
 // too large and a large job waits for as long as small ones keep coming.
 const AgeingFactor = 2
 
+// OvertakenShare is the share of a job's time, from its arrival to its deadline,
+// during which later jobs may go before it. Under saturation small jobs never stop
+// coming, and a large job with a short deadline would age too slowly: it is begun,
+// overtaken until its deadline and given up, and all that ran of it is wasted.
+// The bound is approached smoothly, so that jobs near it keep their order by size;
+// cut off sharply, most jobs with tight deadlines would be served first come first.
+const OvertakenShare = 0.8
+
 // maxSizeMs caps the size of a job in a rank, so that an absurd declaration
 // can't overflow it: 290 tasks of one hour.
 const maxSizeMs = 290 * 3600 * 1000
@@ -68,7 +76,17 @@
 	if p == FirstCome {
 		return arrived
 	}
-	return arrived + int64(AgeingFactor*sizeMs(j))
+	return arrived + int64(bounded(AgeingFactor*sizeMs(j), j))
+}
+
+// bounded keeps how far a job stands behind later ones below OvertakenShare of its
+// time.
+func bounded(behindMs float64, j Job) float64 {
+	if j.Deadline.IsZero() {
+		return behindMs
+	}
+	mostMs := OvertakenShare * max(j.Deadline.Sub(j.Arrived).Seconds()*1000, 1)
+	return behindMs * mostMs / (behindMs + mostMs)
 }
 
 func sizeMs(j Job) float64 {
