Configuration in force in entries, agents and camphorctl

Cause: the configuration was folded but no process applied it.

Change: entries follow the log, agents hear of changes on their sessions, and an entry that starts in an outage hears from its agents. The owner takes quotas, admission limits, the farthest deadline, health thresholds, the trade between response and waste (policy.caution_percent) and drains of targets, racks and data centres with no restart. GET /v1/config and two gauges tell version and age on both daemons. camphorctl config: get, set, diff, history, except add/remove, resolve, restart, with an exit code for each outcome.

Ruled out: keys that no code acts on (they were taken out of the catalogue); closing a connection over an update of a newer format (a roll-out would cut the fleet's sessions); drains of entries by configuration (an entry ends after a drain, so its replacement would drain again: camphorctl drain does that).

Conclusion: a run of real processes keeps the configuration through an outage that outlives every record of the log.

--- a/command/command.go
+++ b/command/command.go
@@ -35,6 +35,7 @@
 // Module provides the Runner with every subcommand.
 var Module = fx.Module("command",
 	provide(newCancel),
+	provide(newConfig),
 	provide(newDrain),
 	provide(newInfo),
 	provide(newStatus),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/invariant"
 )
@@ -34,6 +35,9 @@
 	metrics  *counters
 	control  *control
 	dialers  *dialers
+	holder   *config.Holder
+	fanOut   *config.FanOut
+	stopConf context.CancelFunc
 	listener net.Listener
 	server   *http.Server
 
@@ -58,6 +62,9 @@
 	s.runTask = a.runTask
 	a.control = newControl(s, a.clock)
 	a.dialers = newDialers(a)
+	a.holder = config.NewHolder(config.Where{DataCentre: o.DataCentre, Rack: o.Rack}, a.clock, log)
+	a.fanOut = config.NewFanOut()
+	a.metrics.config(a.holder)
 	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout}
 	return a, nil
 }
@@ -69,6 +76,9 @@
 func (a *Agent) Start() {
 	go a.control.run()
 	go a.serve()
+	ctx, stop := context.WithCancel(context.Background())
+	a.stopConf = stop
+	go a.fanOut.Run(ctx)
 	for _, addr := range a.o.entries() {
 		a.dialers.configured(addr)
 	}
@@ -106,6 +116,7 @@
 	a.beginDrain()
 	err := a.waitIdle(ctx)
 	a.dialers.end()
+	a.stopConf()
 	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if closeErr := a.server.Shutdown(closing); err == nil && closeErr != nil {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/camphorrack/camphorrack/internal/attempt"
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/targetapi"
 )
@@ -28,6 +29,7 @@
 	g.NoMethod(unknown)
 	g.POST(targetapi.AnnouncePath, a.takeAnnouncement)
 	g.GET("/v1/status", a.giveStatus)
+	g.GET(config.Path, a.giveConfig)
 	g.POST("/v1/drain", a.takeDrain)
 	g.GET("/healthz", a.giveHealth)
 	g.GET("/metrics", a.giveMetrics)
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/camphorrack/camphorrack/internal/attempt"
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/invariant"
 	"github.com/camphorrack/camphorrack/internal/session"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -65,6 +66,12 @@
 	}
 }
 
+// config shows which configuration is in force and how old it is.
+func (c *counters) config(h *config.Holder) {
+	c.gauge("config.version", func() int64 { return int64(h.Get().State.Version) })
+	c.gauge("config.age_ms", func() int64 { return h.Age().Milliseconds() })
+}
+
 // update copies the control state's figures.
 func (c *counters) update(s *attempt.Status) {
 	set := func(name string, value int64) {
--- a/internal/agent/entrysession.go
+++ b/internal/agent/entrysession.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/attempt"
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/session"
@@ -34,6 +35,7 @@
 	conn   *session.ToEntryConn
 	strict bool // give way to the entry's own address
 	owner  job.Incarnation
+	config *config.Peer
 }
 
 // serve opens the session with a hello and reads until the connection ends. It
@@ -68,6 +70,9 @@
 		}
 	}
 	s.learn(f)
+	if err := s.config.Heard(f.Version, f.Config); err != nil {
+		return err
+	}
 	if isHeartbeat(f) {
 		return nil
 	}
@@ -92,6 +97,7 @@
 		return &aliasError{own}
 	}
 	s.owner = w.Incarnation
+	s.openConfig()
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.open.Add(1)
 	return s.control.push(func(now time.Time, st *state) {
@@ -123,6 +129,7 @@
 		return
 	}
 	s.open.Add(-1)
+	s.closeConfig()
 	// The error means that the process ends, and the state with it.
 	_ = s.control.push(func(now time.Time, st *state) {
 		delete(st.sessions, s.id)
--- a/internal/config/catalogue.go
+++ b/internal/config/catalogue.go
@@ -36,20 +36,18 @@
 
 // Settings is what a configuration means to a process: every value resolved.
 type Settings struct {
-	DefaultQuota     int64 // tasks of one team that may run at a time; 0 means no limit
-	MaxJobs          int64 // jobs an entry holds
-	MaxWaiting       int64 // tasks that wait at an entry
-	MaxWaitMs        int64 // expected wait from which an entry turns work away
-	MaxDeadlineMs    int64 // farthest deadline a caller may ask for
-	MinDeadlineMs    int64 // nearest deadline that is let in
-	HealthWindow     int64 // attempts that a target's rating looks back on
-	HealthFailing    int64 // percent of failures in the window from which a target is rated failing
-	HealthStraggling int64 // percent of the fleet's speed below which a target is rated straggling
-	HealthProbeMs    int64 // time until a failing target is tried again
-	ResponseWeight   int64 // 0: only wasted messages count; 100: only response time counts
-	Drain            bool  // takes no new work
-	drain            int64
-	quotas           []quota
+	MaxJobs        int64 // ids an entry holds, below its own -max-jobs
+	SoftQueueMs    int64 // queue from which teams above their share are turned away
+	HardQueueMs    int64 // queue from which everything is turned away
+	CautionPercent int64 // of the expected wait that a job must stand before its deadline
+	MaxDeadlineMs  int64 // farthest deadline a caller may ask for, below -max-timeout
+	BrokenPercent  int64 // failure rate that a broken target is taken to have
+	FirstTrialMs   int64 // wait before a broken target's first trial task
+	LastTrialMs    int64 // longest wait between its trial tasks
+	DefaultQuota   int64 // tasks of one team that may run at a time; 0 means no limit
+	Drain          bool  // takes no new work
+	drain          int64
+	quotas         []quota
 }
 
 type quota struct {
@@ -57,30 +55,27 @@
 	limit int64
 }
 
-// Catalogue lists every setting but the teams' quotas, in order of its key.
+// Catalogue lists every setting but the teams' quotas, in order of its key. Each
+// takes effect on a running process; what can't is a flag and no setting here.
 var Catalogue = []Definition{
-	{"admission.max_jobs", "jobs", 50_000, 1, 10_000_000, []ScopeKind{ScopeEntry},
-		"jobs an entry holds at a time; more are refused", func(s *Settings) *int64 { return &s.MaxJobs }},
-	{"admission.max_wait_ms", "ms", 5_000, 10, 600_000, []ScopeKind{ScopeEntry},
-		"expected wait from which an entry turns work away", func(s *Settings) *int64 { return &s.MaxWaitMs }},
-	{"admission.max_waiting", "tasks", 200_000, 1, 10_000_000, []ScopeKind{ScopeEntry},
-		"tasks that wait at an entry; more are refused", func(s *Settings) *int64 { return &s.MaxWaiting }},
+	{"admission.hard_queue_ms", "ms", 3_000, 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+		"queue, in time to work it off, from which an entry turns everything away", func(s *Settings) *int64 { return &s.HardQueueMs }},
+	{"admission.max_jobs", "ids", 300_000, 1, 10_000_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+		"submission ids that an entry holds, where its -max-jobs is not lower", func(s *Settings) *int64 { return &s.MaxJobs }},
+	{"admission.soft_queue_ms", "ms", 1_500, 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+		"queue from which an entry turns away teams above their share", func(s *Settings) *int64 { return &s.SoftQueueMs }},
 	{"deadline.max_ms", "ms", 600_000, 1_000, 86_400_000, nil,
-		"farthest deadline a caller may ask for", func(s *Settings) *int64 { return &s.MaxDeadlineMs }},
-	{"deadline.min_ms", "ms", 1, 1, 60_000, nil,
-		"nearest deadline that is let in", func(s *Settings) *int64 { return &s.MinDeadlineMs }},
-	{"drain", "0 or 1", 0, 0, 1, []ScopeKind{ScopeDataCentre, ScopeRack, ScopeEntry, ScopeTarget},
-		"1: takes no new work and finishes what it has", func(s *Settings) *int64 { return &s.drain }},
-	{"health.failing_percent", "%", 50, 1, 100, []ScopeKind{ScopeTarget},
-		"failures in the window from which a target is rated failing", func(s *Settings) *int64 { return &s.HealthFailing }},
-	{"health.probe_ms", "ms", 2_000, 100, 600_000, []ScopeKind{ScopeTarget},
-		"time until a failing target is tried again", func(s *Settings) *int64 { return &s.HealthProbeMs }},
-	{"health.straggling_percent", "%", 30, 0, 100, []ScopeKind{ScopeTarget},
-		"speed against its declared one below which a target is rated straggling", func(s *Settings) *int64 { return &s.HealthStraggling }},
-	{"health.window", "attempts", 20, 4, 1_000, []ScopeKind{ScopeTarget},
-		"attempts that a target's rating looks back on", func(s *Settings) *int64 { return &s.HealthWindow }},
-	{"policy.response_weight", "0-100", 70, 0, 100, nil,
-		"0: only wasted messages count; 100: only response time counts", func(s *Settings) *int64 { return &s.ResponseWeight }},
+		"farthest deadline that a caller may ask for, where -max-timeout is not lower", func(s *Settings) *int64 { return &s.MaxDeadlineMs }},
+	{"drain", "0 or 1", 0, 0, 1, []ScopeKind{ScopeDataCentre, ScopeRack, ScopeTarget},
+		"1: gets no new work and finishes what it has", func(s *Settings) *int64 { return &s.drain }},
+	{"health.broken_percent", "%", 60, 5, 99, nil,
+		"failure rate that a broken target is taken to have; lower finds more of them", func(s *Settings) *int64 { return &s.BrokenPercent }},
+	{"health.first_trial_ms", "ms", 1_000, 100, 600_000, nil,
+		"wait before a broken target gets a trial task", func(s *Settings) *int64 { return &s.FirstTrialMs }},
+	{"health.last_trial_ms", "ms", 30_000, 100, 3_600_000, nil,
+		"longest wait between the trial tasks of a broken target", func(s *Settings) *int64 { return &s.LastTrialMs }},
+	{"policy.caution_percent", "%", 150, 50, 1_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+		"trade between response and waste: by how much an entry takes the wait before a job to be longer than it looks; higher starts less work that comes to nothing, lower lets more in", func(s *Settings) *int64 { return &s.CautionPercent }},
 	{"quota.default", "tasks", 0, 0, 10_000_000, nil,
 		"tasks of a team without a quota of its own that may run at a time; 0: no limit", func(s *Settings) *int64 { return &s.DefaultQuota }},
 }
@@ -160,6 +155,15 @@
 	*d.field(out) = min(max(v, d.Min), d.Max)
 }
 
+// Quotas returns the teams' own quotas.
+func (s *Settings) Quotas() map[string]int {
+	out := make(map[string]int, len(s.quotas))
+	for _, q := range s.quotas {
+		out[q.team] = int(q.limit)
+	}
+	return out
+}
+
 // Quota returns how many tasks of a team may run at a time; 0 means no limit.
 func (s *Settings) Quota(team string) int64 {
 	i, found := slices.BinarySearchFunc(s.quotas, team, func(q quota, t string) int {
--- /dev/null
+++ b/internal/config/diff.go
@@ -0,0 +1,35 @@
+package config
+
+import "fmt"
+
+// Diff returns one line for each setting or exception that differs, "-" for what
+// only the first has and "+" for what only the second has.
+func Diff(first, second *State) []string {
+	var lines []string
+	for _, s := range first.Settings {
+		if v, set := second.Value(s.Key); !set || v != s.Value {
+			lines = append(lines, fmt.Sprintf("- %s=%d", s.Key, s.Value))
+		}
+	}
+	for _, s := range second.Settings {
+		if v, set := first.Value(s.Key); !set || v != s.Value {
+			lines = append(lines, fmt.Sprintf("+ %s=%d", s.Key, s.Value))
+		}
+	}
+	lines = append(lines, onlyIn(first, second, "-")...)
+	return append(lines, onlyIn(second, first, "+")...)
+}
+
+func onlyIn(in, other *State, sign string) []string {
+	has := make(map[Exception]bool, len(other.Exceptions))
+	for _, e := range other.Exceptions {
+		has[e] = true
+	}
+	var lines []string
+	for _, e := range in.Exceptions {
+		if !has[e] {
+			lines = append(lines, fmt.Sprintf("%s except %s:%s %s=%d: %s", sign, e.Kind, e.Name, e.Key, e.Value, e.Reason))
+		}
+	}
+	return lines
+}
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -22,6 +22,11 @@
 	Unjudged          // met while detached: whether it was accepted can't be told
 )
 
+var outcomeNames = []string{"ignored", "accepted", "void (based on an older version)", "void (malformed change)", "malformed", "not judged (before the first snapshot kept)"}
+
+// String names the outcome.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Verdict is the outcome of one change or restart.
 type Verdict struct {
 	Offset  uint64
--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -101,17 +101,38 @@
 		Expect(late.State().Version).To(Equal(second.Version))
 	})
 
+	// An operator asks what became of a change only after retention has dropped the
+	// state it was based on, and a snapshot lies behind it. Told wrongly that it was
+	// void, the operator would make it again over a colleague's later change.
+	It("tells what became of a change that lies before the first snapshot kept", func() {
+		first := publish(setQuota(0, "a", 1))
+		mine := publish(setQuota(first.Version, "a", 2))
+		appendRecord(log, &config.Record{Change: &config.Change{ID: "void", Base: first.Version, Author: "x", Unset: []config.Key{"quota.team.a"}}})
+		last := publish(setQuota(mine.Version, "a", 3))
+		appendRecord(log, &config.Record{Snapshot: last})
+		log.Truncate(config.Stream, first.Version)
+
+		r, err := ops.Resolve(ctx, mine.ChangeID, first.Version)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Version).To(Equal(mine.Version))
+		_, err = ops.Resolve(ctx, "void", first.Version)
+		Expect(codeOf(err)).To(Equal(fault.ConfigConflict))
+		log.Truncate(config.Stream, mine.Version)
+		_, err = ops.Resolve(ctx, mine.ChangeID, first.Version)
+		Expect(codeOf(err)).To(Equal(fault.ConfigUndecided), "too little is kept to tell")
+	})
+
 	// Two programs of different age run side by side during a roll-out and an
 	// operator sets a key that only the newer one knows. If the older one held the
 	// change void, the two halves of the fleet would part for good.
 	It("carries on keys and values it does not know", func() {
 		appendRecord(log, &config.Record{Change: &config.Change{ID: "new", Author: "x", Set: []config.Setting{
-			{Key: "future.key", Value: 7}, {Key: "policy.response_weight", Value: 1 << 40}}}})
+			{Key: "future.key", Value: 7}, {Key: "policy.caution_percent", Value: 1 << 40}}}})
 		f := config.NewFold(&config.State{})
 		_, err := config.ReadToEnd(ctx, log, f)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(f.State().Version).To(BeEquivalentTo(1))
-		Expect(f.State().Resolve(config.Where{}).ResponseWeight).To(BeEquivalentTo(100))
+		Expect(f.State().Resolve(config.Where{}).CautionPercent).To(BeEquivalentTo(1000))
 		value, known := f.State().Value("future.key")
 		Expect(known).To(BeTrue())
 		Expect(value).To(BeEquivalentTo(7))
@@ -148,7 +169,7 @@
 			{Add: []config.Exception{{Kind: config.ScopeTarget, Name: "t1", Key: "drain", Value: 1, Author: "ops", Reason: " "}}},
 			{Add: []config.Exception{{Kind: config.ScopeTarget, Name: "t1", Key: "quota.default", Value: 1, Author: "ops", Reason: "why"}}},
 			{Set: []config.Setting{{Key: "no.such", Value: 1}}},
-			{Set: []config.Setting{{Key: "policy.response_weight", Value: 101}}},
+			{Set: []config.Setting{{Key: "policy.caution_percent", Value: 10}}},
 			{},
 		} {
 			c.Author = "ops"
@@ -159,17 +180,18 @@
 	})
 
 	It("lays the narrowest exception over the defaults", func() {
-		publish(&config.Change{Author: "ops", Set: []config.Setting{{Key: "health.window", Value: 30}, {Key: "quota.default", Value: 5}, {Key: "quota.team.b", Value: 8}},
+		publish(&config.Change{Author: "ops", Set: []config.Setting{{Key: "admission.max_jobs", Value: 30}, {Key: "quota.default", Value: 5}, {Key: "quota.team.b", Value: 8}},
 			Add: []config.Exception{
 				{Kind: config.ScopeDataCentre, Name: "dc2", Key: "drain", Value: 1, Author: "ops", Reason: "power work"},
 				{Kind: config.ScopeTarget, Name: "t1", Key: "drain", Value: 0, Author: "ops", Reason: "has its own power"},
-				{Kind: config.ScopeTarget, Name: "t1", Key: "health.window", Value: 50, Author: "ops", Reason: "few tasks"}}})
+				{Kind: config.ScopeDataCentre, Name: "dc2", Key: "admission.max_jobs", Value: 40, Author: "ops", Reason: "small hosts"},
+				{Kind: config.ScopeEntry, Name: "e1", Key: "admission.max_jobs", Value: 50, Author: "ops", Reason: "large host"}}})
 		f, _, err := ops.Load(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		t1 := f.State().Resolve(config.Where{DataCentre: "dc2", Target: "t1"})
+		t1 := f.State().Resolve(config.Where{DataCentre: "dc2", Target: "t1", Entry: "e1"})
 		t2 := f.State().Resolve(config.Where{DataCentre: "dc2", Target: "t2"})
 		Expect([]bool{t1.Drain, t2.Drain}).To(Equal([]bool{false, true}))
-		Expect([]int64{t1.HealthWindow, t2.HealthWindow}).To(Equal([]int64{50, 30}))
+		Expect([]int64{t1.MaxJobs, t2.MaxJobs}).To(Equal([]int64{50, 40}))
 		Expect([]int64{t1.Quota("b"), t1.Quota("c")}).To(Equal([]int64{8, 5}))
 	})
 })
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -84,6 +84,8 @@
 	}
 }
 
+func (f *Follower) soon() time.Duration { return f.jitter(min(recoveryJitter, f.o.SnapshotEvery/4)) }
+
 func (f *Follower) jitter(d time.Duration) time.Duration {
 	return time.Duration(f.o.Rand.Int64N(int64(d)))
 }
@@ -173,7 +175,7 @@
 	if err == nil {
 		_, err = f.o.Log.Append(ctx, config.Stream, data)
 	}
-	f.snapshotAt = now.Add(f.jitter(recoveryJitter))
+	f.snapshotAt = now.Add(f.soon())
 	if err != nil {
 		event.Log(f.o.Logger, event.LogUnreachable, "op", "snapshot", "cause", err.Error())
 		return
@@ -202,7 +204,7 @@
 }
 
 func (f *Follower) snapshotSoon(now time.Time) {
-	soon := now.Add(f.jitter(recoveryJitter))
+	soon := now.Add(f.soon())
 	if soon.Before(f.snapshotAt) {
 		f.snapshotAt = soon
 	}
--- a/internal/config/link.go
+++ b/internal/config/link.go
@@ -11,29 +11,41 @@
 // was first. It also spreads the bytes. The letter allows 13 s in all.
 const FanOutSpread = 3 * time.Second
 
+// agentSpread is over how long agents spread what they tell an entry that has just
+// started in an outage. The first of its 760 agents to do so makes most of the
+// others see, a heartbeat later, that it is told.
+const agentSpread = time.Second
+
 // Link decides what one end of a connection tells the other about configuration,
 // on frames that are sent anyway. It belongs to the goroutine of the control
 // state. A new connection gets a new Link.
 type Link struct {
-	holder  *Holder
-	rng     *rand.Rand // nil: updates are sent at once
-	confirm bool
-	known   bool
-	peer    uint64 // the peer's mark
-	told    uint64 // the mark of the last update sent
-	behind  bool
-	due     time.Time
+	holder *Holder
+	rng    *rand.Rand
+	spread time.Duration
+	agent  bool
+	known  bool
+	peer   uint64 // the peer's mark
+	told   uint64 // the mark of the last update sent
+	behind bool
+	due    time.Time
 }
 
 // NewEntryLink returns an entry's end of a new connection to an agent.
-func NewEntryLink(h *Holder, rng *rand.Rand) *Link { return &Link{holder: h, rng: rng} }
+func NewEntryLink(h *Holder, rng *rand.Rand) *Link {
+	return &Link{holder: h, rng: rng, spread: FanOutSpread}
+}
 
-// NewAgentLink returns an agent's end of a new connection to an entry. It sends at
-// once, because an entry that is behind its agents is one that just started. An
-// agent counts itself current while an entry holds the same as it does; an entry
-// hears that from the log only, and how old it is would else stay hidden while
-// all of them miss the log.
-func NewAgentLink(h *Holder) *Link { return &Link{holder: h, confirm: true} }
+// NewAgentLink returns an agent's end of a new connection to an entry. An agent
+// counts itself current while an entry that read the log lately holds the same. An
+// entry hears that from the log alone: else all of them would vouch for each other
+// through an outage, and none would say how old its configuration is.
+func NewAgentLink(h *Holder, rng *rand.Rand) *Link {
+	return &Link{holder: h, rng: rng, spread: agentSpread, agent: true}
+}
+
+// vouches reports whether this end may say that its configuration is current.
+func (l *Link) vouches() bool { return !l.agent && l.holder.Age() < vouchWithin }
 
 // Heard takes the mark and the update, if any, of a frame that arrived. The error
 // is a *CodecError or a *FormatError: the update was not used.
@@ -43,7 +55,7 @@
 	if len(update) > 0 {
 		err = l.holder.OfferUpdate(update)
 	}
-	if l.confirm && mark == l.holder.Mark() {
+	if l.agent && mark == l.holder.Mark() {
 		l.holder.Confirm()
 	}
 	return err
@@ -72,8 +84,5 @@
 }
 
 func (l *Link) delay() time.Duration {
-	if l.rng == nil {
-		return 0
-	}
-	return time.Duration(l.rng.Int64N(int64(FanOutSpread)))
+	return time.Duration(l.rng.Int64N(int64(l.spread)))
 }
--- /dev/null
+++ b/internal/config/processes_test.go
@@ -0,0 +1,111 @@
+package config_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os/exec"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/config"
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/localfleet"
+	"github.com/camphorrack/camphorrack/internal/platformlog"
+	"github.com/camphorrack/camphorrack/internal/standin/logservice"
+)
+
+// buildDaemons builds the programs that the test runs as processes.
+func buildDaemons() string {
+	bin := GinkgoT().TempDir()
+	out, err := exec.Command("go", "build", "-o", bin+"/", "../../apps/camphorrack-entry", "../../apps/camphorrack-agent", "../../apps/camphorrack-standin-log").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return bin
+}
+
+func control(logURL string, mode logservice.Mode) {
+	body, err := json.Marshal(logservice.Control{Mode: mode})
+	Expect(err).NotTo(HaveOccurred())
+	res, err := http.Post(logURL+"/control", "application/json", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Body.Close()).To(Succeed())
+	Expect(res.StatusCode).To(Equal(http.StatusOK))
+}
+
+// holdsNothing reports whether retention has dropped every record.
+func holdsNothing(g Gomega, logURL string) {
+	res, err := http.Get(logURL + "/status")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	var status logservice.Status
+	g.Expect(json.NewDecoder(res.Body).Decode(&status)).To(Succeed())
+	bounds := status.Streams[config.Stream]
+	g.Expect(bounds.Lowest).To(Equal(bounds.End))
+}
+
+func versionAt(p *localfleet.Process) func() (uint64, error) {
+	return func() (uint64, error) {
+		c, err := client.New(client.Options{Entries: []string{p.Addr}, CallTimeout: time.Second})
+		if err != nil {
+			return 0, err
+		}
+		s, err := c.Config(context.Background())
+		if err != nil {
+			return 0, err
+		}
+		return s.Version, nil
+	}
+}
+
+var _ = Describe("real processes", func() {
+	const patience = 60 * time.Second
+
+	// The platform's log is down for longer than it keeps records, and when it is
+	// back it is empty. An entry is replaced meanwhile. If the fleet fell back to
+	// its defaults, drained targets would get work again and quotas would be gone;
+	// if nobody wrote down what is in force, operators could change nothing.
+	It("keep the configuration through an outage that outlives the log's records", func(ctx context.Context) {
+		f := localfleet.New(localfleet.Options{Bin: buildDaemons(), Key: "a key that only this test knows"})
+		DeferCleanup(f.Close)
+		log, err := f.StartLog(ctx, "-retention", "3s")
+		Expect(err).NotTo(HaveOccurred())
+		logURL := "http://" + log.Addr
+		follow := []string{"-log", logURL, "-snapshot-every", "1s"}
+		first, err := f.StartEntry(ctx, "entry-1", "", nil, follow...)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := f.StartEntry(ctx, "entry-2", "", nil, follow...)
+		Expect(err).NotTo(HaveOccurred())
+		agent, err := f.StartAgent(ctx, "worker-1", "", []string{first.Addr, second.Addr})
+		Expect(err).NotTo(HaveOccurred())
+
+		ops := config.NewPublisher(platformlog.NewHTTP(logURL, 0), 0)
+		before, err := ops.Publish(ctx, setQuota(0, "a", 7))
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []*localfleet.Process{first, second, agent} {
+			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(before.Version))
+		}
+
+		control(logURL, logservice.Down)
+		_, err = ops.Publish(ctx, setQuota(before.Version, "a", 8))
+		Expect(codeOf(err)).To(Equal(fault.ConfigNotTaken))
+		Eventually(holdsNothing).WithArguments(logURL).WithTimeout(patience).Should(Succeed())
+		first.Kill()
+		first, err = f.StartEntry(ctx, "entry-1 again", first.Addr, nil, follow...)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(versionAt(first)).WithTimeout(patience).Should(Equal(before.Version), "from its agents")
+
+		control(logURL, logservice.Normal)
+		var after *config.State
+		Eventually(func() error {
+			after, err = ops.Publish(ctx, setQuota(before.Version, "a", 9))
+			return err
+		}).WithTimeout(patience).Should(Succeed())
+		for _, p := range []*localfleet.Process{first, second, agent} {
+			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(after.Version))
+		}
+	})
+})
--- a/internal/config/schedule_test.go
+++ b/internal/config/schedule_test.go
@@ -173,7 +173,7 @@
 func (f *fleet) pair(e, a int) *pair {
 	p, ok := f.pairs[[2]int{e, a}]
 	if !ok {
-		p = &pair{atEntry: config.NewEntryLink(f.entries[e].holder, f.rng()), atAgent: config.NewAgentLink(f.agents[a].holder)}
+		p = &pair{atEntry: config.NewEntryLink(f.entries[e].holder, f.rng()), atAgent: config.NewAgentLink(f.agents[a].holder, f.rng())}
 		f.pairs[[2]int{e, a}] = p
 	}
 	return p
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -8,6 +8,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-logr/logr"
 
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/session"
@@ -56,6 +57,7 @@
 	outbox   *outbox
 	options  session.Options
 	lastConn atomic.Uint64
+	config   *configuration
 }
 
 // serve is the handler of session.Path; it lasts as long as the connection.
@@ -75,6 +77,7 @@
 	conn   *session.ToAgentConn
 	id     owner.ConnID
 	opened bool // hello has come
+	config *config.Peer
 }
 
 // receive runs on the connection's reading goroutine. The owner sees a
@@ -83,6 +86,9 @@
 	if !s.opened {
 		return s.open(f)
 	}
+	if err := s.config.Heard(f.Version, f.Config); err != nil {
+		return err
+	}
 	return s.control.push(func(now time.Time, c core) {
 		if err := c.Receive(now, s.id, f); err != nil {
 			s.conn.Close(err)
@@ -101,6 +107,7 @@
 		return &helloError{"the incarnation or the worker's name is missing"}
 	}
 	s.opened = true
+	s.agents.config.open(s)
 	return s.control.push(func(now time.Time, c core) {
 		s.outbox.conns[s.id] = s.conn
 		c.Connect(now, s.id, f.Hello)
@@ -115,6 +122,7 @@
 	if !s.opened {
 		return
 	}
+	s.agents.config.close(s)
 	// The error means that the process ends, and the state with it.
 	_ = s.control.push(func(now time.Time, c core) {
 		delete(s.outbox.conns, s.id)
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/forward"
@@ -34,6 +35,7 @@
 	control   *control
 	forwarder *forward.Forwarder
 	agents    *agents
+	config    *configuration
 	unclaimed *unclaimed
 	metrics   *counters
 	draining  *atomic.Bool
@@ -59,6 +61,7 @@
 
 	g.GET("/v1/targets", a.targets)
 	g.GET("/v1/status", a.status)
+	g.GET(config.Path, a.configuration)
 	g.POST("/v1/drain", a.startDrain)
 	g.GET("/healthz", a.health)
 	g.GET("/metrics", a.giveMetrics)
--- /dev/null
+++ b/internal/entry/configuration.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/camphorrack/camphorrack/internal/config"
+	"github.com/camphorrack/camphorrack/internal/config/follower"
+	"github.com/camphorrack/camphorrack/internal/platformlog"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// configuration keeps the entry's configuration: read from the platform's log,
+// heard from agents, told to agents, and handed to the control state.
+type configuration struct {
+	holder   *config.Holder
+	fanOut   *config.FanOut
+	follower *follower.Follower // nil without a log: then agents alone bring it
+	stop     context.CancelFunc
+}
+
+func newConfiguration(e *Entry) *configuration {
+	self := e.api.owner
+	where := config.Where{DataCentre: e.o.DataCentre, Entry: self.Addr.String()}
+	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut()}
+	if e.o.Log != "" {
+		c.follower = follower.New(follower.Options{
+			Log: platformlog.NewHTTP(e.o.Log, 0), Holder: c.holder, Clock: e.clock, Logger: e.log,
+			Rand: c.random(), SnapshotEvery: e.o.SnapshotEvery,
+		})
+	}
+	return c
+}
+
+// random spreads the work of several processes; it decides nothing else.
+func (c *configuration) random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// start follows the log and tells agents until end. The control goroutine must run.
+func (c *configuration) start(k *control) {
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	c.holder.Watch(func(a *config.Applied) {
+		if a.State.Version == 0 {
+			return // the built-in defaults are what the process starts with
+		}
+		// In a goroutine: the channel of commands may be full for a while. The
+		// command takes what is newest then, so an older one can't come last.
+		go func() {
+			_ = k.push(func(now time.Time, core core) { core.Configure(now, c.holder.Get()) }) // fails only at the end
+		}()
+	})
+	go c.fanOut.Run(ctx)
+	if c.follower != nil {
+		go c.follower.Run(ctx)
+	}
+}
+
+func (c *configuration) end() {
+	if c.stop != nil {
+		c.stop()
+	}
+}
+
+// open takes a new agent's connection in.
+func (c *configuration) open(s *agentSession) {
+	link := config.NewEntryLink(c.holder, c.random())
+	s.config = c.fanOut.Add(link, func(mark uint64, update []byte) {
+		s.conn.Send(&wire.ToAgent{Version: mark, Config: update})
+	})
+}
+
+func (c *configuration) close(s *agentSession) {
+	if s.config != nil {
+		c.fanOut.Remove(s.config)
+	}
+}
+
+// configuration serves GET /v1/config.
+func (a *api) configuration(g *gin.Context) { writeJSON(g, http.StatusOK, a.config.holder.Report()) }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -43,6 +44,7 @@
 	Receive(now time.Time, conn owner.ConnID, f *wire.ToEntry) error
 	Disconnect(now time.Time, conn owner.ConnID)
 	Tick(now time.Time)
+	Configure(now time.Time, applied *config.Applied)
 	Flush()
 	Drain(now time.Time)
 	Idle() bool
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/forward"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/session"
@@ -55,6 +56,12 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Microseconds()
 }
 
+// config shows which configuration is in force and how old it is.
+func (c *counters) config(h *config.Holder) {
+	c.gauge("config.version", func() int64 { return int64(h.Get().State.Version) })
+	c.gauge("config.age_ms", func() int64 { return h.Age().Milliseconds() })
+}
+
 // status counts a response.
 func (c *counters) status(status int) {
 	if class := status / 100; class >= 2 && class < len(c.byClass) {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -68,6 +68,7 @@
 func (e *Entry) finish(err error) {
 	e.control.endOnce.Do(func() {
 		e.drainErr = err
+		e.api.config.end()
 		e.control.end()
 		e.api.agents.outbox.closeAll()
 		event.Log(e.log, event.ProcessStopped, "clean", err == nil)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,6 +101,9 @@
 			options: session.Options{Counters: metrics.sessions},
 		},
 	}
+	e.api.config = newConfiguration(e)
+	e.api.agents.config = e.api.config
+	metrics.config(e.api.config.holder)
 	e.server = &http.Server{
 		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.o.MaxTimeout + writeSlack,
@@ -114,6 +117,7 @@
 // Start serves until Stop.
 func (e *Entry) Start() {
 	go e.control.run()
+	e.api.config.start(e.control)
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,10 +8,12 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/config/follower"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/owner"
@@ -31,6 +33,8 @@
 	DataCentre    string
 	Entries       string // addresses of other entries, comma separated
 	Key           string
+	Log           string        // base URL of the platform's log; empty: configuration comes from agents alone
+	SnapshotEvery time.Duration // of the configuration; at most half of the log's retention
 	MaxTimeout    time.Duration
 	MaxJobs       int
 	LogLevel      int
@@ -51,6 +55,8 @@
 	s.StringVar(&o.DataCentre, "data-centre", "", "name of the data centre")
 	s.StringVar(&o.Entries, "entries", "", "addresses of other entries to tell agents about, comma separated")
 	key := s.Secret("key", "secret of the fleet that signs tokens, at least 16 bytes")
+	s.StringVar(&o.Log, "log", "", "base URL of the platform's log, such as http://10.0.0.7:7000; without it, configuration comes from agents alone")
+	s.DurationVar(&o.SnapshotEvery, "snapshot-every", follower.DefaultSnapshotEvery, "longest time between snapshots of the configuration; at most half of the log's retention")
 	s.DurationVar(&o.MaxTimeout, "max-timeout", 10*time.Minute, "longest time from now to a submission's deadline")
 	s.IntVar(&o.MaxJobs, "max-jobs", owner.DefaultMaxJobs, "most submission ids held")
 	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: every decision, 2: debugging")
@@ -79,6 +85,8 @@
 	s.Check("max-timeout", func() string {
 		return failIf(o.MaxTimeout < time.Second || o.MaxTimeout > 24*time.Hour, "takes 1s to 24h")
 	})
+	s.Check("log", func() string { return checkLog(o.Log) })
+	s.Check("snapshot-every", func() string { return failIf(o.SnapshotEvery < time.Second, "takes 1s or more") })
 	s.Check("max-jobs", func() string { return failIf(o.MaxJobs < 1, "takes 1 or more") })
 	s.Check("log-level", func() string { return failIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
 	s.Check("policy", func() string {
@@ -87,6 +95,14 @@
 	s.Check("drain-timeout", func() string { return failIf(o.DrainTimeout < 0, "takes 0 or more") })
 }
 
+func checkLog(base string) string {
+	if base == "" {
+		return ""
+	}
+	u, err := url.Parse(base)
+	return failIf(err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https", "takes a base URL")
+}
+
 // checkAdvertise refuses an address that others can't dial. Tokens carry it, so a
 // wildcard would send every forwarded request to the forwarder's own host.
 func (o *Options) checkAdvertise() string {
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -102,8 +102,8 @@
 }
 
 // StartLog starts the stand-in of the platform's log.
-func (f *Fleet) StartLog(ctx context.Context) (*Process, error) {
-	return f.start(ctx, "log", logProgram, "-listen", anyPort)
+func (f *Fleet) StartLog(ctx context.Context, extra ...string) (*Process, error) {
+	return f.start(ctx, "log", logProgram, append([]string{"-listen", anyPort}, extra...)...)
 }
 
 // StartEntry starts an entry. listen may be empty; peers are entries it knows.
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -68,7 +68,7 @@
 // share of the targets it knows, and the speed of the fastest that serves the class.
 func (c *Core) capacity(now time.Time, class string) (perMs, fastest float64) {
 	for _, a := range c.roster {
-		if a.conn == 0 && now.Sub(a.lastSeen) > reconnectGrace || a.target.Leaving || a.target.Down || class != anyClass && !a.serves(class) {
+		if a.conn == 0 && now.Sub(a.lastSeen) > reconnectGrace || a.leaving() || a.target.Down || class != anyClass && !a.serves(class) {
 			continue
 		}
 		speed := c.estimator.Speed(uint64(a.incarnation), a.target.Speed)
@@ -95,6 +95,7 @@
 		Jobs: c.pending, RemainingMs: work, LongestMs: longest,
 		DeadlineIn:   s.ID.Deadline.Sub(now),
 		TeamQueuedMs: c.team(s.Team).queuedMs, Teams: len(c.teams),
+		Limits: c.conf.admission,
 	}
 	rank := c.order.Rank(queueing.Job{RemainingMs: work, LongestMs: longest, Arrived: now, Deadline: s.ID.Deadline})
 	c.ready.Each(func(it *queueing.Item[*liveJob]) bool {
--- a/internal/owner/board.go
+++ b/internal/owner/board.go
@@ -50,6 +50,7 @@
 
 	draining bool
 	counts   Counts
+	conf     configured
 }
 
 func newBoard(o Options) board {
@@ -65,6 +66,7 @@
 		estimator:    estimation.New(),
 		health:       health.New(),
 	}
+	b.conf = configured{maxJobs: o.MaxJobs, maxTimeout: o.MaxTimeout}
 	order, placing := o.Policy.rules()
 	b.order = order
 	b.placing = placement.Options{Policy: placing, Random: rand.New(rand.NewPCG(o.Seed, 0))}
@@ -151,6 +153,7 @@
 	// Credits of the present connection.
 	granted, spent, returned uint64
 	avoidUntil               time.Time
+	drained                  bool       // by the operators
 	owners                   int        // that share the target, this one included
 	inUse                    job.Demand // by this owner's attempts
 	gap                      placement.CreditGap
@@ -164,7 +167,7 @@
 
 // usable reports whether new work may go to the agent.
 func (a *agent) usable(now time.Time) bool {
-	return a.conn != 0 && !a.target.Leaving && !a.target.Down && !now.Before(a.avoidUntil)
+	return a.conn != 0 && !a.leaving() && !a.target.Down && !now.Before(a.avoidUntil)
 }
 
 // serves reports whether the agent's target takes tasks of the class.
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -41,12 +41,10 @@
 		f.NotRun = now.Before(s.ID.Deadline.Add(AnswerKeep))
 		return f
 	}
-	if s.ID.Deadline.Sub(now) > c.opts.MaxTimeout {
-		f := fault.Input(fault.DeadlineTooFar, "id", "the deadline is more than "+c.opts.MaxTimeout.String()+" away")
-		f.NotRun = false // a delayed copy could still be accepted, when the deadline is nearer
+	if f := c.tooFar(now, s.ID); f != nil {
 		return f
 	}
-	if len(c.jobs) >= c.opts.MaxJobs {
+	if len(c.jobs) >= c.conf.maxJobs {
 		// Without room to remember the refusal, "not run" could turn out untrue.
 		f := fault.Refused(fault.TooManyJobs, "this entry holds as many ids as it may", time.Second)
 		f.NotRun = false
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -38,6 +38,7 @@
 	}
 	a.conn, a.lastSeen = conn, now
 	a.dataCentre, a.rack, a.target = h.DataCentre, h.Rack, h.Target
+	c.configureAgent(a)
 	a.granted, a.spent, a.returned = 0, 0, 0
 	a.demand = wire.Demand{}
 	a.out = wire.ToAgent{}
@@ -141,6 +142,7 @@
 	}
 	if f.Target != nil {
 		a.target = *f.Target
+		c.configureAgent(a)
 	}
 	if err := c.credit(now, a, f.Credits); err != nil {
 		return err
--- a/internal/owner/status.go
+++ b/internal/owner/status.go
@@ -77,7 +77,7 @@
 		all = append(all, TargetStatus{
 			Target: a.target.Name, Worker: a.worker, DataCentre: a.dataCentre, Rack: a.rack,
 			Incarnation: a.incarnation.String(), Connected: a.conn != 0,
-			Leaving: a.target.Leaving, Down: a.target.Down, Slots: a.target.Slots, Speed: a.target.Speed,
+			Leaving: a.leaving(), Down: a.target.Down, Slots: a.target.Slots, Speed: a.target.Speed,
 			Credits: a.credits(), Attempts: len(a.attempts), Capacity: a.target.Capacity,
 		})
 	}
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -30,6 +30,25 @@
 	MaxRetry = 30 * time.Second
 )
 
+// Limits are what operators may set; a zero field takes the constant above.
+type Limits struct {
+	SoftQueue, HardQueue time.Duration
+	OvertakeFactor       float64
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.SoftQueue == 0 {
+		l.SoftQueue = SoftQueue
+	}
+	if l.HardQueue == 0 {
+		l.HardQueue = HardQueue
+	}
+	if l.OvertakeFactor == 0 {
+		l.OvertakeFactor = OvertakeFactor
+	}
+	return l
+}
+
 // View is the state of the owner and the job at the door. Work is in
 // milliseconds at speed 1.
 type View struct {
@@ -45,6 +64,8 @@
 
 	TeamQueuedMs float64 // part of QueuedMs that is of the job's team
 	Teams        int     // teams with work queued, the job's own included
+
+	Limits Limits
 }
 
 // Reason says why a job was refused.
@@ -74,6 +95,7 @@
 
 // Decide lets the job in or turns it away.
 func Decide(v View) Decision {
+	v.Limits = v.Limits.withDefaults()
 	if v.MaxJobs > 0 && v.Jobs >= v.MaxJobs {
 		return refuse(TableFull, drain(v, v.QueuedMs/4))
 	}
@@ -86,18 +108,18 @@
 		}
 	}
 	queue := drain(v, v.QueuedMs)
-	if queue > HardQueue {
-		return refuse(QueueFull, queue-SoftQueue)
+	if queue > v.Limits.HardQueue {
+		return refuse(QueueFull, queue-v.Limits.SoftQueue)
 	}
-	if queue > SoftQueue && aboveShare(v) {
-		return refuse(TeamShare, queue-SoftQueue)
+	if queue > v.Limits.SoftQueue && aboveShare(v) {
+		return refuse(TeamShare, queue-v.Limits.SoftQueue)
 	}
 	return Decision{Admit: true}
 }
 
 // expected is the time until the job would be done.
 func expected(v View) time.Duration {
-	wait := drain(v, v.AheadMs*OvertakeFactor)
+	wait := drain(v, v.AheadMs*v.Limits.OvertakeFactor)
 	own := drain(v, v.RemainingMs)
 	if v.FastestSpeed > 0 {
 		own = max(own, time.Duration(v.LongestMs/v.FastestSpeed*float64(time.Millisecond)))
--- a/internal/scheduler/health/tracker.go
+++ b/internal/scheduler/health/tracker.go
@@ -97,16 +97,28 @@
 	rates  [rateSteps + 1]int // histogram of the agents' failure rates
 	known  int                // agents in the histogram
 	out    int
+	limits Limits
 }
 
+// Limits are what operators may set.
+type Limits struct {
+	BrokenRate            float64 // failure rate a broken target is taken to have, above leastRate and below 1
+	FirstTrial, LastTrial time.Duration
+}
+
+// SetLimits replaces the limits, for outcomes from now on.
+func (t *Tracker) SetLimits(l Limits) { t.limits = l }
+
 // New returns an empty tracker.
-func New() *Tracker { return &Tracker{agents: map[uint64]*agent{}} }
+func New() *Tracker {
+	return &Tracker{agents: map[uint64]*agent{}, limits: Limits{brokenRate, FirstTrial, LastTrial}}
+}
 
 // Observe takes one outcome and reports whether the agent's rating changed.
 func (t *Tracker) Observe(id uint64, ok bool, kind Kind, now time.Time) (changed bool) {
 	a := t.agents[id]
 	if a == nil {
-		a = &agent{distance: FirstTrial, wellSince: now}
+		a = &agent{distance: t.limits.FirstTrial, wellSince: now}
 		t.agents[id] = a
 	}
 	before := a.rating
@@ -126,15 +138,15 @@
 // weigh adds one outcome to the evidence against an agent that is well.
 func (t *Tracker) weigh(a *agent, ok bool, usual float64, now time.Time) {
 	p := max(usual, leastRate)
-	if p >= brokenRate {
+	if p >= t.limits.BrokenRate {
 		a.evidence = 0
 		return
 	}
 	if ok {
-		a.evidence = max(0, a.evidence+math.Log((1-brokenRate)/(1-p)))
+		a.evidence = max(0, a.evidence+math.Log((1-t.limits.BrokenRate)/(1-p)))
 		return
 	}
-	a.evidence += math.Log(brokenRate / p)
+	a.evidence += math.Log(t.limits.BrokenRate / p)
 	if a.evidence > outAbove && t.mayPutOut() {
 		t.putOut(a, now)
 	}
@@ -146,12 +158,12 @@
 
 func (t *Tracker) putOut(a *agent, now time.Time) {
 	if a.rating == Well && now.Sub(a.wellSince) > forgiveAfter {
-		a.distance = FirstTrial
+		a.distance = t.limits.FirstTrial
 	}
 	a.rating = Out
 	a.evidence = 0
 	a.nextTrial = now.Add(a.distance)
-	a.distance = min(2*a.distance, LastTrial)
+	a.distance = min(2*a.distance, t.limits.LastTrial)
 	t.out++
 }
 
--- a/internal/scheduler/quota/quota.go
+++ b/internal/scheduler/quota/quota.go
@@ -34,7 +34,8 @@
 // Limiter enforces one entry's part of the quotas. It is not safe for concurrent
 // use.
 type Limiter struct {
-	limits  map[string]int // fleet-wide; absent: none
+	limits  map[string]int // fleet-wide; absent: usual
+	usual   int            // quota of the other teams; 0: none
 	owners  int
 	slots   int
 	crowded bool // the queue is long
@@ -55,6 +56,10 @@
 	}
 }
 
+// SetDefault sets the fleet-wide quota of teams without one of their own; 0 means
+// no quota.
+func (l *Limiter) SetDefault(n int) { l.usual = n }
+
 // SetOwners sets how many entries share the quotas.
 func (l *Limiter) SetOwners(n int) { l.owners = max(n, 1) }
 
@@ -98,7 +103,11 @@
 // Limit returns how many tasks of the team may run here now, and whether that is
 // a quota rather than a fair share.
 func (l *Limiter) Limit(name string) (limit int, isQuota bool) {
-	if quota, ok := l.limits[name]; ok {
+	quota, ok := l.limits[name]
+	if !ok && l.usual > 0 {
+		quota, ok = l.usual, true
+	}
+	if ok {
 		if quota <= 0 {
 			return 0, true
 		}
