--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -161,6 +161,7 @@
 		if err := json.Unmarshal(page, &status); err != nil {
 			return sum, errors.Wrapf(err, "status of %s", entry)
 		}
+		sum.Accepted += status.Counts.Accepted
 		sum.Starts += status.Counts.Starts
 		sum.NotRun += status.Counts.NotRun
 		sum.Cancels += status.Counts.Cancels
