Demonstration: a chaos run over entries, agents and targets

Kills, freezes, drains and misbehaving targets at random, with the same rules as the short run. What differs: after the owner of an id was lost, a later caller may learn that the outcome is unknown although an earlier one got the answer; the reverse order is a breach. Entries and agents listen below the range of ports for outgoing connections, so that a successor finds its address free.

--- a/apps/camphorrack-demo/main.go
+++ b/apps/camphorrack-demo/main.go
@@ -22,6 +22,7 @@
 	load := set.Float64("load", 0.7, "share of the targets' capacity that is asked for")
 	seed := set.Uint64("seed", 1, "seed of the work")
 	listen := set.String("listen", "", "address of the first entry; empty: any free port of 127.0.0.1")
+	chaos := set.Bool("chaos", false, "disturb entries, agents and targets at random all the time")
 	keep := set.Bool("keep", false, "only start the fleet, and leave it running until ^C")
 	set.Check("load", func() string {
 		if *load <= 0 || *load > 10 {
@@ -33,7 +34,7 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	options := demo.Options{
-		Bin: *bin, LogDir: *logs, Duration: *duration, Load: *load, Seed: *seed, Listen: *listen, Out: os.Stdout,
+		Bin: *bin, LogDir: *logs, Duration: *duration, Load: *load, Seed: *seed, Chaos: *chaos, Listen: *listen, Out: os.Stdout,
 	}
 	act := demo.Run
 	if *keep {
--- a/internal/demo/book.go
+++ b/internal/demo/book.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	entry    int // through which the call went first
 	answer   *job.Answer
 	err      error // set where no final answer came
+	at       time.Time
 	response time.Duration
 }
 
@@ -31,6 +33,13 @@
 	o.sightings = append(o.sightings, s)
 }
 
+// inOrder returns the sightings by the time at which they came.
+func (o *observed) inOrder() []sighting {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.SortedStableFunc(slices.Values(o.sightings), func(a, b sighting) int { return a.at.Compare(b.at) })
+}
+
 func (o *observed) finish() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -12,20 +12,25 @@
 	"github.com/camphorrack/camphorrack/internal/job"
 )
 
-// answerAllowance is how long after its deadline a final answer may come: half a
-// second in which an entry that can't reach the owner waits for the owner's own
-// end, and the time to notice silent connections on the way.
-const answerAllowance = 3 * time.Second
+// answerAllowance is how long after its deadline a final answer may come. Half a
+// second goes to the clocks, before an entry that can't reach the owner gives the
+// final answer itself; a caller takes up to four more to notice that the entry it
+// called is silent and to ask another.
+const answerAllowance = 6 * time.Second
 
 // callers submits orders as independent callers would, and notes what they see.
 type callers struct {
+	addrs   []string
 	clients []*client.Client // one an entry; each falls back to the others
 	book    *book
 	calls   sync.WaitGroup
+
+	mu     sync.Mutex
+	tokens []string // one an entry
 }
 
-func newCallers(entries []string) (*callers, error) {
-	c := &callers{book: &book{}}
+func newCallers(ctx context.Context, entries []string) (*callers, error) {
+	c := &callers{addrs: entries, book: &book{}, tokens: make([]string, len(entries))}
 	for i := range entries {
 		order := append(append([]string(nil), entries[i:]...), entries[:i]...)
 		cl, err := client.New(client.Options{Entries: order})
@@ -33,27 +38,40 @@
 			return nil, err
 		}
 		c.clients = append(c.clients, cl)
+		if err := c.refresh(ctx, i); err != nil {
+			return nil, err
+		}
 	}
 	return c, nil
 }
 
-// tokens takes one token from each entry.
-func (c *callers) tokens(ctx context.Context) ([]string, error) {
-	var all []string
-	for _, cl := range c.clients {
-		token, err := cl.Token(ctx)
-		if err != nil {
-			return nil, errors.Wrap(err, "token")
-		}
-		all = append(all, token)
+// refresh takes a new token from an entry.
+func (c *callers) refresh(ctx context.Context, entry int) error {
+	only, err := client.New(client.Options{Entries: c.addrs[entry : entry+1]})
+	if err != nil {
+		return err
+	}
+	defer only.Close()
+	token, err := only.Token(ctx)
+	if err != nil {
+		return errors.Wrap(err, "token")
 	}
-	return all, nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens[entry] = token
+	return nil
+}
+
+func (c *callers) token(entry int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tokens[entry]
 }
 
 // place submits an order in the background, and doubles and cancels it as it says.
-func (c *callers) place(ctx context.Context, o *order, token string) {
+func (c *callers) place(ctx context.Context, o *order) {
 	at := time.Now()
-	seen := &observed{order: o, id: client.NewID(token, at.Add(o.deadline), o.unique)}
+	seen := &observed{order: o, id: client.NewID(c.token(o.owner), at.Add(o.deadline), o.unique)}
 	c.book.add(seen)
 	c.calls.Go(func() {
 		c.submit(ctx, seen, o.entry)
@@ -83,7 +101,8 @@
 	defer cancel()
 	begun := time.Now()
 	answer, err := c.clients[entry].Submit(ctx, o.id, o.order.submission)
-	o.see(sighting{entry: entry, answer: refusalAsAnswer(o.id, answer, err), err: err, response: time.Since(begun)})
+	now := time.Now()
+	o.see(sighting{entry: entry, answer: refusalAsAnswer(o.id, answer, err), err: err, at: now, response: now.Sub(begun)})
 }
 
 // lookUp asks for an answer that was given before.
@@ -92,7 +111,7 @@
 	defer cancel()
 	answer, err := c.clients[entry].Await(ctx, o.id)
 	if err == nil {
-		o.see(sighting{entry: entry, answer: answer})
+		o.see(sighting{entry: entry, answer: answer, at: time.Now()})
 	}
 }
 
--- /dev/null
+++ b/internal/demo/chaos.go
@@ -0,0 +1,197 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/localfleet"
+	"github.com/camphorrack/camphorrack/internal/standin/target"
+)
+
+// How often things go wrong in a chaos run, and for how long. A freeze lasts from
+// well below to well above the silence that ends a session.
+const (
+	minQuiet   = 300 * time.Millisecond
+	maxQuiet   = 2 * time.Second
+	minLasting = 200 * time.Millisecond
+	maxLasting = 4 * time.Second
+	slowFactor = 4
+	// drainPatience is how long a draining process may take: the longest job and
+	// the callers that still have to fetch its answer.
+	drainPatience = usualDeadline + 5*time.Second
+)
+
+// disturbance is one thing that can go wrong with the victim of that index.
+type disturbance struct {
+	name string
+	do   func(c *chaos, victim int) error
+}
+
+// entryDisturbances befall entries, workerDisturbances an agent or its target.
+// Targets are never killed: what they counted would be lost with them.
+var (
+	entryDisturbances = []disturbance{
+		{"entry killed", (*chaos).killEntry},
+		{"entry frozen", (*chaos).freezeEntry},
+		{"entry drained", (*chaos).drainEntry},
+	}
+	workerDisturbances = []disturbance{
+		{"agent killed", (*chaos).killAgent},
+		{"agent frozen", (*chaos).freezeAgent},
+		{"agent drained", (*chaos).drainAgent},
+		{"target frozen", (*chaos).freezeTarget},
+		{"target fails everything", behave(target.Behaviour{Mode: target.FailAll})},
+		{"target hangs", behave(target.Behaviour{Mode: target.Hang})},
+		{"target slow", behave(target.Behaviour{Mode: target.Slow, Factor: slowFactor})},
+	}
+)
+
+// chaos disturbs a running fleet at random, one entry and one worker at a time.
+type chaos struct {
+	run *run
+	// ctx outlives the disturbances, so that what was taken down comes up again.
+	ctx context.Context
+
+	mu    sync.Mutex
+	count map[string]int
+	err   error
+}
+
+// start begins to disturb; the function that it returns ends that, waits until
+// everything is up again and returns the first error.
+func (r *run) start(ctx context.Context, seed uint64) (stop func() error) {
+	c := &chaos{run: r, ctx: ctx, count: r.disturbances}
+	until, cancel := context.WithCancel(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 1)), entryDisturbances, len(r.scene.entries)) })
+	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 2)), workerDisturbances, len(r.scene.agents)) })
+	return func() error {
+		cancel()
+		loops.Wait()
+		return c.err
+	}
+}
+
+func (c *chaos) loop(until context.Context, random *rand.Rand, kinds []disturbance, victims int) {
+	for until.Err() == nil {
+		pause(until, between(random, minQuiet, maxQuiet))
+		kind := kinds[random.IntN(len(kinds))]
+		if err := kind.do(c, random.IntN(victims)); err != nil {
+			c.fail(errors.Wrap(err, kind.name))
+			return
+		}
+		c.mu.Lock()
+		c.count[kind.name]++
+		c.mu.Unlock()
+	}
+}
+
+func (c *chaos) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
+}
+
+// lasting draws how long a disturbance lasts. It is not part of the seeded draws,
+// since timing on real processes differs from run to run anyway.
+func lasting() time.Duration {
+	return minLasting + rand.N(maxLasting-minLasting)
+}
+
+func (c *chaos) killEntry(victim int) error {
+	c.run.disturbed[victim].Store(true)
+	c.run.scene.entries[victim].Kill()
+	pause(c.ctx, lasting())
+	return c.restartEntry(victim)
+}
+
+func (c *chaos) drainEntry(victim int) error {
+	c.run.disturbed[victim].Store(true)
+	if !c.run.scene.entries[victim].StopWithin(drainPatience) {
+		return errors.Newf("%s did not end gracefully", c.run.scene.entries[victim].Name)
+	}
+	return c.restartEntry(victim)
+}
+
+func (c *chaos) restartEntry(victim int) error {
+	if err := c.run.scene.restartEntry(c.ctx, victim); err != nil {
+		return err
+	}
+	return c.run.callers.refresh(c.ctx, victim)
+}
+
+func (c *chaos) freezeEntry(victim int) error {
+	c.run.disturbed[victim].Store(true)
+	return c.freeze(c.run.scene.entries[victim])
+}
+
+func (c *chaos) freeze(p *localfleet.Process) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	pause(c.ctx, lasting())
+	return p.Signal(syscall.SIGCONT)
+}
+
+func (c *chaos) killAgent(victim int) error {
+	c.run.scene.agents[victim].Kill()
+	pause(c.ctx, lasting())
+	return c.run.scene.restartAgent(c.ctx, victim)
+}
+
+func (c *chaos) freezeAgent(victim int) error { return c.freeze(c.run.scene.agents[victim]) }
+
+func (c *chaos) drainAgent(victim int) error {
+	if !c.run.scene.agents[victim].StopWithin(drainPatience) {
+		return errors.Newf("%s did not end gracefully", c.run.scene.agents[victim].Name)
+	}
+	return c.run.scene.restartAgent(c.ctx, victim)
+}
+
+func (c *chaos) freezeTarget(victim int) error { return c.freeze(c.run.scene.targets[victim]) }
+
+// behave makes a target misbehave for a while.
+func behave(b target.Behaviour) func(*chaos, int) error {
+	return func(c *chaos, victim int) error {
+		addr := c.run.scene.targets[victim].Addr
+		if err := setBehaviour(c.ctx, addr, b); err != nil {
+			return err
+		}
+		pause(c.ctx, lasting())
+		return setBehaviour(c.ctx, addr, target.Behaviour{Mode: target.Normal})
+	}
+}
+
+func setBehaviour(ctx context.Context, addr string, b target.Behaviour) error {
+	encoded, err := json.Marshal(b)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/mode", bytes.NewReader(encoded))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("POST /mode: HTTP status %d", response.StatusCode)
+	}
+	return nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -24,6 +24,7 @@
 	Duration time.Duration // for which work is submitted
 	Load     float64       // share of the targets' capacity
 	Seed     uint64
+	Chaos    bool   // disturb entries, agents and targets at random all the time
 	Listen   string // of the first entry; empty: any port
 	Out      io.Writer
 }
@@ -41,6 +42,15 @@
 	settleTime = 500 * time.Millisecond
 )
 
+// entries is how many entries the fleet has. A chaos run takes one away at a time
+// and still needs two that callers can choose from.
+func (o Options) entries() int {
+	if o.Chaos {
+		return entryCount + 1
+	}
+	return entryCount
+}
+
 // ErrBroken says that an invariant did not hold; the breaches were printed.
 var ErrBroken = errors.New("an invariant was broken")
 
@@ -87,6 +97,7 @@
 type scene struct {
 	fleet   *localfleet.Fleet
 	entries []*localfleet.Process
+	addrs   []string // of the entries
 	agents  []*localfleet.Process
 	targets []*localfleet.Process
 }
@@ -108,9 +119,12 @@
 	if _, err := s.fleet.StartLog(ctx); err != nil {
 		return err
 	}
-	for i := range entryCount {
-		listen := ""
-		if i == 0 {
+	for i := range o.entries() {
+		listen, err := localfleet.FreeAddr()
+		if err != nil {
+			return err
+		}
+		if i == 0 && o.Listen != "" {
 			listen = o.Listen
 		}
 		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, s.entryAddrs())
@@ -118,6 +132,7 @@
 			return err
 		}
 		s.entries = append(s.entries, entry)
+		s.addrs = append(s.addrs, entry.Addr)
 	}
 	for i, speed := range speeds {
 		if err := s.startWorker(ctx, i, speed); err != nil {
@@ -129,7 +144,11 @@
 
 // startWorker starts an agent and the target beside it.
 func (s *scene) startWorker(ctx context.Context, i int, speed float64) error {
-	agent, err := s.startAgent(ctx, i, "")
+	addr, err := localfleet.FreeAddr()
+	if err != nil {
+		return err
+	}
+	agent, err := s.startAgent(ctx, i, addr)
 	if err != nil {
 		return err
 	}
@@ -148,7 +167,35 @@
 	return s.fleet.StartAgent(ctx, fmt.Sprintf("agent-%d", i+1), listen, s.entryAddrs())
 }
 
-func (s *scene) entryAddrs() []string { return addrs(s.entries) }
+// restartAgent starts a new agent at the ended one's address, where the target
+// beside it still announces itself.
+func (s *scene) restartAgent(ctx context.Context, i int) error {
+	agent, err := s.startAgent(ctx, i, s.agents[i].Addr)
+	if err == nil {
+		s.agents[i] = agent
+	}
+	return err
+}
+
+// restartEntry starts a new entry at the ended one's address, as an operator does
+// who replaces it.
+func (s *scene) restartEntry(ctx context.Context, i int) error {
+	former := s.entries[i]
+	var peers []string
+	for _, addr := range s.addrs {
+		if addr != former.Addr {
+			peers = append(peers, addr)
+		}
+	}
+	entry, err := s.fleet.StartEntry(ctx, former.Name, former.Addr, peers)
+	if err == nil {
+		s.entries[i] = entry
+	}
+	return err
+}
+
+// entryAddrs returns the entries' addresses, which stay when entries are replaced.
+func (s *scene) entryAddrs() []string { return s.addrs }
 
 func addrs(processes []*localfleet.Process) []string {
 	var all []string
--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,47 +17,65 @@
 type run struct {
 	scene   *scene
 	callers *callers
+	// disturbed says of each entry whether it was ended or frozen on purpose.
+	disturbed []atomic.Bool
 
 	perTarget []int        // starts that each target counted
 	counts    owner.Counts // the entries' own, summed
 
-	killed     string // name of the agent
-	killedPID  int
-	resubmits  int // calls made while the agent was gone
-	cancelWave int
-	lookUps    int
+	disturbances map[string]int // how often each was done
+	killed       string         // name of the agent
+	killedPID    int
+	resubmits    int // calls made while the agent was gone
+	cancelWave   int
+	lookUps      int
 }
 
 // drive submits work for the duration, with the failures on the way, and returns
 // when every caller has its answer or gave up.
 func (s *scene) drive(ctx context.Context, o Options) (*run, error) {
-	callers, err := newCallers(s.entryAddrs())
+	callers, err := newCallers(ctx, s.entryAddrs())
 	if err != nil {
 		return nil, err
 	}
 	defer callers.close()
-	tokens, err := callers.tokens(ctx)
+	r := &run{
+		scene: s, callers: callers,
+		disturbed: make([]atomic.Bool, len(s.entries)), disturbances: map[string]int{},
+	}
+	script := &steps{}
+	stop := func() error { return nil }
+	if o.Chaos {
+		stop = r.start(ctx, o.Seed)
+	} else {
+		script = r.steps(ctx, o.Duration)
+	}
+	err = r.submitAll(ctx, o, script)
+	err = errors.CombineErrors(err, stop())
+	callers.calls.Wait()
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		return nil, err
 	}
-	r := &run{scene: s, callers: callers}
-	generator := newGenerator(o.Seed, len(s.entries), capacity(), o.Load)
-	steps := r.steps(ctx, o.Duration)
+	r.lookUpSome(ctx)
+	return r, nil
+}
+
+// submitAll submits for the duration and does the script's steps on the way.
+func (r *run) submitAll(ctx context.Context, o Options, script *steps) error {
+	generator := newGenerator(o.Seed, len(r.scene.entries), capacity(), o.Load)
 	begun := time.Now()
 	for time.Since(begun) < o.Duration && ctx.Err() == nil {
-		if err := steps.run(time.Since(begun)); err != nil {
-			return nil, err
+		if err := script.run(time.Since(begun)); err != nil {
+			return err
 		}
 		next := generator.order()
 		pause(ctx, next.gap)
-		callers.place(ctx, next, tokens[next.owner])
+		r.callers.place(ctx, next)
 	}
-	callers.calls.Wait()
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
-	r.lookUpSome(ctx)
-	return r, nil
+	return nil
 }
 
 // step is something that happens once, at a time after the begin.
@@ -86,7 +105,7 @@
 	victim := len(r.scene.agents) - 1
 	return &steps{left: []step{
 		{kill, func() error { r.kill(ctx, victim); return nil }},
-		{kill + restartAfter, func() error { return r.restart(ctx, victim) }},
+		{kill + restartAfter, func() error { return r.scene.restartAgent(ctx, victim) }},
 		{time.Duration(cancelAt * float64(d)), func() error { r.cancelSome(ctx); return nil }},
 	}}
 }
@@ -103,17 +122,6 @@
 	}
 }
 
-// restart starts a new agent at the dead one's address, where the target beside
-// it still announces itself.
-func (r *run) restart(ctx context.Context, victim int) error {
-	agent, err := r.scene.startAgent(ctx, victim, r.scene.agents[victim].Addr)
-	if err != nil {
-		return err
-	}
-	r.scene.agents[victim] = agent
-	return nil
-}
-
 func (r *run) cancelSome(ctx context.Context) {
 	wave := r.callers.book.pending()
 	wave = wave[:min(len(wave), cancelWave)]
@@ -141,7 +149,7 @@
 	if r.counts, err = sumCounts(ctx, r.scene.entryAddrs()); err != nil {
 		return nil, err
 	}
-	return judge(r.callers.book.list(), counted, fastest()), nil
+	return judge(r.callers.book.list(), counted, fastest(), func(owner int) bool { return r.disturbed[owner].Load() }), nil
 }
 
 // sumCounts adds up the entries' own counters, which are shown beside the figures
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -17,8 +17,13 @@
 	row := func(what string, count int, note string) { fmt.Fprintf(table, "%s\t%d\t%s\n", what, count, note) }
 	row("jobs submitted", v.Jobs, "jobs and single requests, through every entry")
 	row("calls made", r.calls(), "doubled, resubmitted and looked up ones included")
-	row("resubmitted", r.resubmits, fmt.Sprintf("while %s (pid %d) was killed and restarted", r.killed, r.killedPID))
-	row("cancelled in a wave", r.cancelWave, "besides those cancelled one by one")
+	if r.killed != "" {
+		row("resubmitted", r.resubmits, fmt.Sprintf("while %s (pid %d) was killed and restarted", r.killed, r.killedPID))
+		row("cancelled in a wave", r.cancelWave, "besides those cancelled one by one")
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.disturbances)) {
+		row(name, r.disturbances[name], "times, at random")
+	}
 	row("looked up again", r.lookUps, "through another entry than the first")
 	row("complete", v.Complete, "every result was there and its own")
 	row("failed", v.Failed, "accepted and reported as failed")
@@ -27,6 +32,7 @@
 	for _, name := range slices.Sorted(maps.Keys(v.Failures)) {
 		row("  "+name, v.Failures[name], "among the failed and refused")
 	}
+	row("unknown afterwards", v.LateUnknown, "asked again after the owner that had answered was lost")
 	row("starts at targets", v.Starts, "counted by the targets")
 	row("starts that were used", v.Used, "their result was part of a complete answer")
 	row("starts of cancelled jobs", v.CalledOff, "among the others")
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -46,6 +46,9 @@
 	// CalledOff counts starts of jobs that their callers cancelled: part of the
 	// wasted starts that no dispatcher could have avoided.
 	CalledOff int
+	// LateUnknown counts callers who learned "outcome unknown" after another got the
+	// answer of an owner that was ended or frozen since.
+	LateUnknown int
 	// Failures counts failed and refused jobs by the name of their fault.
 	Failures map[string]int
 	Breaches []Breach
@@ -71,12 +74,13 @@
 
 // judge compares what callers saw with what targets counted. fastest is the speed
 // of the fastest target.
-func judge(all []*observed, counted starts, fastest float64) *Verdict {
+// Of an entry that was disturbed, "outcome unknown" may follow its own answer.
+func judge(all []*observed, counted starts, fastest float64, disturbed func(owner int) bool) *Verdict {
 	v := &Verdict{Jobs: len(all), Starts: counted.total(), Failures: map[string]int{}}
 	var ratios []float64
 	for _, o := range all {
 		v.judgeStarts(o, counted)
-		answer := v.judgeAnswers(o)
+		answer := v.judgeAnswers(o, disturbed(o.order.owner))
 		if answer == nil {
 			v.Unanswered++
 			continue
@@ -118,9 +122,10 @@
 }
 
 // judgeAnswers returns the one answer, or nil where a caller got none.
-func (v *Verdict) judgeAnswers(o *observed) *job.Answer {
+func (v *Verdict) judgeAnswers(o *observed, disturbed bool) *job.Answer {
+	sightings := o.inOrder()
 	var first *job.Answer
-	for _, s := range o.sightings {
+	for _, s := range sightings {
 		if expired(s) {
 			continue
 		}
@@ -131,6 +136,10 @@
 		if first == nil {
 			first = s.answer
 		}
+		if disturbed && follows(first, s.answer) {
+			v.LateUnknown++
+			continue
+		}
 		if !same(first, s.answer) {
 			v.breach(RuleOneAnswer, o.id, "%s and, through entry %d, %s", describe(first), s.entry+1, describe(s.answer))
 		}
@@ -141,6 +150,21 @@
 	return first
 }
 
+// follows reports whether two different answers go together although they differ:
+// the owner answered one caller and then was lost, so that later ones learn that
+// the outcome is unknown; or one learned that first, and the owner that came back
+// said how the job failed. A complete answer never follows an unknown outcome.
+func follows(first, later *job.Answer) bool {
+	if same(first, later) {
+		return false
+	}
+	return unknown(later) || unknown(first) && later.State == job.Failed
+}
+
+func unknown(a *job.Answer) bool {
+	return a.Failure != nil && (a.Failure.Code == fault.OwnerGone || a.Failure.Code == fault.OutcomeUnknown)
+}
+
 // expired reports whether a call came so late that the answer is no longer held.
 // It contradicts no answer; but one caller must have got that answer.
 func expired(s sighting) bool {
--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -193,13 +193,16 @@
 	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
 }
 
-// Stop asks the process to end, waits for it and reports whether it did so
-// gracefully; one that takes too long is killed. One that Kill ended before, on
+// Stop is StopWithin with the time that a process without work may take.
+func (p *Process) Stop() bool { return p.StopWithin(stopTimeout) }
+
+// StopWithin asks the process to end, waits for it and reports whether it did so
+// gracefully; one that takes longer is killed. One that Kill ended before, on
 // purpose, counts as graceful.
-func (p *Process) Stop() bool {
+func (p *Process) StopWithin(limit time.Duration) bool {
 	p.want(false)
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // fails only where it has ended
-	timer := time.NewTimer(stopTimeout)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-p.ended:
