Client: waits in slices of a second

A connection that went silent for good was noticed after up to four seconds (the slice and the call's own timeout); now after three. A job longer than a second costs one look-up a second.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -26,11 +26,14 @@
 	DefaultCallTimeout = 2 * time.Second
 	// DefaultWaitSlice is how long one call waits for an answer. A caller that
 	// waited for the whole deadline on one call would notice a silent
-	// connection only then.
-	DefaultWaitSlice = 2 * time.Second
+	// connection only then. Most tasks end within a second and so within the
+	// first call; a longer job costs one look-up a second.
+	DefaultWaitSlice = time.Second
 
 	dialTimeout  = time.Second
 	idlePerEntry = 512 // so that a burst of calls reuses connections
+	// idleTimeout drops idle connections before a device on the way forgets them.
+	idleTimeout = 30 * time.Second
 )
 
 // Options of a Client.
@@ -67,7 +70,9 @@
 		o.WaitSlice = DefaultWaitSlice
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerEntry}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerEntry, IdleConnTimeout: idleTimeout,
+	}
 	return &Client{options: o, http: &http.Client{Transport: transport}}, nil
 }
 
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -14,9 +14,9 @@
 
 // answerAllowance is how long after its deadline a final answer may come. Half a
 // second goes to the clocks, before an entry that can't reach the owner gives the
-// final answer itself; a caller takes up to four more to notice that the entry it
-// called is silent and to ask another.
-const answerAllowance = 6 * time.Second
+// final answer itself; a caller takes up to three more to notice that the entry it
+// called is silent, and then asks another.
+const answerAllowance = 5 * time.Second
 
 // callers submits orders as independent callers would, and notes what they see.
 type callers struct {
