--- a/internal/client/submit.go
+++ b/internal/client/submit.go
@@ -27,8 +27,8 @@
 	*job.Submission
 }
 
-// pursuit follows one submission until its answer is final.
-type pursuit struct {
+// poller follows one submission until its answer is final.
+type poller struct {
 	client *Client
 	id     string
 	path   string
@@ -54,14 +54,14 @@
 	if s.Single {
 		path = "/v1/requests"
 	}
-	return newPursuit(c, id, path, encoded).run(ctx)
+	return newPoller(c, id, path, encoded).run(ctx)
 }
 
 // Await waits for the final answer to a submission that was sent before. Errors
 // are those of Submit; a *fault.Fault of code NotFound says that the owner never
 // accepted the id.
 func (c *Client) Await(ctx context.Context, id string) (*job.Answer, error) {
-	return newPursuit(c, id, "", nil).run(ctx)
+	return newPoller(c, id, "", nil).run(ctx)
 }
 
 // Lookup returns how a submission stands now; the answer may be job.Pending.
@@ -75,16 +75,16 @@
 
 func jobPath(id string) string { return "/v1/jobs/" + id }
 
-func newPursuit(c *Client, id, path string, encoded []byte) *pursuit {
+func newPoller(c *Client, id, path string, encoded []byte) *poller {
 	pauses := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(firstPause),
 		backoff.WithMaxInterval(lastPause),
 		backoff.WithMaxElapsedTime(0),
 	)
-	return &pursuit{client: c, id: id, path: path, body: encoded, pauses: pauses}
+	return &poller{client: c, id: id, path: path, body: encoded, pauses: pauses}
 }
 
-func (p *pursuit) run(ctx context.Context) (*job.Answer, error) {
+func (p *poller) run(ctx context.Context) (*job.Answer, error) {
 	for ctx.Err() == nil {
 		answer, pause, err := p.try(ctx)
 		if err != nil {
@@ -99,8 +99,8 @@
 }
 
 // try makes one call. It returns a final answer, or an error that ends the
-// pursuit, or how long to pause before the next call.
-func (p *pursuit) try(ctx context.Context) (*job.Answer, time.Duration, error) {
+// polling, or how long to pause before the next call.
+func (p *poller) try(ctx context.Context) (*job.Answer, time.Duration, error) {
 	at, entry := p.client.entry()
 	r, err := p.client.send(ctx, entry, p.call())
 	if err != nil {
@@ -124,7 +124,7 @@
 	return answer, 0, nil
 }
 
-func (p *pursuit) call() call {
+func (p *poller) call() call {
 	wait := p.client.options.WaitSlice
 	if p.body == nil || p.accepted {
 		return call{method: http.MethodGet, path: jobPath(p.id), wait: wait, waits: true}
@@ -132,8 +132,8 @@
 	return call{method: http.MethodPost, path: p.path, wait: wait, waits: true, body: p.body}
 }
 
-// afterFault goes on after "undecided" and ends the pursuit on any other fault.
-func (p *pursuit) afterFault(at uint32, err error) (*job.Answer, time.Duration, error) {
+// afterFault goes on after "undecided" and ends the polling on any other fault.
+func (p *poller) afterFault(at uint32, err error) (*job.Answer, time.Duration, error) {
 	if !errors.Is(err, &fault.Fault{Code: fault.Undecided}) {
 		return nil, 0, err
 	}
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -18,11 +18,11 @@
 // called is silent, and then asks another.
 const answerAllowance = 5 * time.Second
 
-// callers submits orders as independent callers would, and notes what they see.
+// callers submits as independent callers would, and notes what they see.
 type callers struct {
 	addrs   []string
 	clients []*client.Client // one an entry; each falls back to the others
-	book    *book
+	history *history
 	calls   sync.WaitGroup
 
 	mu     sync.Mutex
@@ -30,10 +30,10 @@
 }
 
 func newCallers(ctx context.Context, entries []string) (*callers, error) {
-	c := &callers{addrs: entries, book: &book{}, tokens: make([]string, len(entries))}
+	c := &callers{addrs: entries, history: &history{}, tokens: make([]string, len(entries))}
 	for i := range entries {
-		order := append(append([]string(nil), entries[i:]...), entries[:i]...)
-		cl, err := client.New(client.Options{Entries: order})
+		first := append(append([]string(nil), entries[i:]...), entries[:i]...)
+		cl, err := client.New(client.Options{Entries: first})
 		if err != nil {
 			return nil, err
 		}
@@ -68,11 +68,11 @@
 	return c.tokens[entry]
 }
 
-// place submits an order in the background, and doubles and cancels it as it says.
-func (c *callers) place(ctx context.Context, o *order) {
+// place submits what is planned, in the background, and sends it twice or cancels it if so planned.
+func (c *callers) place(ctx context.Context, o *plan) {
 	at := time.Now()
-	seen := &observed{order: o, id: client.NewID(c.token(o.owner), at.Add(o.deadline), o.unique)}
-	c.book.add(seen)
+	seen := &observed{plan: o, id: client.NewID(c.token(o.owner), at.Add(o.deadline), o.unique)}
+	c.history.add(seen)
 	c.calls.Go(func() {
 		c.submit(ctx, seen, o.entry)
 		seen.finish()
@@ -93,16 +93,16 @@
 
 // again resubmits a submission through another entry than it went through first.
 func (c *callers) again(ctx context.Context, o *observed) {
-	c.calls.Go(func() { c.submit(ctx, o, c.other(o.order.entry)) })
+	c.calls.Go(func() { c.submit(ctx, o, c.other(o.plan.entry)) })
 }
 
 func (c *callers) submit(ctx context.Context, o *observed, entry int) {
-	ctx, cancel := context.WithTimeout(ctx, o.order.deadline+answerAllowance)
+	ctx, cancel := context.WithTimeout(ctx, o.plan.deadline+answerAllowance)
 	defer cancel()
 	begun := time.Now()
-	answer, err := c.clients[entry].Submit(ctx, o.id, o.order.submission)
+	answer, err := c.clients[entry].Submit(ctx, o.id, o.plan.submission)
 	now := time.Now()
-	o.see(sighting{entry: entry, answer: refusalAsAnswer(o.id, answer, err), err: err, at: now, response: now.Sub(begun)})
+	o.see(outcome{entry: entry, answer: refusalAsAnswer(o.id, answer, err), err: err, at: now, response: now.Sub(begun)})
 }
 
 // lookUp asks for an answer that was given before.
@@ -111,7 +111,7 @@
 	defer cancel()
 	answer, err := c.clients[entry].Await(ctx, o.id)
 	if err == nil {
-		o.see(sighting{entry: entry, answer: answer, at: time.Now()})
+		o.see(outcome{entry: entry, answer: answer, at: time.Now()})
 	}
 }
 
--- a/internal/demo/chaos.go
+++ b/internal/demo/chaos.go
@@ -29,21 +29,21 @@
 	drainPatience = usualDeadline + 5*time.Second
 )
 
-// disturbance is one thing that can go wrong with the victim of that index.
-type disturbance struct {
+// injection is one thing that can go wrong with the victim of that index.
+type injection struct {
 	name string
 	do   func(c *chaos, victim int) error
 }
 
-// entryDisturbances befall entries, workerDisturbances an agent or its target.
+// entryInjections befall entries, workerInjections an agent or its target.
 // Targets are never killed: what they counted would be lost with them.
 var (
-	entryDisturbances = []disturbance{
+	entryInjections = []injection{
 		{"entry killed", (*chaos).killEntry},
 		{"entry frozen", (*chaos).freezeEntry},
 		{"entry drained", (*chaos).drainEntry},
 	}
-	workerDisturbances = []disturbance{
+	workerInjections = []injection{
 		{"agent killed", (*chaos).killAgent},
 		{"agent frozen", (*chaos).freezeAgent},
 		{"agent drained", (*chaos).drainAgent},
@@ -54,10 +54,10 @@
 	}
 )
 
-// chaos disturbs a running fleet at random, one entry and one worker at a time.
+// chaos injects failures into a running fleet at random, one entry and one worker at a time.
 type chaos struct {
 	run *run
-	// ctx outlives the disturbances, so that what was taken down comes up again.
+	// ctx outlives the injections, so that what was taken down comes up again.
 	ctx context.Context
 
 	mu    sync.Mutex
@@ -65,14 +65,14 @@
 	err   error
 }
 
-// start begins to disturb; the function that it returns ends that, waits until
+// start begins to inject failures; the function that it returns ends that, waits until
 // everything is up again and returns the first error.
 func (r *run) start(ctx context.Context, seed uint64) (stop func() error) {
-	c := &chaos{run: r, ctx: ctx, count: r.disturbances}
+	c := &chaos{run: r, ctx: ctx, count: r.injections}
 	until, cancel := context.WithCancel(ctx)
 	var loops sync.WaitGroup
-	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 1)), entryDisturbances, len(r.scene.entries)) })
-	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 2)), workerDisturbances, len(r.scene.agents)) })
+	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 1)), entryInjections, len(r.deployment.entries)) })
+	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 2)), workerInjections, len(r.deployment.agents)) })
 	return func() error {
 		cancel()
 		loops.Wait()
@@ -80,7 +80,7 @@
 	}
 }
 
-func (c *chaos) loop(until context.Context, random *rand.Rand, kinds []disturbance, victims int) {
+func (c *chaos) loop(until context.Context, random *rand.Rand, kinds []injection, victims int) {
 	for until.Err() == nil {
 		pause(until, between(random, minQuiet, maxQuiet))
 		kind := kinds[random.IntN(len(kinds))]
@@ -106,7 +106,7 @@
 	return low + time.Duration(random.Int64N(int64(high-low)))
 }
 
-// lasting draws how long a disturbance lasts. It is not part of the seeded draws,
+// lasting draws how long an injected failure lasts. It is not part of the seeded draws,
 // since timing on real processes differs from run to run anyway.
 func lasting() time.Duration {
 	return minLasting + rand.N(maxLasting-minLasting)
@@ -114,21 +114,21 @@
 
 func (c *chaos) killEntry(victim int) error {
 	c.run.disturbed[victim].Store(true)
-	c.run.scene.entries[victim].Kill()
+	c.run.deployment.entries[victim].Kill()
 	pause(c.ctx, lasting())
 	return c.restartEntry(victim)
 }
 
 func (c *chaos) drainEntry(victim int) error {
 	c.run.disturbed[victim].Store(true)
-	if !c.run.scene.entries[victim].StopWithin(drainPatience) {
-		return errors.Newf("%s did not end gracefully", c.run.scene.entries[victim].Name)
+	if !c.run.deployment.entries[victim].StopWithin(drainPatience) {
+		return errors.Newf("%s did not end gracefully", c.run.deployment.entries[victim].Name)
 	}
 	return c.restartEntry(victim)
 }
 
 func (c *chaos) restartEntry(victim int) error {
-	if err := c.run.scene.restartEntry(c.ctx, victim); err != nil {
+	if err := c.run.deployment.restartEntry(c.ctx, victim); err != nil {
 		return err
 	}
 	return c.run.callers.refresh(c.ctx, victim)
@@ -136,7 +136,7 @@
 
 func (c *chaos) freezeEntry(victim int) error {
 	c.run.disturbed[victim].Store(true)
-	return c.freeze(c.run.scene.entries[victim])
+	return c.freeze(c.run.deployment.entries[victim])
 }
 
 func (c *chaos) freeze(p *localfleet.Process) error {
@@ -148,26 +148,26 @@
 }
 
 func (c *chaos) killAgent(victim int) error {
-	c.run.scene.agents[victim].Kill()
+	c.run.deployment.agents[victim].Kill()
 	pause(c.ctx, lasting())
-	return c.run.scene.restartAgent(c.ctx, victim)
+	return c.run.deployment.restartAgent(c.ctx, victim)
 }
 
-func (c *chaos) freezeAgent(victim int) error { return c.freeze(c.run.scene.agents[victim]) }
+func (c *chaos) freezeAgent(victim int) error { return c.freeze(c.run.deployment.agents[victim]) }
 
 func (c *chaos) drainAgent(victim int) error {
-	if !c.run.scene.agents[victim].StopWithin(drainPatience) {
-		return errors.Newf("%s did not end gracefully", c.run.scene.agents[victim].Name)
+	if !c.run.deployment.agents[victim].StopWithin(drainPatience) {
+		return errors.Newf("%s did not end gracefully", c.run.deployment.agents[victim].Name)
 	}
-	return c.run.scene.restartAgent(c.ctx, victim)
+	return c.run.deployment.restartAgent(c.ctx, victim)
 }
 
-func (c *chaos) freezeTarget(victim int) error { return c.freeze(c.run.scene.targets[victim]) }
+func (c *chaos) freezeTarget(victim int) error { return c.freeze(c.run.deployment.targets[victim]) }
 
 // behave makes a target misbehave for a while.
 func behave(b target.Behaviour) func(*chaos, int) error {
 	return func(c *chaos, victim int) error {
-		addr := c.run.scene.targets[victim].Addr
+		addr := c.run.deployment.targets[victim].Addr
 		if err := setBehaviour(c.ctx, addr, b); err != nil {
 			return err
 		}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -93,8 +93,8 @@
 	return nil
 }
 
-// scene is a running fleet.
-type scene struct {
+// deployment is a running fleet.
+type deployment struct {
 	fleet   *localfleet.Fleet
 	entries []*localfleet.Process
 	addrs   []string // of the entries
@@ -102,8 +102,8 @@
 	targets []*localfleet.Process
 }
 
-func start(ctx context.Context, o Options) (*scene, error) {
-	s := &scene{fleet: localfleet.New(localfleet.Options{Bin: o.Bin, LogDir: o.LogDir, Key: rand.Text()})}
+func start(ctx context.Context, o Options) (*deployment, error) {
+	s := &deployment{fleet: localfleet.New(localfleet.Options{Bin: o.Bin, LogDir: o.LogDir, Key: rand.Text()})}
 	err := s.startAll(ctx, o)
 	if err == nil {
 		err = awaitTargets(ctx, s.entryAddrs(), len(speeds))
@@ -115,7 +115,7 @@
 	return s, nil
 }
 
-func (s *scene) startAll(ctx context.Context, o Options) error {
+func (s *deployment) startAll(ctx context.Context, o Options) error {
 	if _, err := s.fleet.StartLog(ctx); err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 }
 
 // startWorker starts an agent and the target beside it.
-func (s *scene) startWorker(ctx context.Context, i int, speed float64) error {
+func (s *deployment) startWorker(ctx context.Context, i int, speed float64) error {
 	addr, err := localfleet.FreeAddr()
 	if err != nil {
 		return err
@@ -163,13 +163,13 @@
 	return nil
 }
 
-func (s *scene) startAgent(ctx context.Context, i int, listen string) (*localfleet.Process, error) {
+func (s *deployment) startAgent(ctx context.Context, i int, listen string) (*localfleet.Process, error) {
 	return s.fleet.StartAgent(ctx, fmt.Sprintf("agent-%d", i+1), listen, s.entryAddrs())
 }
 
 // restartAgent starts a new agent at the ended one's address, where the target
 // beside it still announces itself.
-func (s *scene) restartAgent(ctx context.Context, i int) error {
+func (s *deployment) restartAgent(ctx context.Context, i int) error {
 	agent, err := s.startAgent(ctx, i, s.agents[i].Addr)
 	if err == nil {
 		s.agents[i] = agent
@@ -179,7 +179,7 @@
 
 // restartEntry starts a new entry at the ended one's address, as an operator does
 // who replaces it.
-func (s *scene) restartEntry(ctx context.Context, i int) error {
+func (s *deployment) restartEntry(ctx context.Context, i int) error {
 	former := s.entries[i]
 	var peers []string
 	for _, addr := range s.addrs {
@@ -195,7 +195,7 @@
 }
 
 // entryAddrs returns the entries' addresses, which stay when entries are replaced.
-func (s *scene) entryAddrs() []string { return s.addrs }
+func (s *deployment) entryAddrs() []string { return s.addrs }
 
 func addrs(processes []*localfleet.Process) []string {
 	var all []string
--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -13,35 +13,35 @@
 	"github.com/camphorrack/camphorrack/internal/owner"
 )
 
-// run is one pass of work over a scene, and what was done meanwhile.
+// run is one pass of work over a deployment, and what was done meanwhile.
 type run struct {
-	scene   *scene
-	callers *callers
+	deployment *deployment
+	callers    *callers
 	// disturbed says of each entry whether it was ended or frozen on purpose.
 	disturbed []atomic.Bool
 
 	perTarget []int        // starts that each target counted
 	counts    owner.Counts // the entries' own, summed
 
-	disturbances map[string]int // how often each was done
-	killed       string         // name of the agent
-	killedPID    int
-	resubmits    int // calls made while the agent was gone
-	cancelWave   int
-	lookUps      int
+	injections map[string]int // how often each was done
+	killed     string         // name of the agent
+	killedPID  int
+	resubmits  int // calls made while the agent was gone
+	cancelWave int
+	lookUps    int
 }
 
 // drive submits work for the duration, with the failures on the way, and returns
 // when every caller has its answer or gave up.
-func (s *scene) drive(ctx context.Context, o Options) (*run, error) {
+func (s *deployment) drive(ctx context.Context, o Options) (*run, error) {
 	callers, err := newCallers(ctx, s.entryAddrs())
 	if err != nil {
 		return nil, err
 	}
 	defer callers.close()
 	r := &run{
-		scene: s, callers: callers,
-		disturbed: make([]atomic.Bool, len(s.entries)), disturbances: map[string]int{},
+		deployment: s, callers: callers,
+		disturbed: make([]atomic.Bool, len(s.entries)), injections: map[string]int{},
 	}
 	script := &steps{}
 	stop := func() error { return nil }
@@ -65,13 +65,13 @@
 
 // submitAll submits for the duration and does the script's steps on the way.
 func (r *run) submitAll(ctx context.Context, o Options, script *steps) error {
-	generator := newGenerator(o.Seed, len(r.scene.entries), capacity(), o.Load)
+	generator := newGenerator(o.Seed, len(r.deployment.entries), capacity(), o.Load)
 	begun := time.Now()
 	for time.Since(begun) < o.Duration && ctx.Err() == nil {
 		if err := script.run(time.Since(begun)); err != nil {
 			return err
 		}
-		next := generator.order()
+		next := generator.plan()
 		pause(ctx, next.gap)
 		r.callers.place(ctx, next)
 	}
@@ -102,10 +102,10 @@
 // the fast targets, which set the ideal, stay.
 func (r *run) steps(ctx context.Context, d time.Duration) *steps {
 	kill := time.Duration(killAt * float64(d))
-	victim := len(r.scene.agents) - 1
+	victim := len(r.deployment.agents) - 1
 	return &steps{left: []step{
 		{kill, func() error { r.kill(ctx, victim); return nil }},
-		{kill + restartAfter, func() error { return r.scene.restartAgent(ctx, victim) }},
+		{kill + restartAfter, func() error { return r.deployment.restartAgent(ctx, victim) }},
 		{time.Duration(cancelAt * float64(d)), func() error { r.cancelSome(ctx); return nil }},
 	}}
 }
@@ -113,17 +113,17 @@
 // kill ends an agent at once; every caller that still waits takes its job for
 // lost and submits it again through another entry.
 func (r *run) kill(ctx context.Context, victim int) {
-	agent := r.scene.agents[victim]
+	agent := r.deployment.agents[victim]
 	r.killed, r.killedPID = agent.Name, agent.PID()
 	agent.Kill()
-	for _, o := range r.callers.book.pending() {
+	for _, o := range r.callers.history.pending() {
 		r.resubmits++
 		r.callers.again(ctx, o)
 	}
 }
 
 func (r *run) cancelSome(ctx context.Context) {
-	wave := r.callers.book.pending()
+	wave := r.callers.history.pending()
 	wave = wave[:min(len(wave), cancelWave)]
 	r.cancelWave = len(wave)
 	r.callers.calls.Go(func() { r.callers.cancel(ctx, 0, wave) })
@@ -131,25 +131,25 @@
 
 // lookUpSome asks again, through the other entry, for the answers given last.
 func (r *run) lookUpSome(ctx context.Context) {
-	all := r.callers.book.list()
+	all := r.callers.history.list()
 	for _, o := range all[max(0, len(all)-lookUps):] {
 		r.lookUps++
-		r.callers.lookUp(ctx, o, r.callers.other(o.order.entry))
+		r.callers.lookUp(ctx, o, r.callers.other(o.plan.entry))
 	}
 }
 
 // judge counts at the targets and compares.
 func (r *run) judge(ctx context.Context) (*Verdict, error) {
 	pause(ctx, settleTime)
-	counted, perTarget, err := countStarts(ctx, addrs(r.scene.targets))
+	counted, perTarget, err := countStarts(ctx, addrs(r.deployment.targets))
 	if err != nil {
 		return nil, err
 	}
 	r.perTarget = perTarget
-	if r.counts, err = sumCounts(ctx, r.scene.entryAddrs()); err != nil {
+	if r.counts, err = sumCounts(ctx, r.deployment.entryAddrs()); err != nil {
 		return nil, err
 	}
-	return judge(r.callers.book.list(), counted, fastest(), func(owner int) bool { return r.disturbed[owner].Load() }), nil
+	return judge(r.callers.history.list(), counted, fastest(), func(owner int) bool { return r.disturbed[owner].Load() }), nil
 }
 
 // sumCounts adds up the entries' own counters, which are shown beside the figures
--- a/internal/demo/book.go
+++ b/internal/demo/history.go
@@ -8,8 +8,8 @@
 	"github.com/camphorrack/camphorrack/internal/job"
 )
 
-// sighting is what one call for a submission came back with.
-type sighting struct {
+// outcome is what one call for a submission came back with.
+type outcome struct {
 	entry    int // through which the call went first
 	answer   *job.Answer
 	err      error // set where no final answer came
@@ -19,25 +19,25 @@
 
 // observed is one submission and everything its callers saw of it.
 type observed struct {
-	order *order
-	id    string
+	plan *plan
+	id   string
 
-	mu        sync.Mutex
-	first     bool // whether the first caller's answer is there
-	sightings []sighting
+	mu       sync.Mutex
+	first    bool // whether the first caller's answer is there
+	outcomes []outcome
 }
 
-func (o *observed) see(s sighting) {
+func (o *observed) see(s outcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.sightings = append(o.sightings, s)
+	o.outcomes = append(o.outcomes, s)
 }
 
-// inOrder returns the sightings by the time at which they came.
-func (o *observed) inOrder() []sighting {
+// inOrder returns the outcomes by the time at which they came.
+func (o *observed) inOrder() []outcome {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return slices.SortedStableFunc(slices.Values(o.sightings), func(a, b sighting) int { return a.at.Compare(b.at) })
+	return slices.SortedStableFunc(slices.Values(o.outcomes), func(a, b outcome) int { return a.at.Compare(b.at) })
 }
 
 func (o *observed) finish() {
@@ -52,26 +52,26 @@
 	return !o.first
 }
 
-// book is all submissions of a run.
-type book struct {
+// history is all submissions of a run.
+type history struct {
 	mu  sync.Mutex
 	all []*observed
 }
 
-func (b *book) add(o *observed) {
+func (b *history) add(o *observed) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.all = append(b.all, o)
 }
 
-func (b *book) list() []*observed {
+func (b *history) list() []*observed {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return append([]*observed(nil), b.all...)
 }
 
 // pending returns the submissions whose first caller still waits.
-func (b *book) pending() []*observed {
+func (b *history) pending() []*observed {
 	var open []*observed
 	for _, o := range b.list() {
 		if o.pending() {
--- a/internal/demo/path_test.go
+++ b/internal/demo/path_test.go
@@ -106,7 +106,7 @@
 
 		generator := newGenerator(1, entryCount, capacity(), 1)
 		for range 30 {
-			next := generator.order()
+			next := generator.plan()
 			next.deadline, next.cancelled = usualDeadline, false
 			callers.place(ctx, next)
 		}
@@ -126,7 +126,7 @@
 
 		counted, _, err := countStarts(ctx, f.targets)
 		Expect(err).NotTo(HaveOccurred())
-		verdict := judge(callers.book.list(), counted, 2, never)
+		verdict := judge(callers.history.list(), counted, 2, never)
 		Expect(verdict.Breaches).To(BeEmpty())
 		Expect(verdict.Complete).To(Equal(30), "%s", verdict.LastLine())
 	})
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -21,8 +21,8 @@
 		row("resubmitted", r.resubmits, fmt.Sprintf("while %s (pid %d) was killed and restarted", r.killed, r.killedPID))
 		row("cancelled in a wave", r.cancelWave, "besides those cancelled one by one")
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.disturbances)) {
-		row(name, r.disturbances[name], "times, at random")
+	for _, name := range slices.Sorted(maps.Keys(r.injections)) {
+		row(name, r.injections[name], "times, at random")
 	}
 	row("looked up again", r.lookUps, "through another entry than the first")
 	row("complete", v.Complete, "every result was there and its own")
@@ -51,8 +51,8 @@
 
 func (r *run) calls() int {
 	n := 0
-	for _, o := range r.callers.book.list() {
-		n += len(o.sightings)
+	for _, o := range r.callers.history.list() {
+		n += len(o.outcomes)
 	}
 	return n
 }
@@ -60,7 +60,7 @@
 func (r *run) printTargets(out io.Writer) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "target\tspeed\tslots\tstarts")
-	for i, target := range r.scene.targets {
+	for i, target := range r.deployment.targets {
 		fmt.Fprintf(table, "%s\t%g\t%d\t%d\n", target.Name, speeds[i], slots, r.perTarget[i])
 	}
 	table.Flush()
--- a/internal/demo/witness.go
+++ b/internal/demo/targetcounts.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// witnessTimeout bounds one question to a target.
-const witnessTimeout = 2 * time.Second
+// countTimeout bounds one question to a target.
+const countTimeout = 2 * time.Second
 
 // starts counts, by "job id/task index", how often targets began a task. It is
 // what the targets themselves counted.
@@ -46,7 +46,7 @@
 }
 
 func startsOf(ctx context.Context, addr string) (starts, error) {
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	ctx, cancel := context.WithTimeout(ctx, countTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/starts", nil)
 	if err != nil {
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -80,7 +80,7 @@
 	var ratios []float64
 	for _, o := range all {
 		v.judgeStarts(o, counted)
-		answer := v.judgeAnswers(o, disturbed(o.order.owner))
+		answer := v.judgeAnswers(o, disturbed(o.plan.owner))
 		if answer == nil {
 			v.Unanswered++
 			continue
@@ -110,10 +110,10 @@
 }
 
 func (v *Verdict) judgeStarts(o *observed, counted starts) {
-	if o.order.submission.Idempotent {
+	if o.plan.submission.Idempotent {
 		return // may run again where its outcome is unknown
 	}
-	for i := range o.order.submission.Tasks {
+	for i := range o.plan.submission.Tasks {
 		if n := counted[taskKey(o.id, i)]; n > 1 {
 			v.StartedTwice++
 			v.breach(RuleStartedTwice, o.id, "task %d was started %d times", i, n)
@@ -123,9 +123,9 @@
 
 // judgeAnswers returns the one answer, or nil where a caller got none.
 func (v *Verdict) judgeAnswers(o *observed, disturbed bool) *job.Answer {
-	sightings := o.inOrder()
+	outcomes := o.inOrder()
 	var first *job.Answer
-	for _, s := range sightings {
+	for _, s := range outcomes {
 		if expired(s) {
 			continue
 		}
@@ -167,7 +167,7 @@
 
 // expired reports whether a call came so late that the answer is no longer held.
 // It contradicts no answer; but one caller must have got that answer.
-func expired(s sighting) bool {
+func expired(s outcome) bool {
 	return s.answer == nil && errors.Is(s.err, &fault.Fault{Code: fault.AnswerExpired})
 }
 
@@ -177,7 +177,7 @@
 		return
 	}
 	cancelled := a.Failure != nil && a.Failure.Code == fault.Cancelled
-	for i := range o.order.submission.Tasks {
+	for i := range o.plan.submission.Tasks {
 		n := counted[taskKey(o.id, i)]
 		if cancelled {
 			v.CalledOff += n
@@ -189,13 +189,13 @@
 }
 
 func (v *Verdict) judgeComplete(o *observed, a *job.Answer, counted starts) {
-	tasks := len(o.order.submission.Tasks)
+	tasks := len(o.plan.submission.Tasks)
 	if len(a.Results) != tasks {
 		v.breach(RuleWhole, o.id, "%d results for %d tasks", len(a.Results), tasks)
 		return
 	}
 	for i, result := range a.Results {
-		if want := echoOf(o.order.unique, i); string(result) != want {
+		if want := echoOf(o.plan.unique, i); string(result) != want {
 			v.breach(RuleWhole, o.id, "task %d returned %q and not %q", i, result, want)
 		}
 		if counted[taskKey(o.id, i)] == 0 {
@@ -227,9 +227,9 @@
 // ratio is the first caller's response over the ideal: the longest task on the
 // fastest target, with no wait.
 func ratio(o *observed, fastest float64) float64 {
-	ideal := float64(o.order.longestMs) * float64(time.Millisecond) / fastest
-	for _, s := range o.sightings {
-		if s.entry == o.order.entry && s.response > 0 {
+	ideal := float64(o.plan.longestMs) * float64(time.Millisecond) / fastest
+	for _, s := range o.outcomes {
+		if s.entry == o.plan.entry && s.response > 0 {
 			return float64(s.response) / ideal
 		}
 	}
--- a/internal/demo/verdict_test.go
+++ b/internal/demo/verdict_test.go
@@ -21,13 +21,13 @@
 
 // twoTasks is an observed job of two tasks, of which the longer takes 300 ms.
 func twoTasks(answers ...*job.Answer) *observed {
-	o := &observed{id: id, order: &order{
+	o := &observed{id: id, plan: &plan{
 		unique:     "x",
 		longestMs:  300,
 		submission: &job.Submission{Tasks: make([]job.Task, 2)},
 	}}
 	for i, a := range answers {
-		o.see(sighting{entry: i, answer: a, response: 250 * time.Millisecond})
+		o.see(outcome{entry: i, answer: a, response: 250 * time.Millisecond})
 	}
 	return o
 }
@@ -72,7 +72,7 @@
 
 	It("allows an idempotent request to start again", func() {
 		o := twoTasks(whole)
-		o.order.submission.Idempotent = true
+		o.plan.submission.Idempotent = true
 		v := judge([]*observed{o}, starts{id + "/0": 2, id + "/1": 1}, 1, never)
 		Expect(v.Breaches).To(BeEmpty())
 		Expect(v.Used).To(Equal(2))
@@ -121,6 +121,6 @@
 var expiredAnswer = fault.New(fault.AnswerExpired, "")
 
 func withError(o *observed, err error) *observed {
-	o.see(sighting{err: err})
+	o.see(outcome{err: err})
 	return o
 }
--- a/internal/demo/work.go
+++ b/internal/demo/work.go
@@ -11,7 +11,7 @@
 )
 
 // The mix of the work: short tasks with a few long ones among them, in jobs of
-// mixed sizes. Long tasks are what makes the order of the wait matter.
+// mixed sizes. Long tasks are what makes the order of the queue matter.
 const (
 	minRunMs      = 20
 	maxRunMs      = 300
@@ -47,13 +47,13 @@
 	Echo  string `json:"echo"`
 }
 
-// order is one submission to make and what else is to be done with it.
-type order struct {
+// plan is one submission to make and what else is to be done with it.
+type plan struct {
 	unique     string
 	submission *job.Submission
 	longestMs  int64 // real run time of its longest task at speed 1
 	deadline   time.Duration
-	gap        time.Duration // since the order before
+	gap        time.Duration // since the one before
 	entry      int           // through which it goes first
 	owner      int           // the entry whose token its id is made of
 	doubled    bool          // sent again through another entry
@@ -62,7 +62,7 @@
 	cancelLag  time.Duration
 }
 
-// generator draws orders; the same seed draws the same ones.
+// generator draws plans; the same seed draws the same ones.
 type generator struct {
 	random  *rand.Rand
 	entries int
@@ -92,9 +92,9 @@
 	return singleShare + (1-singleShare)*float64(sum)/float64(len(jobSizes))
 }
 
-func (g *generator) order() *order {
+func (g *generator) plan() *plan {
 	g.next++
-	o := &order{
+	o := &plan{
 		unique:    fmt.Sprintf("demo.%d", g.next),
 		deadline:  usualDeadline,
 		gap:       time.Duration(g.random.ExpFloat64() * float64(g.meanGap)),
@@ -112,7 +112,7 @@
 	return o
 }
 
-func (g *generator) submission(o *order) *job.Submission {
+func (g *generator) submission(o *plan) *job.Submission {
 	s := &job.Submission{Team: teams[g.random.IntN(len(teams))], Class: taskClass}
 	tasks := jobSizes[g.random.IntN(len(jobSizes))]
 	if g.chance(singleShare) {
