--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -14,6 +14,9 @@
 
 const (
 	tickEvery = 10 * time.Millisecond
+	// idleTickEvery is the pace while no job waits for its answer and ticks only
+	// forget what is old: a hundred wake-ups a second cost 1 % of a core.
+	idleTickEvery = 100 * time.Millisecond
 	// maxCommands bounds what waits for the control goroutine. At some 20 us a
 	// command a full channel is about 80 ms of work; more would only delay the
 	// heartbeat of decisions further.
@@ -74,9 +77,10 @@
 // run is the control goroutine. It ends when stop is closed.
 func (c *control) run() {
 	defer close(c.stopped)
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
+	lastTick := time.Now()
 	c.core.Tick(c.clock.Now()) // sets its time before the first submission
+	tick := time.NewTimer(tickEvery)
+	defer tick.Stop()
 	for {
 		select {
 		case <-c.stop:
@@ -84,10 +88,20 @@
 		case first := <-c.commands:
 			c.batch(first)
 		case <-tick.C:
+			lastTick = time.Now()
 			c.core.Tick(c.clock.Now())
 		}
 		c.core.Flush()
+		// Counted from the last tick, so that commands can't put the next one off.
+		tick.Reset(time.Until(lastTick.Add(c.pace())))
+	}
+}
+
+func (c *control) pace() time.Duration {
+	if c.core.Idle() {
+		return idleTickEvery
 	}
+	return tickEvery
 }
 
 // batch runs what has gathered, so that one frame per agent carries all of it.
