Demonstration: racing operators, and what every daemon has in force

Two operators change the configuration on one base every 0.7 s, while every daemon is asked for its version every 50 ms; the chaos run disturbs the log as well.

--- a/internal/demo/chaos.go
+++ b/internal/demo/chaos.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/localfleet"
+	"github.com/camphorrack/camphorrack/internal/standin/logservice"
 	"github.com/camphorrack/camphorrack/internal/standin/target"
 )
 
@@ -54,7 +55,17 @@
 	}
 )
 
-// chaos injects failures into a running fleet at random, one entry and one worker at a time.
+// logInjections befall the platform's log.
+var logInjections = []injection{
+	{"log down", misbehave(logservice.Control{Mode: logservice.Down})},
+	{"log slow", misbehave(logservice.Control{Mode: logservice.Slow, DelayMs: 500})},
+	{"log loses answers", misbehave(logservice.Control{Mode: logservice.LoseAnswers})},
+	{"log unreadable", misbehave(logservice.Control{Mode: logservice.ReadDown})},
+	{"log late", misbehave(logservice.Control{Mode: logservice.Late})},
+}
+
+// chaos injects failures into a running fleet at random, one
+// entry, one worker and the log at a time.
 type chaos struct {
 	run *run
 	// ctx outlives the injections, so that what was taken down comes up again.
@@ -73,6 +84,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 1)), entryInjections, len(r.deployment.entries)) })
 	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 2)), workerInjections, len(r.deployment.agents)) })
+	loops.Go(func() { c.loop(until, rand.New(rand.NewPCG(seed, 3)), logInjections, 1) })
 	return func() error {
 		cancel()
 		loops.Wait()
@@ -167,21 +179,33 @@
 // behave makes a target misbehave for a while.
 func behave(b target.Behaviour) func(*chaos, int) error {
 	return func(c *chaos, victim int) error {
-		addr := c.run.deployment.targets[victim].Addr
-		if err := setBehaviour(c.ctx, addr, b); err != nil {
-			return err
-		}
-		pause(c.ctx, lasting())
-		return setBehaviour(c.ctx, addr, target.Behaviour{Mode: target.Normal})
+		path := "http://" + c.run.deployment.targets[victim].Addr + "/mode"
+		return c.forAWhile(path, b, target.Behaviour{Mode: target.Normal})
+	}
+}
+
+// misbehave makes the log misbehave for a while.
+func misbehave(m logservice.Control) func(*chaos, int) error {
+	return func(c *chaos, _ int) error {
+		return c.forAWhile(c.run.deployment.logURL()+"/control", m, logservice.Control{Mode: logservice.Normal})
 	}
 }
 
-func setBehaviour(ctx context.Context, addr string, b target.Behaviour) error {
-	encoded, err := json.Marshal(b)
+// forAWhile posts one order to a stand-in and later the other.
+func (c *chaos) forAWhile(url string, begin, end any) error {
+	if err := post(c.ctx, url, begin); err != nil {
+		return err
+	}
+	pause(c.ctx, lasting())
+	return post(c.ctx, url, end)
+}
+
+func post(ctx context.Context, url string, body any) error {
+	encoded, err := json.Marshal(body)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/mode", bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(encoded))
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -191,7 +215,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return errors.Newf("POST /mode: HTTP status %d", response.StatusCode)
+		return errors.Newf("POST %s: HTTP status %d", url, response.StatusCode)
 	}
 	return nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,6 +72,7 @@
 		return err
 	}
 	verdict.judgeProcesses(f.fleet.Crashed(), f.fleet.Close())
+	verdict.Breaches = append(verdict.Breaches, run.operators.breaches...)
 	run.print(o.Out, verdict)
 	if len(verdict.Breaches) > 0 {
 		return ErrBroken
@@ -95,9 +97,12 @@
 
 // deployment is a running fleet.
 type deployment struct {
-	fleet   *localfleet.Fleet
+	fleet *localfleet.Fleet
+	log   *localfleet.Process
+	addrs []string // of the entries
+
+	mu      sync.Mutex // over the slices: ended processes are replaced in them
 	entries []*localfleet.Process
-	addrs   []string // of the entries
 	agents  []*localfleet.Process
 	targets []*localfleet.Process
 }
@@ -116,9 +121,11 @@
 }
 
 func (s *deployment) startAll(ctx context.Context, o Options) error {
-	if _, err := s.fleet.StartLog(ctx); err != nil {
+	log, err := s.fleet.StartLog(ctx)
+	if err != nil {
 		return err
 	}
+	s.log = log
 	for i := range o.entries() {
 		listen, err := localfleet.FreeAddr()
 		if err != nil {
@@ -127,7 +134,7 @@
 		if i == 0 && o.Listen != "" {
 			listen = o.Listen
 		}
-		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, s.entryAddrs())
+		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, s.entryAddrs(), "-log", s.logURL())
 		if err != nil {
 			return err
 		}
@@ -171,10 +178,13 @@
 // beside it still announces itself.
 func (s *deployment) restartAgent(ctx context.Context, i int) error {
 	agent, err := s.startAgent(ctx, i, s.agents[i].Addr)
-	if err == nil {
-		s.agents[i] = agent
+	if err != nil {
+		return err
 	}
-	return err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agents[i] = agent
+	return nil
 }
 
 // restartEntry starts a new entry at the ended one's address, as an operator does
@@ -187,13 +197,25 @@
 			peers = append(peers, addr)
 		}
 	}
-	entry, err := s.fleet.StartEntry(ctx, former.Name, former.Addr, peers)
-	if err == nil {
-		s.entries[i] = entry
+	entry, err := s.fleet.StartEntry(ctx, former.Name, former.Addr, peers, "-log", s.logURL())
+	if err != nil {
+		return err
 	}
-	return err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[i] = entry
+	return nil
 }
 
+// daemons returns the entries and agents that run now.
+func (s *deployment) daemons() []*localfleet.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(append([]*localfleet.Process(nil), s.entries...), s.agents...)
+}
+
+func (s *deployment) logURL() string { return "http://" + s.log.Addr }
+
 // entryAddrs returns the entries' addresses, which stay when entries are replaced.
 func (s *deployment) entryAddrs() []string { return s.addrs }
 
--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -17,6 +17,7 @@
 type run struct {
 	deployment *deployment
 	callers    *callers
+	operators  *operators
 	// disturbed says of each entry whether it was ended or frozen on purpose.
 	disturbed []atomic.Bool
 
@@ -40,9 +41,10 @@
 	}
 	defer callers.close()
 	r := &run{
-		deployment: s, callers: callers,
+		deployment: s, callers: callers, operators: newOperators(s),
 		disturbed: make([]atomic.Bool, len(s.entries)), injections: map[string]int{},
 	}
+	stopOperators := r.operators.start(ctx)
 	script := &steps{}
 	stop := func() error { return nil }
 	if o.Chaos {
@@ -53,6 +55,7 @@
 	err = r.submitAll(ctx, o, script)
 	err = errors.CombineErrors(err, stop())
 	callers.calls.Wait()
+	stopOperators()
 	if err == nil {
 		err = ctx.Err()
 	}
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -23,7 +23,11 @@
 	RuleAnswered     Rule = "answered"      // no answer by the deadline and its allowance
 	RuleNotRun       Rule = "not_run"       // an answer said "not run" of a task that was started
 	RuleCompleteRan  Rule = "complete_ran"  // a complete answer of a task that no target started
-	RuleProcesses    Rule = "processes"     // a process crashed or had to be killed
+	RuleOneWinner    Rule = "one_winner"    // two changes of the configuration on one base were both accepted
+	RuleConfigLate   Rule = "config_late"   // an accepted change is not in force everywhere in time
+	// RuleConfigReverts is broken by a process whose configuration goes back.
+	RuleConfigReverts Rule = "config_reverts"
+	RuleProcesses     Rule = "processes" // a process crashed or had to be killed
 )
 
 // Breach is one broken rule.
