Credits no longer circle between owners that hold tasks or are silent

Cause, two of a kind, both found by the random schedules (5000 frames of one moment). An owner whose waiting tasks are held for a faster target asked a slow one for credits, gave them back unused and asked again, in turn with another such owner. And an owner that owed a return and was silent counted as wanting credits, so that idle ones were called back from the others and went straight back to them. Ruled out: the evening of idle credits, which stops by itself. Change: after credits came back unused nothing is asked of that agent for 25 ms; an owner with a recall under way counts as wanting nothing.

--- a/internal/owner/board.go
+++ b/internal/owner/board.go
@@ -32,6 +32,7 @@
 	queuedMs  float64 // unfinished work of all live jobs
 	teams     map[string]*team
 	lastShed  time.Time
+	ticked    time.Time // time of the last tick
 	limiter   *quota.Limiter
 	estimator *estimation.Estimator
 	health    *health.Tracker
@@ -158,6 +159,7 @@
 	inUse                    job.Demand // by this owner's attempts
 	gap                      placement.CreditGap
 	demand                   wire.Demand // as last sent
+	declinedUntil            time.Time   // credits came back unused; none are asked for until then
 
 	out   wire.ToAgent
 	dirty bool
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -114,6 +114,7 @@
 	if c.started.IsZero() {
 		c.started = now
 	}
+	c.ticked = now
 	c.expire(now)
 	c.expireAgents(now)
 	c.shed(now)
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -1,11 +1,19 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
 const (
+	// declinePause is how long no credits are asked of an agent after some came back
+	// unused although tasks wait: those are held for faster targets. Two owners that
+	// hold tasks would otherwise ask for the same slot in turn and give it back, a
+	// message each round trip. Half of the shortest usual task loses little should
+	// the slot be wanted after all.
+	declinePause = 25 * time.Millisecond
 	// rankStepMs is the change of the best rank that is worth a message of its own.
 	// The rank decides between owners only; being 100 ms off costs a task of the
 	// lower rank at most about that much.
@@ -33,7 +41,7 @@
 
 func (c *Core) demandFor(a *agent, ranks map[string]int64) wire.Demand {
 	d := wire.Demand{Returned: a.returned}
-	if a.credits() > 0 {
+	if a.credits() > 0 || c.ticked.Before(a.declinedUntil) {
 		// What could start here has started; the rest waits for other targets. Asking
 		// for it here would keep the agent from giving the slots to other owners.
 		return d
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -169,6 +169,7 @@
 	a.granted = k.Total
 	if back := min(k.Recall, a.credits()); back > 0 {
 		a.returned += uint64(back)
+		a.declinedUntil = now.Add(declinePause)
 	}
 	return nil
 }
--- a/internal/scheduler/grants/grants_test.go
+++ b/internal/scheduler/grants/grants_test.go
@@ -165,6 +165,30 @@
 		Expect(f.entries[2].unspent()).To(BeNumerically(">=", 1))
 	})
 
+	// An entry that owes a return goes silent while tasks of its own wait. Credits
+	// called back for it from the others can't be given to it and go back to where
+	// they came from, a message each round trip until the session is found silent.
+	It("leaves idle credits alone while a silent entry owes a return", func() {
+		s := NewSharer()
+		s.SetSlots(2)
+		s.OwnerUp(1)
+		s.OwnerUp(2)
+		s.Changes(nil)
+		Expect(s.Demand(2, 3, 0, 0)).To(BeTrue())
+		s.Changes(nil)                            // owner 1 is asked for its credit and does not hear it
+		Expect(s.Demand(1, 3, 0, 0)).To(BeTrue()) // crossed the recall
+		Expect(s.Demand(2, 0, 0, 0)).To(BeTrue())
+		returned := uint64(0)
+		for range 100 {
+			for _, c := range s.Changes(nil) {
+				Expect(c.Owner).To(Equal(uint64(2)))
+				returned += uint64(c.Recall)
+				Expect(s.Demand(2, 0, 0, returned)).To(BeTrue())
+			}
+		}
+		Expect(returned).To(BeNumerically("<=", 1))
+	})
+
 	It("refuses a return or a start beyond what an owner holds", func() {
 		s := NewSharer()
 		s.OwnerUp(1)
--- a/internal/scheduler/grants/sharer.go
+++ b/internal/scheduler/grants/sharer.go
@@ -251,7 +251,12 @@
 	empty := false
 	for _, o := range s.owners {
 		pending += o.recalled
-		wanted += o.unmet()
+		if o.settled() {
+			// An owner with a recall under way is granted nothing. Calling credits back
+			// for it would only hand them to their holder again, round after round, for
+			// as long as the owner is silent.
+			wanted += o.unmet()
+		}
 		empty = empty || o.outstanding() == 0 && o.settled()
 	}
 	if over := -s.free() - pending; over > 0 {
