--- a/internal/fleet/callers_test.go
+++ b/internal/fleet/callers_test.go
@@ -60,7 +60,10 @@
 
 func (w *world) cancel(sub *submission, via *entry) {
 	w.request(sub, via, func() {
-		_ = sub.owner.core.Cancel(w.now, sub.sub.ID)
+		overtakes := !sub.owner.core.Knows(sub.sub.ID)
+		if err := sub.owner.core.Cancel(w.now, sub.sub.ID); err == nil && overtakes {
+			sub.notRun = true // cancelled before it came: it must never start
+		}
 	})
 }
 
--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -17,6 +17,8 @@
 // "not run" that ran, two answers that contradict each other, a complete answer
 // that is not whole or late, or a job that is never answered.
 func TestSchedules(t *testing.T) {
+	var total tally
+	defer func() { t.Logf("%+v", total) }()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 2, 3)
 		t.Repeat(map[string]func(*rapid.T){
@@ -45,9 +47,31 @@
 			"drain":      w.drawDrain,
 		})
 		w.settle()
+		total.add(w)
 	})
 }
 
+// tally counts what a run went through.
+type tally struct{ Schedules, Jobs, Accepted, Starts, Answers, Refusals, Kills, Freezes, Cuts, Closes, Leaves int }
+
+func (s *tally) add(w *world) {
+	s.Schedules++
+	s.Jobs += len(w.subs)
+	s.Starts += len(w.starts)
+	for _, sub := range w.subs {
+		if sub.accepted {
+			s.Accepted++
+		}
+		s.Answers += len(sub.finals)
+		s.Refusals += len(sub.faults)
+	}
+	s.Kills += w.faults.Kills
+	s.Freezes += w.faults.Freezes
+	s.Cuts += w.faults.Cuts
+	s.Closes += w.faults.Closes
+	s.Leaves += w.faults.Leaves
+}
+
 func (w *world) anyEntry(t *rapid.T) *entry { return rapid.SampledFrom(w.entries).Draw(t, "entry") }
 func (w *world) anyAgent(t *rapid.T) *agent { return rapid.SampledFrom(w.agents).Draw(t, "agent") }
 
@@ -70,6 +94,10 @@
 	idempotent := tasks == 1 && rapid.Bool().Draw(t, "idempotent")
 	timeout := time.Duration(rapid.IntRange(50, 4000).Draw(t, "timeout")) * time.Millisecond
 	sub := w.newSubmission(w.anyEntry(t), tasks, timeout, idempotent)
+	sub.sub.Tasks[0].Demand.MemoryMB = rapid.SampledFrom([]int{0, 0, 0, 3, 6}).Draw(t, "memory")
+	if rapid.IntRange(0, 9).Draw(t, "cancelFirst") == 0 {
+		w.cancel(sub, w.anyEntry(t))
+	}
 	w.submit(sub, w.anyEntry(t), rapid.Bool().Draw(t, "lost"))
 }
 
@@ -143,12 +171,14 @@
 }
 
 func (w *world) drawCut(t *rapid.T) {
+	w.faults.Cuts++
 	l := w.anyLink(t)
 	l.cutEntry = rapid.Bool().Draw(t, "toEntry")
 	l.cutAgent = rapid.Bool().Draw(t, "toAgent")
 }
 
 func (w *world) drawClose(t *rapid.T) {
+	w.faults.Closes++
 	l := w.anyLink(t)
 	if rapid.Bool().Draw(t, "entrySide") {
 		w.closeEntrySide(l)
@@ -166,6 +196,7 @@
 }
 
 func (w *world) drawFreeze(t *rapid.T) {
+	w.faults.Freezes++
 	if rapid.Bool().Draw(t, "anEntry") {
 		w.anyEntry(t).frozen = true
 	} else {
@@ -201,6 +232,7 @@
 	if rapid.IntRange(0, 2).Draw(t, "really") > 0 {
 		t.Skip("a killed process forgets, so it is rarer than the rest")
 	}
+	w.faults.Kills++
 	if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
 		w.startEntry(w.anyEntry(t).slot)
 	} else {
@@ -209,6 +241,7 @@
 }
 
 func (w *world) drawLeave(t *rapid.T) {
+	w.faults.Leaves++
 	a := w.anyAgent(t)
 	a.target.Leaving = rapid.Bool().Draw(t, "leaving")
 	switch {
@@ -217,6 +250,7 @@
 	case a.leftAt.IsZero():
 		a.leftAt = w.now
 	}
+	a.target.Capacity.MemoryMB = rapid.SampledFrom([]int{4, 4, 8}).Draw(t, "memory")
 	a.target.Down = rapid.IntRange(0, 3).Draw(t, "down") == 0
 	a.table.SetTarget(w.now, a.target)
 	a.table.Flush()
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -48,6 +48,7 @@
 	subs   []*submission
 	byID   map[string]*submission
 	starts map[string]int // "job/task" -> starts at targets
+	faults tally
 }
 
 // entry is one process of an entry; a restart replaces it.
@@ -121,6 +122,7 @@
 		}
 	}
 	w.deliverAll()
+	w.advance(5 * time.Second) // past the time in which an entry waits for its agents
 	return w
 }
 
@@ -142,7 +144,7 @@
 
 func (w *world) startAgent(slot int) {
 	a := &agent{w: w, slot: slot, incarnation: job.Incarnation(2000 + w.nextID())}
-	a.target = wire.Target{Name: fmt.Sprintf("target-%d", slot), Slots: 2, Speed: float64(slot + 1)}
+	a.target = wire.Target{Name: fmt.Sprintf("target-%d", slot), Slots: 2, Speed: float64(slot + 1), Capacity: job.Demand{MemoryMB: 4}}
 	a.table = attempt.New(attempt.Options{Incarnation: a.incarnation, Log: logr.Discard(), Outbox: a})
 	a.table.SetTarget(w.now, a.target)
 	w.agents[slot] = a
