Agent: silent target connections and dead targets found early; one report a connection

Cause: an open connection to the target that something between the two has forgotten held its call until the deadline; a target that had just died was sent task after task until its silence showed; a reconnected owner got every unacked result twice, once repeated and once as the answer to its query.

Ruled out: a heartbeat on the connection (HTTP/1 has none) and a limit on run time (a long task is no silent connection).

Change: TCP_USER_TIMEOUT and keep-alives break such a connection, the outcome is unknown and the next call takes a new one; a target that accepts no connection is down until it announces itself again; a final report goes out once a connection.

--- a/internal/agent/caller.go
+++ b/internal/agent/caller.go
@@ -9,8 +9,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
 	"github.com/camphorrack/camphorrack/internal/attempt"
 	"github.com/camphorrack/camphorrack/internal/targetapi"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -20,6 +24,14 @@
 	// dialTimeout bounds connecting to the target, which is on the same host or
 	// next to it. Nothing was sent by then, so the task may go elsewhere.
 	dialTimeout = time.Second
+	// A connection whose middle has lost track of it takes a request and never
+	// brings an answer, while new ones work. HTTP/1 has no heartbeat of its own, so
+	// the kernel is asked to notice: data not acknowledged for unackedTimeout, or
+	// three keep-alives in a row without an answer, break the connection. A caller
+	// then learns in seconds that the outcome is unknown, not at the deadline.
+	unackedTimeout    = 1500 * time.Millisecond
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
 	// maxResultBytes caps a task's result: a job of 290 such results still fits
 	// in an entry's memory, and one fits in a frame beside others.
 	maxResultBytes = 1 << 20
@@ -35,7 +47,13 @@
 }
 
 func newCaller(address string, connections int) *caller {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		Control: limitUnacked,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
 	return &caller{url: "http://" + address + targetapi.RunPath, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
@@ -58,30 +76,51 @@
 	return p
 }
 
+// limitUnacked sets how long sent data may stay unacknowledged.
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(failure, err)
+}
+
+// callResult is how a call ended.
+type callResult struct {
+	attempt.Outcome
+	// unreachable says that the target took no connection, although nobody
+	// cancelled the call.
+	unreachable bool
+}
+
 // call runs a task on the target and returns how that ended. Cancelling ctx
 // closes the connection.
-func (c *caller) call(ctx context.Context, s *wire.Start) attempt.Outcome {
+func (c *caller) call(ctx context.Context, s *wire.Start) callResult {
 	began := time.Now()
 	out := c.exchange(ctx, s)
 	out.RunMs = float64(time.Since(began).Microseconds()) / 1000
 	return out
 }
 
-func (c *caller) exchange(ctx context.Context, s *wire.Start) attempt.Outcome {
+func (c *caller) exchange(ctx context.Context, s *wire.Start) callResult {
 	var p proof
 	request, err := c.request(httptrace.WithClientTrace(ctx, p.trace()), s)
 	if err != nil {
-		return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonTarget, Detail: err.Error()}
+		return callResult{Outcome: notRun(err)}
 	}
 	response, err := c.transport.RoundTrip(request)
 	if err != nil && p.nothingWritten() {
-		return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonTarget, Detail: err.Error()}
+		return callResult{Outcome: notRun(err), unreachable: p.gotNone() && ctx.Err() == nil}
 	}
 	if err != nil {
-		return attempt.Outcome{State: wire.Unknown, Detail: err.Error()}
+		return callResult{Outcome: attempt.Outcome{State: wire.Unknown, Detail: err.Error()}}
 	}
 	defer func() { _ = response.Body.Close() }() // nothing is left to be learned from it
-	return read(response)
+	return callResult{Outcome: read(response)}
+}
+
+func notRun(err error) attempt.Outcome {
+	return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonTarget, Detail: err.Error()}
 }
 
 // request makes a request that can be sent only once. GetBody stays unset: with it
--- a/internal/agent/proof.go
+++ b/internal/agent/proof.go
@@ -55,10 +55,11 @@
 // counted, and after a failure the connection is sealed: the transport writes in
 // another goroutine, which could still begin after the judgement.
 type proof struct {
-	mu      sync.Mutex
-	conn    *countedConn
-	mark    uint64
-	written bool
+	mu        sync.Mutex
+	connected bool
+	conn      *countedConn
+	mark      uint64
+	written   bool
 }
 
 func (p *proof) trace() *httptrace.ClientTrace {
@@ -69,6 +70,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.judge()
+	p.connected = true
 	counted, ok := conn.(*countedConn)
 	if !ok {
 		p.written = true // can't be told, so assume the worse
@@ -92,3 +94,10 @@
 	p.judge()
 	return !p.written
 }
+
+// gotNone reports whether the call never had a connection.
+func (p *proof) gotNone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.connected
+}
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -12,15 +12,15 @@
 func (a *Agent) runTask(ctx context.Context, c *caller, k attempt.Key, s wire.Start) {
 	out := a.callInTime(ctx, c, &s)
 	// The error means that the process ends, and the state with it.
-	_ = a.control.push(func(now time.Time, st *state) { st.finished(now, k, out) })
+	_ = a.control.push(func(now time.Time, st *state) { st.finished(now, k, c, out) })
 }
 
 // callInTime looks at the deadline once more. This goroutine may begin long after
 // the decision, when the host was paused in between; the task's caller has been
 // told by then that it failed, and an effect so late would only surprise.
-func (a *Agent) callInTime(ctx context.Context, c *caller, s *wire.Start) attempt.Outcome {
+func (a *Agent) callInTime(ctx context.Context, c *caller, s *wire.Start) callResult {
 	if a.clock.Now().UnixMilli() >= s.DeadlineMs {
-		return attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonLate}
+		return callResult{Outcome: attempt.Outcome{State: wire.NotRun, Reason: wire.ReasonLate}}
 	}
 	return c.call(ctx, s)
 }
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -76,17 +76,32 @@
 	}
 }
 
-func (s *state) finished(now time.Time, k attempt.Key, out attempt.Outcome) {
+func (s *state) finished(now time.Time, k attempt.Key, c *caller, out callResult) {
 	if cancel := s.calls[k]; cancel != nil {
 		cancel() // frees the context
 		delete(s.calls, k)
 	}
-	s.metrics.outcome(out)
+	s.metrics.outcome(out.Outcome)
 	if out.State != wire.Succeeded {
 		event.Log(s.log.V(1), event.TargetFailed, "owner", k.Owner.String(), "attempt", k.Seq,
 			"state", int(out.State), "run_ms", out.RunMs, "detail", out.Detail)
 	}
-	s.table.Finished(now, k, out)
+	if out.unreachable && c == s.caller {
+		s.suspect(now)
+	}
+	s.table.Finished(now, k, out.Outcome)
+}
+
+// suspect takes a target that accepts no connection out of service until it
+// announces itself again. Without this, a target that has just died would be sent
+// task after task, each turned back at once, until its silence shows.
+func (s *state) suspect(now time.Time) {
+	if s.silent {
+		return
+	}
+	s.silent = true
+	event.Log(s.log, event.TargetSilent, "target", s.announced.Name, "reason", "accepts no connection")
+	s.tellTarget(now)
 }
 
 // tick does what the passing of time brings about.
--- a/internal/attempt/board.go
+++ b/internal/attempt/board.go
@@ -20,6 +20,7 @@
 	cancelled bool
 	forget    bool // settled while it still ran: nobody asks for its report
 	demand    job.Demand
+	sentOn    ConnID // connection that carries the final report already
 	deadline  time.Time
 	start     *wire.Start // only while Waiting
 	result    []byte
--- a/internal/attempt/reporter.go
+++ b/internal/attempt/reporter.go
@@ -13,11 +13,19 @@
 // reporter gathers what owners must hear and sends it in as few frames as it can.
 type reporter struct{ *board }
 
-// report queues an attempt's state for its owner, if that is connected.
+// report queues an attempt's state for its owner, if that is connected. A final
+// report goes out once a connection: what is under way there arrives, or the
+// connection breaks. A reconnected owner's query would else double every result.
 func (r reporter) report(o *owner, seq uint64, a *attempt) {
 	if o.conn == 0 {
 		return
 	}
+	if a.state.Final() && !a.isTombstone() {
+		if a.sentOn == o.conn {
+			return
+		}
+		a.sentOn = o.conn
+	}
 	o.reports = append(o.reports, wire.Report{
 		Seq: seq, State: a.state, Reason: a.reason, Result: a.result, Detail: a.detail, RunMs: a.runMs,
 	})
--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -142,7 +142,9 @@
 		table.Disconnect(epoch, 1)
 		table.Finished(epoch, attempt.Key{Owner: ownerA, Seq: 1}, succeeded)
 		connect(2, ownerA)
+		receive(2, &wire.ToAgent{Queries: []uint64{1}})
 		Expect(out.report(2, 1).Result).To(Equal([]byte("r")))
+		Expect(out.frames[2]).To(HaveLen(1), "the result goes out once a connection")
 		table.Disconnect(epoch, 2)
 
 		late := epoch.Add(time.Minute)
