--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"github.com/camphorrack/camphorrack/internal/forward"
 	"github.com/camphorrack/camphorrack/internal/invariant"
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
@@ -101,9 +103,14 @@
 			options: session.Options{Counters: metrics.sessions},
 		},
 	}
+	e.api.config = newConfiguration(e)
+	e.api.agents.config = e.api.config
+	metrics.config(e.api.config.holder)
 	e.server = &http.Server{
 		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.o.MaxTimeout + writeSlack,
+		// What the library would print to stderr as plain text is for debugging only.
+		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
 	}
 	return nil
 }
@@ -114,6 +121,7 @@
 // Start serves until Stop.
 func (e *Entry) Start() {
 	go e.control.run()
+	e.api.config.start(e.control)
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -16,12 +16,18 @@
 import "time"
 
 const (
-	// SoftQueue is how long the queue may take to work off before teams above
-	// their fair share are refused. It must cover the spread of task times, or
-	// slots run dry while work is refused.
-	SoftQueue = 1500 * time.Millisecond
-	// HardQueue is how long the queue may take to work off at most.
-	HardQueue = 3 * time.Second
+	// softShare and hardShare bound how long the queue may take to work off, as a
+	// share of the time that the job at the door has. Jobs that come later and rank
+	// before it can double the wait of a large job, and its own run comes on top.
+	// Above the soft bound, teams above their fair share are refused; above the
+	// hard one, everybody.
+	softShare = 0.2
+	hardShare = 0.4
+	// SoftQueue and HardQueue bound the same for jobs with much time. At 0.95 of
+	// capacity queues of several seconds come up by chance and go away again, and
+	// small jobs pass them; work refused for them would be missing afterwards.
+	SoftQueue = 10 * time.Second
+	HardQueue = 20 * time.Second
 	// OvertakeFactor allows for jobs that will come later and go first.
 	OvertakeFactor = 1.5
 	// MinRetry and MaxRetry bound the time to come back: below, the refusals
@@ -30,6 +36,25 @@
 	MaxRetry = 30 * time.Second
 )
 
+// Limits are what operators may set; a zero field takes the constant above.
+type Limits struct {
+	SoftQueue, HardQueue time.Duration
+	OvertakeFactor       float64
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.SoftQueue == 0 {
+		l.SoftQueue = SoftQueue
+	}
+	if l.HardQueue == 0 {
+		l.HardQueue = HardQueue
+	}
+	if l.OvertakeFactor == 0 {
+		l.OvertakeFactor = OvertakeFactor
+	}
+	return l
+}
+
 // View is the state of the owner and the job at the door. Work is in
 // milliseconds at speed 1.
 type View struct {
@@ -45,6 +70,8 @@
 
 	TeamQueuedMs float64 // part of QueuedMs that is of the job's team
 	Teams        int     // teams with work queued, the job's own included
+
+	Limits Limits
 }
 
 // Reason says why a job was refused.
@@ -74,6 +101,7 @@
 
 // Decide lets the job in or turns it away.
 func Decide(v View) Decision {
+	v.Limits = v.Limits.withDefaults()
 	if v.MaxJobs > 0 && v.Jobs >= v.MaxJobs {
 		return refuse(TableFull, drain(v, v.QueuedMs/4))
 	}
@@ -86,18 +114,29 @@
 		}
 	}
 	queue := drain(v, v.QueuedMs)
-	if queue > HardQueue {
-		return refuse(QueueFull, queue-SoftQueue)
+	soft, hard := v.queues()
+	if queue > hard {
+		return refuse(QueueFull, queue-soft)
 	}
-	if queue > SoftQueue && aboveShare(v) {
-		return refuse(TeamShare, queue-SoftQueue)
+	if queue > soft && aboveShare(v) {
+		return refuse(TeamShare, queue-soft)
 	}
 	return Decision{Admit: true}
 }
 
+// queues returns how long the queue may be for a job with so much time left.
+func (v View) queues() (soft, hard time.Duration) {
+	soft, hard = v.Limits.SoftQueue, v.Limits.HardQueue
+	if v.DeadlineIn > 0 {
+		soft = min(soft, time.Duration(softShare*float64(v.DeadlineIn)))
+		hard = min(hard, time.Duration(hardShare*float64(v.DeadlineIn)))
+	}
+	return soft, hard
+}
+
 // expected is the time until the job would be done.
 func expected(v View) time.Duration {
-	wait := drain(v, v.AheadMs*OvertakeFactor)
+	wait := drain(v, v.AheadMs*v.Limits.OvertakeFactor)
 	own := drain(v, v.RemainingMs)
 	if v.FastestSpeed > 0 {
 		own = max(own, time.Duration(v.LongestMs/v.FastestSpeed*float64(time.Millisecond)))
