Entry: no complete answer is written past the deadline

Change: both places that write a complete answer look at their own clock first and say answer_expired past the deadline.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -216,6 +218,26 @@
 		Expect(agent.startCounts()).To(BeEmpty())
 	})
 
+	// The owner, or the path to it, is paused, and its answer "complete" reaches the
+	// forwarding entry after the deadline. Another entry may have told a caller that
+	// the outcome is unknown by then.
+	It("is not quoted with a complete answer past the deadline", func() {
+		e := startEntry(GinkgoT())
+		var self job.Owner
+		slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(200 * time.Millisecond)
+			w.Header().Set(forward.HeaderIncarnation, self.Incarnation.String())
+			_, _ = w.Write([]byte(`{"state":"complete"}`))
+		}))
+		DeferCleanup(slow.Close)
+		self = job.Owner{Incarnation: 7, Addr: netip.MustParseAddrPort(slow.Listener.Addr().String())}
+		token := self.Token(job.Key(testKey))
+		late := call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(token, 100*time.Millisecond, "late"), "p"))
+		Expect(late).To(haveFailure(fault.AnswerExpired, false))
+		early := call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(token, time.Minute, "early"), "p"))
+		Expect(early.State).To(Equal(job.Complete))
+	})
+
 	// Two entries are configured with each other's address, or an address moved. A
 	// request that went round between them would take both down.
 	It("is not sought by a request that was forwarded already", func() {
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -172,8 +172,24 @@
 	return job.Answer{}, false
 }
 
+// late reports whether a complete answer must no longer be given, by this entry's
+// own clock. The process may have been paused between the job's end and the
+// writing of the answer; meanwhile another entry that could not reach the owner may
+// have told a caller that the outcome is unknown. It does so forward.ClockAllowance
+// past the deadline, and no entry gives a complete answer past the deadline, so
+// callers never get both.
+func (a *api) late(id job.ID) bool { return !a.clock.Now().Before(id.Deadline) }
+
+func errLate() *fault.Fault {
+	return fault.New(fault.AnswerExpired, "the job ended, and its results are not given after the deadline")
+}
+
 // deliver writes an answer and notes whether its caller will come back for it.
 func (a *api) deliver(g *gin.Context, id job.ID, answer job.Answer) {
+	if answer.State == job.Complete && a.late(id) {
+		writeFault(g, id.String(), errLate())
+		return
+	}
 	written := writeAnswer(g, answer) && g.Request.Context().Err() == nil
 	if written && answer.Final() {
 		a.unclaimed.claimed(id.String())
@@ -196,7 +212,7 @@
 // untilAnswered is the wait of a caller who named none: the owner gives the final
 // answer by the deadline.
 func (a *api) untilAnswered(id job.ID) time.Duration {
-	return max(id.Deadline.Sub(a.clock.Now()), 0) + waitSlack
+	return min(max(id.Deadline.Sub(a.clock.Now()), 0), maxWait) + waitSlack
 }
 
 func (a *api) readBody(g *gin.Context) ([]byte, error) {
@@ -227,6 +243,10 @@
 		writeFault(g, id.String(), err)
 		return
 	}
+	if r.Waits && reply.Status == http.StatusOK && a.late(id) {
+		writeFault(g, id.String(), errLate())
+		return
+	}
 	writeReply(g, reply)
 }
 
