--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -46,6 +46,9 @@
 	// CalledOff counts starts of jobs that their callers cancelled: part of the
 	// wasted starts that no dispatcher could have avoided.
 	CalledOff int
+	// LateUnknown counts callers who learned "outcome unknown" after another got the
+	// answer of an owner that was ended or frozen since.
+	LateUnknown int
 	// Failures counts failed and refused jobs by the name of their fault.
 	Failures map[string]int
 	Breaches []Breach
@@ -71,12 +74,13 @@
 
 // judge compares what callers saw with what targets counted. fastest is the speed
 // of the fastest target.
-func judge(all []*observed, counted starts, fastest float64) *Verdict {
+// Of an entry that was disturbed, "outcome unknown" may follow its own answer.
+func judge(all []*observed, counted starts, fastest float64, disturbed func(owner int) bool) *Verdict {
 	v := &Verdict{Jobs: len(all), Starts: counted.total(), Failures: map[string]int{}}
 	var ratios []float64
 	for _, o := range all {
 		v.judgeStarts(o, counted)
-		answer := v.judgeAnswers(o)
+		answer := v.judgeAnswers(o, disturbed(o.plan.owner))
 		if answer == nil {
 			v.Unanswered++
 			continue
@@ -106,10 +110,10 @@
 }
 
 func (v *Verdict) judgeStarts(o *observed, counted starts) {
-	if o.order.submission.Idempotent {
+	if o.plan.submission.Idempotent {
 		return // may run again where its outcome is unknown
 	}
-	for i := range o.order.submission.Tasks {
+	for i := range o.plan.submission.Tasks {
 		if n := counted[taskKey(o.id, i)]; n > 1 {
 			v.StartedTwice++
 			v.breach(RuleStartedTwice, o.id, "task %d was started %d times", i, n)
@@ -118,9 +122,10 @@
 }
 
 // judgeAnswers returns the one answer, or nil where a caller got none.
-func (v *Verdict) judgeAnswers(o *observed) *job.Answer {
+func (v *Verdict) judgeAnswers(o *observed, disturbed bool) *job.Answer {
+	outcomes := o.inOrder()
 	var first *job.Answer
-	for _, s := range o.sightings {
+	for _, s := range outcomes {
 		if expired(s) {
 			continue
 		}
@@ -131,6 +136,10 @@
 		if first == nil {
 			first = s.answer
 		}
+		if disturbed && follows(first, s.answer) {
+			v.LateUnknown++
+			continue
+		}
 		if !same(first, s.answer) {
 			v.breach(RuleOneAnswer, o.id, "%s and, through entry %d, %s", describe(first), s.entry+1, describe(s.answer))
 		}
@@ -141,9 +150,24 @@
 	return first
 }
 
+// follows reports whether two different answers go together although they differ:
+// the owner answered one caller and then was lost, so that later ones learn that
+// the outcome is unknown; or one learned that first, and the owner that came back
+// said how the job failed. A complete answer never follows an unknown outcome.
+func follows(first, later *job.Answer) bool {
+	if same(first, later) {
+		return false
+	}
+	return unknown(later) || unknown(first) && later.State == job.Failed
+}
+
+func unknown(a *job.Answer) bool {
+	return a.Failure != nil && (a.Failure.Code == fault.OwnerGone || a.Failure.Code == fault.OutcomeUnknown)
+}
+
 // expired reports whether a call came so late that the answer is no longer held.
 // It contradicts no answer; but one caller must have got that answer.
-func expired(s sighting) bool {
+func expired(s outcome) bool {
 	return s.answer == nil && errors.Is(s.err, &fault.Fault{Code: fault.AnswerExpired})
 }
 
@@ -153,7 +177,7 @@
 		return
 	}
 	cancelled := a.Failure != nil && a.Failure.Code == fault.Cancelled
-	for i := range o.order.submission.Tasks {
+	for i := range o.plan.submission.Tasks {
 		n := counted[taskKey(o.id, i)]
 		if cancelled {
 			v.CalledOff += n
@@ -165,13 +189,13 @@
 }
 
 func (v *Verdict) judgeComplete(o *observed, a *job.Answer, counted starts) {
-	tasks := len(o.order.submission.Tasks)
+	tasks := len(o.plan.submission.Tasks)
 	if len(a.Results) != tasks {
 		v.breach(RuleWhole, o.id, "%d results for %d tasks", len(a.Results), tasks)
 		return
 	}
 	for i, result := range a.Results {
-		if want := echoOf(o.order.unique, i); string(result) != want {
+		if want := echoOf(o.plan.unique, i); string(result) != want {
 			v.breach(RuleWhole, o.id, "task %d returned %q and not %q", i, result, want)
 		}
 		if counted[taskKey(o.id, i)] == 0 {
@@ -203,9 +227,9 @@
 // ratio is the first caller's response over the ideal: the longest task on the
 // fastest target, with no wait.
 func ratio(o *observed, fastest float64) float64 {
-	ideal := float64(o.order.longestMs) * float64(time.Millisecond) / fastest
-	for _, s := range o.sightings {
-		if s.entry == o.order.entry && s.response > 0 {
+	ideal := float64(o.plan.longestMs) * float64(time.Millisecond) / fastest
+	for _, s := range o.outcomes {
+		if s.entry == o.plan.entry && s.response > 0 {
 			return float64(s.response) / ideal
 		}
 	}
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -36,6 +36,25 @@
 	MaxRetry = 30 * time.Second
 )
 
+// Limits are what operators may set; a zero field takes the constant above.
+type Limits struct {
+	SoftQueue, HardQueue time.Duration
+	OvertakeFactor       float64
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.SoftQueue == 0 {
+		l.SoftQueue = SoftQueue
+	}
+	if l.HardQueue == 0 {
+		l.HardQueue = HardQueue
+	}
+	if l.OvertakeFactor == 0 {
+		l.OvertakeFactor = OvertakeFactor
+	}
+	return l
+}
+
 // View is the state of the owner and the job at the door. Work is in
 // milliseconds at speed 1.
 type View struct {
@@ -51,6 +70,8 @@
 
 	TeamQueuedMs float64 // part of QueuedMs that is of the job's team
 	Teams        int     // teams with work queued, the job's own included
+
+	Limits Limits
 }
 
 // Reason says why a job was refused.
@@ -80,6 +101,7 @@
 
 // Decide lets the job in or turns it away.
 func Decide(v View) Decision {
+	v.Limits = v.Limits.withDefaults()
 	if v.MaxJobs > 0 && v.Jobs >= v.MaxJobs {
 		return refuse(TableFull, drain(v, v.QueuedMs/4))
 	}
@@ -92,7 +114,7 @@
 		}
 	}
 	queue := drain(v, v.QueuedMs)
-	soft, hard := limits(v.DeadlineIn)
+	soft, hard := v.queues()
 	if queue > hard {
 		return refuse(QueueFull, queue-soft)
 	}
@@ -102,19 +124,19 @@
 	return Decision{Admit: true}
 }
 
-// limits returns how long the queue may be for a job with so much time left.
-func limits(deadlineIn time.Duration) (soft, hard time.Duration) {
-	if deadlineIn <= 0 {
-		return SoftQueue, HardQueue
+// queues returns how long the queue may be for a job with so much time left.
+func (v View) queues() (soft, hard time.Duration) {
+	soft, hard = v.Limits.SoftQueue, v.Limits.HardQueue
+	if v.DeadlineIn > 0 {
+		soft = min(soft, time.Duration(softShare*float64(v.DeadlineIn)))
+		hard = min(hard, time.Duration(hardShare*float64(v.DeadlineIn)))
 	}
-	soft = min(SoftQueue, time.Duration(softShare*float64(deadlineIn)))
-	hard = min(HardQueue, time.Duration(hardShare*float64(deadlineIn)))
 	return soft, hard
 }
 
 // expected is the time until the job would be done.
 func expected(v View) time.Duration {
-	wait := drain(v, v.AheadMs*OvertakeFactor)
+	wait := drain(v, v.AheadMs*v.Limits.OvertakeFactor)
 	own := drain(v, v.RemainingMs)
 	if v.FastestSpeed > 0 {
 		own = max(own, time.Duration(v.LongestMs/v.FastestSpeed*float64(time.Millisecond)))
