--- a/internal/attempt/random_test.go
+++ b/internal/attempt/random_test.go
@@ -9,8 +9,6 @@
 
 	"pgregory.net/rapid"
 
-	_ "github.com/camphorrack/camphorrack/internal/fixedseed"
-
 	"github.com/camphorrack/camphorrack/internal/attempt"
 	"github.com/camphorrack/camphorrack/internal/invariant"
 	"github.com/camphorrack/camphorrack/internal/job"
--- a/internal/config/schedule_test.go
+++ b/internal/config/schedule_test.go
@@ -13,8 +13,6 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	_ "github.com/camphorrack/camphorrack/internal/fixedseed"
-
 	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/config/follower"
--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -6,8 +6,6 @@
 
 	"pgregory.net/rapid"
 
-	_ "github.com/camphorrack/camphorrack/internal/fixedseed"
-
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
--- a/internal/scheduler/grants/grants_test.go
+++ b/internal/scheduler/grants/grants_test.go
@@ -6,8 +6,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
-
-	_ "github.com/camphorrack/camphorrack/internal/fixedseed"
 )
 
 func TestGrants(t *testing.T) {
