--- a/internal/attempt/random_test.go
+++ b/internal/attempt/random_test.go
@@ -55,6 +55,7 @@
 	t      *rapid.T
 	table  *attempt.Table
 	now    time.Time
+	policy attempt.Policy
 	slots  int
 	pipes  map[attempt.ConnID]*pipe
 	owners []*fakeOwner
@@ -67,7 +68,8 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: epoch, pipes: map[attempt.ConnID]*pipe{}, began: map[attempt.Key]bool{}}
 	w.slots = rapid.IntRange(1, 5).Draw(t, "slots")
-	w.table = newTable(w, attempt.Grants, w.slots)
+	w.policy = rapid.SampledFrom([]attempt.Policy{attempt.Grants, attempt.Push}).Draw(t, "policy")
+	w.table = newTable(w, w.policy, w.slots)
 	for range rapid.IntRange(1, 3).Draw(t, "owners") {
 		w.owners = append(w.owners, w.newOwner())
 	}
@@ -127,12 +129,14 @@
 	f := &wire.ToAgent{Demand: &wire.Demand{
 		Waiting: rapid.IntRange(0, 4).Draw(t, "waiting"), RankMs: int64(rapid.IntRange(0, 3).Draw(t, "rank")), Returned: o.returned,
 	}}
-	for o.credits() > 0 && rapid.Bool().Draw(t, "another") {
+	for (w.policy == attempt.Push || o.credits() > 0) && rapid.Bool().Draw(t, "another") {
 		s := start(o.nextSeq)
 		s.DeadlineMs = w.now.Add(time.Duration(rapid.SampledFrom([]int{9000, 900, 90, 0}).Draw(t, "deadline")) * time.Millisecond).UnixMilli()
 		o.open[o.nextSeq] = true
 		o.nextSeq++
-		o.spent++
+		if w.policy == attempt.Grants {
+			o.spent++
+		}
 		f.Starts = append(f.Starts, s)
 	}
 	if o.conn != 0 {
@@ -288,12 +292,14 @@
 	for _, o := range w.owners {
 		w.dial(o)
 	}
-	for _, k := range w.active {
-		w.table.Finished(w.now, k, attempt.Outcome{State: wire.Succeeded})
-	}
-	w.active = nil
 	for busy := true; busy; {
-		busy = false
+		busy = len(w.active) > 0
+		for len(w.active) > 0 {
+			k := w.active[0]
+			w.active = w.active[1:]
+			w.table.Finished(w.now, k, attempt.Outcome{State: wire.Succeeded})
+			w.table.Flush()
+		}
 		for _, id := range slices.Sorted(maps.Keys(w.pipes)) {
 			for p := w.pipes[id]; len(p.toAgent) > 0 || len(p.toOwner) > 0; busy = true {
 				if len(p.toAgent) > 0 {
@@ -321,7 +327,7 @@
 		})
 		w.calm()
 		s := w.table.Status()
-		if s.Running != 0 || s.Unspent != w.slots {
+		if s.Running != 0 || s.Waiting != 0 || w.policy == attempt.Grants && s.Unspent != w.slots {
 			t.Fatalf("slots lost: %+v", s)
 		}
 		for _, o := range w.owners {
