--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -7,8 +7,6 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/camphorrack/camphorrack/internal/fault"
-	"github.com/camphorrack/camphorrack/internal/forward"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 )
@@ -127,61 +125,6 @@
 	})
 }
 
-// await asks the control state for an answer and writes what comes of it.
-func (a *api) await(g *gin.Context, id job.ID, wait time.Duration,
-	ask func(time.Time, core, owner.Waiter) (func(), error),
-) {
-	answers := make(chan job.Answer, 1) // the waiter never blocks
-	var stop func()
-	var refusal error
-	err := a.control.do(func(now time.Time, c core) {
-		stop, refusal = ask(now, c, func(answer job.Answer) { answers <- answer })
-	})
-	if err == nil {
-		err = refusal
-	}
-	if err != nil {
-		writeFault(g, id.String(), err)
-		return
-	}
-	answer, ok := receive(g, answers, wait)
-	if !ok {
-		// Where there is no room for this command, the waiter stays until the job
-		// ends; the job itself goes on in any case.
-		_ = a.control.post(func(time.Time, core) { stop() })
-		answer = job.Answer{ID: id.String(), State: job.Pending}
-	}
-	a.deliver(g, id, answer)
-}
-
-// receive waits for the answer until the wait is over or the caller is gone.
-func receive(g *gin.Context, answers <-chan job.Answer, wait time.Duration) (job.Answer, bool) {
-	select {
-	case answer := <-answers:
-		return answer, true
-	default:
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case answer := <-answers:
-		return answer, true
-	case <-timer.C:
-	case <-g.Request.Context().Done():
-	}
-	return job.Answer{}, false
-}
-
-// deliver writes an answer and notes whether its caller will come back for it.
-func (a *api) deliver(g *gin.Context, id job.ID, answer job.Answer) {
-	written := writeAnswer(g, answer) && g.Request.Context().Err() == nil
-	if written && answer.Final() {
-		a.unclaimed.claimed(id.String())
-		return
-	}
-	a.unclaimed.add(a.clock.Now(), id.String(), id.Deadline)
-}
-
 // identify parses a submission's id, or makes one where the caller left it out.
 func (a *api) identify(text string) (job.ID, error) {
 	if text != "" {
@@ -196,7 +139,7 @@
 // untilAnswered is the wait of a caller who named none: the owner gives the final
 // answer by the deadline.
 func (a *api) untilAnswered(id job.ID) time.Duration {
-	return max(id.Deadline.Sub(a.clock.Now()), 0) + waitSlack
+	return min(max(id.Deadline.Sub(a.clock.Now()), 0), maxWait) + waitSlack
 }
 
 func (a *api) readBody(g *gin.Context) ([]byte, error) {
@@ -207,37 +150,3 @@
 	_ = controller.SetReadDeadline(time.Time{})
 	return body, err
 }
-
-// request describes this request for its owner.
-func (a *api) request(g *gin.Context, id job.ID, body []byte, wait time.Duration) forward.Request {
-	return forward.Request{
-		Owner: id.Owner, ID: id.String(), Deadline: id.Deadline,
-		Method: g.Request.Method, Path: g.Request.URL.Path, Body: body, Wait: wait, Waits: true,
-	}
-}
-
-// pass sends a request on to the owner of its id and writes the owner's reply.
-func (a *api) pass(g *gin.Context, id job.ID, r forward.Request) {
-	if f := a.dontPass(g, id.Owner); f != nil {
-		writeFault(g, id.String(), f)
-		return
-	}
-	reply, err := a.forwarder.Do(g.Request.Context(), r)
-	if err != nil {
-		writeFault(g, id.String(), err)
-		return
-	}
-	writeReply(g, reply)
-}
-
-// dontPass returns why a request must not be passed on to the owner, or nil.
-func (a *api) dontPass(g *gin.Context, o job.Owner) *fault.Fault {
-	if o.Addr == a.owner.Addr {
-		// This process listens where the owner did, so the owner has ended.
-		return forward.OwnerGone(o)
-	}
-	if g.GetHeader(forward.HeaderForwarded) != "" {
-		return fault.New(fault.Undecided, "a request that was forwarded already belongs to yet another entry")
-	}
-	return nil
-}
