--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -106,6 +106,7 @@
 	// void, the operator would make it again over a colleague's later change.
 	It("tells what became of a change that lies before the first snapshot kept", func() {
 		first := publish(setQuota(0, "a", 1))
+		appendRecord(log, &config.Record{Change: &config.Change{ID: "stale", Author: "x", Unset: []config.Key{"quota.team.a"}}})
 		mine := publish(setQuota(first.Version, "a", 2))
 		appendRecord(log, &config.Record{Change: &config.Change{ID: "void", Base: first.Version, Author: "x", Unset: []config.Key{"quota.team.a"}}})
 		last := publish(setQuota(mine.Version, "a", 3))
