--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -18,11 +19,16 @@
 const (
 	changeEvery = 700 * time.Millisecond
 	watchEvery  = 50 * time.Millisecond
+	// watchTimeout is short, so that a frozen daemon does not hold up the watch
+	// over the others.
+	watchTimeout = 300 * time.Millisecond
 	// inForceWithin is the users' own figure for a change to be in force everywhere.
 	inForceWithin = 13 * time.Second
 	// changedKey is a setting that no healthy target notices.
 	changedKey = config.Key("health.last_trial_ms")
 	firstValue = 30_000
+	// nobody stands for a version where no daemon answered.
+	nobody = uint64(math.MaxUint64)
 )
 
 // operators change the configuration all the time, two at once on the same base,
@@ -132,41 +138,47 @@
 
 func (o *operators) watchAlways(until context.Context) {
 	for until.Err() == nil {
-		lowest := o.look(until)
-		o.reached(lowest)
+		if lowest, _ := o.look(until); lowest != nobody {
+			o.reached(lowest)
+		}
 		pause(until, watchEvery)
 	}
 }
 
-// look asks every daemon for its version and returns the lowest.
-func (o *operators) look(ctx context.Context) uint64 {
+// look asks every daemon for its version. It returns the lowest of those that
+// answered, or nobody, and whether all did: one that is down or frozen enforces nothing.
+func (o *operators) look(ctx context.Context) (lowest uint64, all bool) {
 	daemons := o.deployment.daemons()
-	versions := make([]uint64, len(daemons))
-	var all sync.WaitGroup
+	versions := make([]*uint64, len(daemons))
+	var asked sync.WaitGroup
 	for i, p := range daemons {
-		all.Go(func() { versions[i] = o.versionOf(ctx, p) })
+		asked.Go(func() { versions[i] = o.versionOf(ctx, p) })
 	}
-	all.Wait()
-	lowest := versions[0]
+	asked.Wait()
+	lowest, all = nobody, true
 	for _, v := range versions {
-		lowest = min(lowest, v)
+		if v == nil {
+			all = false
+			continue
+		}
+		lowest = min(lowest, *v)
 	}
-	return lowest
+	return lowest, all
 }
 
-// versionOf returns the version in force at a daemon; 0 where it can't be asked.
-func (o *operators) versionOf(ctx context.Context, p *localfleet.Process) uint64 {
-	c, err := client.New(client.Options{Entries: []string{p.Addr}})
+// versionOf returns the version in force at a daemon; nil where it can't be asked.
+func (o *operators) versionOf(ctx context.Context, p *localfleet.Process) *uint64 {
+	c, err := client.New(client.Options{Entries: []string{p.Addr}, CallTimeout: watchTimeout})
 	if err != nil {
-		return 0
+		return nil
 	}
 	defer c.Close()
 	state, err := c.Config(ctx)
 	if err != nil {
-		return 0
+		return nil
 	}
 	o.saw(p.Name, state.Version)
-	return state.Version
+	return &state.Version
 }
 
 // saw checks a version against those that the daemon, or its predecessor at the
@@ -210,12 +222,12 @@
 	return 0, false
 }
 
-// settle waits until every accepted change is in force everywhere.
+// settle waits until every accepted change is in force on every daemon.
 func (o *operators) settle(ctx context.Context) {
 	limit := time.Now().Add(inForceWithin)
 	for ctx.Err() == nil {
 		version, missing := o.missing()
-		if !missing {
+		if _, all := o.look(ctx); all && !missing {
 			return
 		}
 		if time.Now().After(limit) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -177,7 +177,7 @@
 // restartAgent starts a new agent at the ended one's address, where the target
 // beside it still announces itself.
 func (s *deployment) restartAgent(ctx context.Context, i int) error {
-	agent, err := s.startAgent(ctx, i, s.agents[i].Addr)
+	agent, err := s.startAgent(ctx, i, s.agent(i).Addr)
 	if err != nil {
 		return err
 	}
@@ -190,7 +190,7 @@
 // restartEntry starts a new entry at the ended one's address, as an operator does
 // who replaces it.
 func (s *deployment) restartEntry(ctx context.Context, i int) error {
-	former := s.entries[i]
+	former := s.entry(i)
 	var peers []string
 	for _, addr := range s.addrs {
 		if addr != former.Addr {
@@ -207,6 +207,18 @@
 	return nil
 }
 
+func (s *deployment) entry(i int) *localfleet.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[i]
+}
+
+func (s *deployment) agent(i int) *localfleet.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agents[i]
+}
+
 // daemons returns the entries and agents that run now.
 func (s *deployment) daemons() []*localfleet.Process {
 	s.mu.Lock()
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -41,7 +41,7 @@
 	row("  turned away", int(r.counts.NotRun), "an agent did not begin them")
 	row("  called back", int(r.counts.Cancels), "their job had ended meanwhile")
 	o := r.operators
-	row("configuration changes", len(o.accepted), fmt.Sprintf("accepted; in force everywhere after at most %d ms", o.longest.Milliseconds()))
+	row("configuration changes", len(o.accepted), fmt.Sprintf("accepted; in force on every daemon that is up after at most %d ms", o.longest.Milliseconds()))
 	row("  lost a race", o.conflicts, "another operator's change won")
 	row("  not taken, undecided", o.notTaken+o.undecided, "while the log was out")
 	row("  none yet", o.without, "sightings of a restarted daemon that had not learned it")
