--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,15 +7,11 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"io"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/camphorrack/camphorrack/internal/localfleet"
 )
 
 // Options of a run.
@@ -57,7 +53,7 @@
 
 // Run starts a fleet, drives it, prints the table and stops everything. The error
 // is ErrBroken where the run found a breach.
-func Run(ctx context.Context, o Options) (err error) {
+func Run(ctx context.Context, o Options) error {
 	f, err := start(ctx, o)
 	if err != nil {
 		return err
@@ -94,147 +90,3 @@
 	<-ctx.Done()
 	return nil
 }
-
-// deployment is a running fleet.
-type deployment struct {
-	fleet *localfleet.Fleet
-	log   *localfleet.Process
-	addrs []string // of the entries
-
-	mu      sync.Mutex // over the slices: ended processes are replaced in them
-	entries []*localfleet.Process
-	agents  []*localfleet.Process
-	targets []*localfleet.Process
-}
-
-func start(ctx context.Context, o Options) (*deployment, error) {
-	s := &deployment{fleet: localfleet.New(localfleet.Options{Bin: o.Bin, LogDir: o.LogDir, Key: rand.Text()})}
-	err := s.startAll(ctx, o)
-	if err == nil {
-		err = awaitTargets(ctx, s.entryAddrs(), len(speeds))
-	}
-	if err != nil {
-		s.fleet.Close()
-		return nil, err
-	}
-	return s, nil
-}
-
-func (s *deployment) startAll(ctx context.Context, o Options) error {
-	log, err := s.fleet.StartLog(ctx)
-	if err != nil {
-		return err
-	}
-	s.log = log
-	for i := range o.entries() {
-		listen, err := localfleet.FreeAddr()
-		if err != nil {
-			return err
-		}
-		if i == 0 && o.Listen != "" {
-			listen = o.Listen
-		}
-		entry, err := s.fleet.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), listen, s.entryAddrs(), "-log", s.logURL())
-		if err != nil {
-			return err
-		}
-		s.entries = append(s.entries, entry)
-		s.addrs = append(s.addrs, entry.Addr)
-	}
-	for i, speed := range speeds {
-		if err := s.startWorker(ctx, i, speed); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// startWorker starts an agent and the target beside it.
-func (s *deployment) startWorker(ctx context.Context, i int, speed float64) error {
-	addr, err := localfleet.FreeAddr()
-	if err != nil {
-		return err
-	}
-	agent, err := s.startAgent(ctx, i, addr)
-	if err != nil {
-		return err
-	}
-	s.agents = append(s.agents, agent)
-	target, err := s.fleet.StartTarget(ctx, localfleet.TargetOptions{
-		Name: fmt.Sprintf("target-%d", i+1), Agent: agent.Addr, Slots: slots, Speed: speed,
-	})
-	if err != nil {
-		return err
-	}
-	s.targets = append(s.targets, target)
-	return nil
-}
-
-func (s *deployment) startAgent(ctx context.Context, i int, listen string) (*localfleet.Process, error) {
-	return s.fleet.StartAgent(ctx, fmt.Sprintf("agent-%d", i+1), listen, s.entryAddrs())
-}
-
-// restartAgent starts a new agent at the ended one's address, where the target
-// beside it still announces itself.
-func (s *deployment) restartAgent(ctx context.Context, i int) error {
-	agent, err := s.startAgent(ctx, i, s.agent(i).Addr)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.agents[i] = agent
-	return nil
-}
-
-// restartEntry starts a new entry at the ended one's address, as an operator does
-// who replaces it.
-func (s *deployment) restartEntry(ctx context.Context, i int) error {
-	former := s.entry(i)
-	var peers []string
-	for _, addr := range s.addrs {
-		if addr != former.Addr {
-			peers = append(peers, addr)
-		}
-	}
-	entry, err := s.fleet.StartEntry(ctx, former.Name, former.Addr, peers, "-log", s.logURL())
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entries[i] = entry
-	return nil
-}
-
-func (s *deployment) entry(i int) *localfleet.Process {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.entries[i]
-}
-
-func (s *deployment) agent(i int) *localfleet.Process {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.agents[i]
-}
-
-// daemons returns the entries and agents that run now.
-func (s *deployment) daemons() []*localfleet.Process {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append(append([]*localfleet.Process(nil), s.entries...), s.agents...)
-}
-
-func (s *deployment) logURL() string { return "http://" + s.log.Addr }
-
-// entryAddrs returns the entries' addresses, which stay when entries are replaced.
-func (s *deployment) entryAddrs() []string { return s.addrs }
-
-func addrs(processes []*localfleet.Process) []string {
-	var all []string
-	for _, p := range processes {
-		all = append(all, p.Addr)
-	}
-	return all
-}
