--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 # Under two minutes: tasks five times shorter, against the best baseline.
 bench-short: build
 	bin/camphorrack-bench -bin bin -scenarios short -policies first-come,least-work -seeds 1 -duration 10s -scale 0.2 -parallel 2 -wide=false $(ARGS)
+
+# The slopes behind docs/CAPACITY.md, each under the command that gave it.
+slopes: build
+	scripts/slopes.sh
