Entry: a test that a drain cuts off no long request

With the drain no longer waiting for the owner to be idle the test fails after 2 s (the callers' connections are closed under a running task); the older test passed because its task was shorter than that. Without the mutation both pass.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -297,6 +297,29 @@
 		Expect(e.Stop(context.Background())).To(Succeed())
 	})
 
+	// The only work left is a long task whose caller waits on an open connection. An
+	// entry that ends its listener before the task does cuts the caller off without
+	// an answer, a few seconds after the operator asked for a graceful end.
+	It("does not cut off a request in progress, however long its task takes", func() {
+		e := startEntry(GinkgoT())
+		agent := startAgent(GinkgoT(), e.Addr())
+		agent.holding(true)
+		id := newID(tokenOf(e.Addr()), time.Minute, "long")
+		replies := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			replies <- call(http.MethodPost, e.Addr(), "/v1/jobs", submission(id, "p"))
+		}()
+		Eventually(agent.startCounts).Should(HaveLen(1))
+		Expect(call(http.MethodPost, e.Addr(), "/v1/drain", nil).status).To(Equal(http.StatusAccepted))
+		Consistently(e.Drained(), "2500ms").ShouldNot(BeClosed()) // longer than the close of idle connections takes
+		agent.holding(false)
+		var r reply
+		Eventually(replies).Should(Receive(&r))
+		Expect(r.State).To(Equal(job.Complete))
+		Eventually(e.Drained(), "5s").Should(BeClosed())
+	})
+
 	It("ends with an error when the drain timeout is over first", func() {
 		e := startEntry(GinkgoT(), func(o *entry.Options) { o.DrainTimeout = 50 * time.Millisecond })
 		id := newID(tokenOf(e.Addr()), time.Minute, "job")
