Attempt table: a connection that broke the protocol no longer counts

Cause: frames that were queued behind the bad one were still obeyed until the connection's end came through.

--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -116,13 +116,22 @@
 }
 
 // Receive takes a frame. A frame on a connection that no longer counts has no
-// effect. The error is a *ProtocolError: close the connection then.
+// effect. The error is a *ProtocolError: close the connection then, which does not
+// count from here on.
 func (t *Table) Receive(now time.Time, conn ConnID, f *wire.ToAgent) error {
 	t.b.now = now
 	o := t.b.conns[conn]
 	if o == nil {
 		return nil
 	}
+	err := t.apply(o, f)
+	if err != nil {
+		t.connector.disconnect(conn) // frames of it may still be waiting
+	}
+	return err
+}
+
+func (t *Table) apply(o *owner, f *wire.ToAgent) error {
 	if f.Settled > 0 {
 		t.settler.settle(o, f.Settled)
 	}
--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -196,6 +196,8 @@
 		connect(3, ownerA)
 		err := table.Receive(epoch, 3, starts(1))
 		Expect(err).To(MatchError(&attempt.ProtocolError{Owner: ownerA, Breach: attempt.NoCredit, Seq: 1}))
+		table.Flush()
+		receive(3, starts(1)) // was on its way when the connection was closed
 		Expect(out.runs).To(BeEmpty())
 	})
 
