--- a/internal/attempt/status.go
+++ b/internal/attempt/status.go
@@ -6,7 +6,7 @@
 
 // Status is what operators see of the table.
 type Status struct {
-	Target   wire.Target   `json:"target"`
+	Target   TargetStatus  `json:"target"`
 	Draining bool          `json:"draining"`
 	Running  int           `json:"running"`
 	Waiting  int           `json:"waiting"`
@@ -16,6 +16,16 @@
 	Owners   []OwnerStatus `json:"owners"`
 }
 
+// TargetStatus is the target's state as owners see it.
+type TargetStatus struct {
+	Name    string   `json:"name"`
+	Classes []string `json:"classes,omitempty"`
+	Slots   int      `json:"slots"`
+	Speed   float64  `json:"speed"`
+	Leaving bool     `json:"leaving"`
+	Down    bool     `json:"down"`
+}
+
 // OwnerStatus is the part of one owner.
 type OwnerStatus struct {
 	Incarnation string `json:"incarnation"`
@@ -30,7 +40,7 @@
 func (t *Table) Status() Status {
 	b := t.b
 	s := Status{
-		Target: b.announced(), Draining: b.draining, Running: b.running, Waiting: len(b.queue),
+		Target: targetStatus(b.announced()), Draining: b.draining, Running: b.running, Waiting: len(b.queue),
 		Unspent: b.sharer.Outstanding(), Granted: b.granted, Finished: b.finished, Owners: []OwnerStatus{},
 	}
 	for _, o := range b.owners {
@@ -39,6 +49,10 @@
 	return s
 }
 
+func targetStatus(t wire.Target) TargetStatus {
+	return TargetStatus{Name: t.Name, Classes: t.Classes, Slots: t.Slots, Speed: t.Speed, Leaving: t.Leaving, Down: t.Down}
+}
+
 func ownerStatus(o *owner) OwnerStatus {
 	s := OwnerStatus{
 		Incarnation: o.incarnation.String(), Connected: o.conn != 0,
@@ -59,6 +73,9 @@
 	if t.b.running > 0 || len(t.b.queue) > 0 {
 		return false
 	}
+	if t.b.policy == Push && t.b.now.Sub(t.b.leavingSince) <= leavingGrace {
+		return false // nothing counts the starts that are on their way
+	}
 	for _, o := range t.b.owners {
 		if t.keeper.due(o) {
 			return false
--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -255,6 +255,12 @@
 		Expect(out.order).To(Equal([]attempt.Key{{Owner: ownerA, Seq: 1}, {Owner: ownerA, Seq: 3}}))
 		Expect(out.report(1, 2).State).To(Equal(wire.NotRun))
 		Expect(table.Status().Running).To(BeZero())
+		receive(1, &wire.ToAgent{Acks: []uint64{1, 2, 3}})
+		table.Drain(epoch)
+		Expect(table.Idle()).To(BeFalse()) // a start may be on its way
+		table.Disconnect(epoch, 1)
+		table.Tick(epoch.Add(6 * time.Second))
+		Expect(table.Idle()).To(BeTrue())
 	})
 
 	It("closes the connection of an owner that returns credits it never had", func() {
