--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -56,17 +56,14 @@
 
 // dropTeam forgets a team without work, so that names that come once don't stay.
 func (c *Core) dropTeam(name string) {
-	if t := c.teams[name]; t != nil && t.jobs() == 0 {
+	if t := c.teams[name]; t != nil && t.idle() {
 		delete(c.teams, name)
 	}
 }
 
-func (t *team) jobs() int {
-	if t.waiting > 0 || t.queuedMs >= 1 {
-		return 1
-	}
-	return 0
-}
+// idle reports whether the team has no work; what is left of the sum then is the
+// rounding of its additions.
+func (t *team) idle() bool { return t.waiting == 0 && t.queuedMs < 1 }
 
 // capacity returns the work that this entry gets done in a millisecond, as its
 // share of the targets it knows, and the speed of the fastest that serves the class.
