--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -39,6 +39,9 @@
 bench internal/config 'Apply|IdleTell|Snapshots|FanOut|Load'
 bench internal/entry Lookup -benchtime 2s
 
+export CAMPHORRACK_BENCH_BIN=$PWD/bin
+bench internal/localfleet IdlePath -benchtime 300x
+
 start_entry first; first=$addr
 start_entry second; second=$addr
 export CAMPHORRACK_BENCH_ENTRIES="$first,$second"
