--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -39,8 +39,8 @@
 	settleTime = 500 * time.Millisecond
 )
 
-// entries is how many entries the fleet has. A chaos run takes one away at a time
-// and still needs two that callers can choose from.
+// entries is how many entries the fleet has. A chaos run takes up to two away
+// at a time, and one is left for callers to ask.
 func (o Options) entries() int {
 	if o.Chaos {
 		return entryCount + 1
