--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/camphorrack/camphorrack/internal/session"
+	"github.com/camphorrack/camphorrack/internal/standin/relay"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -117,14 +118,14 @@
 	It("ends when bytes vanish in both directions, while a new one works", func() {
 		entry := newEntrySide(quick)
 		r := startRelay(entry.addr())
-		_, _, ended := agentSide(r.addr(), quick)
-		r.cut(true, true)
+		_, _, ended := agentSide(r.Addr(), quick)
+		r.Cut(true, true)
 		// Each side may notice first that it hears nothing or that it is not heard.
 		noticed := WithTransform(reasonOf, Or(Equal(session.ReasonSilent), Equal(session.ReasonUnheard)))
 		Eventually(ended, "5s").Should(Receive(noticed))
 		Eventually(entry.ended, "5s").Should(Receive(noticed))
 
-		again, acks, _ := agentSide(r.addr(), quick)
+		again, acks, _ := agentSide(r.Addr(), quick)
 		again.Send(&wire.ToEntry{Reports: []wire.Report{{Seq: 8}}})
 		Eventually(acks, "5s").Should(Receive(Equal(uint64(8))))
 	})
@@ -136,16 +137,16 @@
 	It("ends when the agent's frames vanish and the entry's arrive", func() {
 		entry := newEntrySide(session.Options{Heartbeat: quick.Heartbeat, Silent: time.Minute})
 		r := startRelay(entry.addr())
-		_, _, ended := agentSide(r.addr(), quick)
-		r.cut(true, false)
+		_, _, ended := agentSide(r.Addr(), quick)
+		r.Cut(true, false)
 		Eventually(ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonUnheard))))
 	})
 	It("ends when the entry's frames vanish and the agent's arrive", func() {
 		entry := newEntrySide(quick)
 		r := startRelay(entry.addr())
-		agentSide(r.addr(), session.Options{Heartbeat: quick.Heartbeat, Silent: time.Minute})
+		agentSide(r.Addr(), session.Options{Heartbeat: quick.Heartbeat, Silent: time.Minute})
 		Eventually(entry.conns).Should(Receive())
-		r.cut(false, true)
+		r.Cut(false, true)
 		Eventually(entry.ended, "5s").Should(Receive(WithTransform(reasonOf, Equal(session.ReasonUnheard))))
 	})
 
@@ -156,9 +157,9 @@
 			IdleHeartbeat: 50 * time.Millisecond, IdleSilent: time.Minute}
 		entry := newEntrySide(o)
 		r := startRelay(entry.addr())
-		conn, _, ended := agentSide(r.addr(), o)
+		conn, _, ended := agentSide(r.Addr(), o)
 		Consistently(ended, 2*o.Silent).ShouldNot(Receive())
-		r.cut(true, true)
+		r.Cut(true, true)
 		Consistently(ended, 2*o.Silent).ShouldNot(Receive())
 		conn.Send(&wire.ToEntry{Reports: []wire.Report{{Seq: 1}}})
 		Eventually(ended, "5s").Should(Receive(WithTransform(reasonOf, Not(Equal(session.ReasonLocal)))))
@@ -198,10 +199,11 @@
 	)
 })
 
-func startRelay(target string) *relay {
-	r, err := newRelay(target)
+func startRelay(target string) *relay.Relay {
+	r, err := relay.New()
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(r.close)
+	r.SetTarget(target)
+	DeferCleanup(r.Close)
 	return r
 }
 
