--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -76,6 +76,9 @@
 	a.metrics.requests.Inc(1)
 	g.Next()
 	a.metrics.status(g.Writer.Status())
+	if name := g.GetString(keyFault); name != "" {
+		a.metrics.fault(name)
+	}
 }
 
 // recover turns a panic of one request into its failure, except for a broken
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// fault counts what a caller was told; faults that another entry answered with and
+// that were passed on are counted there.
+func (c *counters) fault(name string) {
+	metrics.GetOrRegisterCounter("faults."+name, c.registry).Inc(1)
+}
+
 // update copies the control state's figures.
 func (c *counters) update(s owner.Status) {
 	set := func(name string, value int64) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -357,8 +357,9 @@
 		Eventually(func() string { return call(http.MethodGet, e.Addr(), "/v1/targets", nil).raw }).
 			Should(ContainSubstring(`"target":"target","worker":"worker`))
 		Expect(call(http.MethodGet, e.Addr(), "/v1/status", nil).raw).To(ContainSubstring(`"data_centre":"khangai-1"`))
+		call(http.MethodPost, e.Addr(), "/v1/jobs", []byte("{"))
 		metrics := call(http.MethodGet, e.Addr(), "/metrics", nil).raw
-		Expect(metrics).To(And(ContainSubstring(`"owner.agents":{"value":1}`), ContainSubstring(`"sessions.frames_in"`)))
+		Expect(metrics).To(And(ContainSubstring(`"faults.bad_body":{"count":1}`), ContainSubstring(`"owner.agents":{"value":1}`), ContainSubstring(`"sessions.frames_in"`)))
 		Expect(bytes.Contains([]byte(metrics), []byte(testKey))).To(BeFalse())
 	})
 })
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -32,7 +32,7 @@
 	case a.Failure == nil:
 		return writeJSON(g, http.StatusOK, a)
 	}
-	setRetryAfter(g, a.Failure)
+	noteFault(g, a.Failure)
 	return writeJSON(g, a.Failure.Code.Status(), a)
 }
 
@@ -40,7 +40,7 @@
 // leaves open what happened and is told as "undecided".
 func writeFault(g *gin.Context, id string, err error) {
 	f := asFault(err)
-	setRetryAfter(g, f)
+	noteFault(g, f)
 	writeJSON(g, f.Code.Status(), failure{ID: id, State: stateOf(f), Failure: f})
 }
 
@@ -65,7 +65,12 @@
 	return ""
 }
 
-func setRetryAfter(g *gin.Context, f *fault.Fault) {
+// keyFault holds the name of the fault that a request was answered with, for the counters.
+const keyFault = "fault"
+
+// noteFault sets what a fault tells besides the body.
+func noteFault(g *gin.Context, f *fault.Fault) {
+	g.Set(keyFault, f.Code.String())
 	if f.RetryAfterMs > 0 {
 		seconds := (f.RetryAfterMs + 999) / 1000 // the header knows whole seconds only
 		g.Header("Retry-After", strconv.FormatInt(seconds, 10))
