--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -24,7 +24,8 @@
 	}
 	if refusal := c.refusal(now, s); refusal != nil {
 		c.counts.Refused++
-		event.Log(c.log, event.JobRefused, "job", s.ID.String(), "team", s.Team, "code", int(refusal.Code), "reason", refusal.Name)
+		event.Log(c.log, event.JobRefused, "job", s.ID.String(), "team", s.Team, "code", int(refusal.Code),
+			"reason", refusal.Name, "detail", refusal.Detail, "retry_after_ms", refusal.RetryAfterMs)
 		return nil, refusal
 	}
 	stop = c.wait(c.accept(now, s), w)
