Configuration: defaults are the decision packages' own constants

Cause: the catalogue repeated admission's bounds as 1.5 s and 3 s; the packages have moved to 10 s and 20 s by measurement, so a fleet with a log was stricter than one without. Change: the catalogue takes the constants.

--- a/internal/config/catalogue.go
+++ b/internal/config/catalogue.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/admission"
+	"github.com/camphorrack/camphorrack/internal/scheduler/health"
 )
 
 // Key names a setting, such as "health.window_ms".
@@ -58,11 +61,11 @@
 // Catalogue lists every setting but the teams' quotas, in order of its key. Each
 // takes effect on a running process; what can't is a flag and no setting here.
 var Catalogue = []Definition{
-	{"admission.hard_queue_ms", "ms", 3_000, 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+	{"admission.hard_queue_ms", "ms", admission.HardQueue.Milliseconds(), 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"queue, in time to work it off, from which an entry turns everything away", func(s *Settings) *int64 { return &s.HardQueueMs }},
 	{"admission.max_jobs", "ids", 300_000, 1, 10_000_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"submission ids that an entry holds, where its -max-jobs is not lower", func(s *Settings) *int64 { return &s.MaxJobs }},
-	{"admission.soft_queue_ms", "ms", 1_500, 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+	{"admission.soft_queue_ms", "ms", admission.SoftQueue.Milliseconds(), 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"queue from which an entry turns away teams above their share", func(s *Settings) *int64 { return &s.SoftQueueMs }},
 	{"deadline.max_ms", "ms", 600_000, 1_000, 86_400_000, nil,
 		"farthest deadline that a caller may ask for, where -max-timeout is not lower", func(s *Settings) *int64 { return &s.MaxDeadlineMs }},
@@ -70,11 +73,11 @@
 		"1: gets no new work and finishes what it has", func(s *Settings) *int64 { return &s.drain }},
 	{"health.broken_percent", "%", 60, 5, 99, nil,
 		"failure rate that a broken target is taken to have; lower finds more of them", func(s *Settings) *int64 { return &s.BrokenPercent }},
-	{"health.first_trial_ms", "ms", 1_000, 100, 600_000, nil,
+	{"health.first_trial_ms", "ms", health.FirstTrial.Milliseconds(), 100, 600_000, nil,
 		"wait before a broken target gets a trial task", func(s *Settings) *int64 { return &s.FirstTrialMs }},
-	{"health.last_trial_ms", "ms", 30_000, 100, 3_600_000, nil,
+	{"health.last_trial_ms", "ms", health.LastTrial.Milliseconds(), 100, 3_600_000, nil,
 		"longest wait between the trial tasks of a broken target", func(s *Settings) *int64 { return &s.LastTrialMs }},
-	{"policy.caution_percent", "%", 150, 50, 1_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+	{"policy.caution_percent", "%", 100 * admission.OvertakeFactor, 50, 1_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"trade between response and waste: by how much an entry takes the wait before a job to be longer than it looks; higher starts less work that comes to nothing, lower lets more in", func(s *Settings) *int64 { return &s.CautionPercent }},
 	{"quota.default", "tasks", 0, 0, 10_000_000, nil,
 		"tasks of a team without a quota of its own that may run at a time; 0: no limit", func(s *Settings) *int64 { return &s.DefaultQuota }},
