Admission: large jobs first to be refused, teams below their share spared

Of teams that are alike half are above their equal share at any moment, so the soft bound refused one job in a hundred at 0.95 of capacity. A team now counts as flooding halfway from its equal share to the whole queue. Bench: what a killed entry had counted stays in the figures (wasted was negative).

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -52,6 +52,9 @@
 	entries []*localfleet.Process
 	agents  []*localfleet.Process
 	targets []*localfleet.Process
+	// What entries that were killed had counted and used.
+	goneCounts owner.Counts
+	goneMs     float64
 }
 
 func startFleet(ctx context.Context, o Options, p owner.Policy) (*fleet, error) {
@@ -149,29 +152,54 @@
 	return n
 }
 
-// counts sums what the entries that still run have counted.
+// counts sums what the entries have counted.
 func (f *fleet) counts(ctx context.Context) (owner.Counts, error) {
-	var sum owner.Counts
+	sum := f.goneCounts
 	for _, addr := range f.entryAddrs() {
-		c, err := client.New(client.Options{Entries: []string{addr}})
-		if err != nil {
-			return sum, err
-		}
-		defer c.Close()
-		page, err := c.Status(ctx)
+		counts, err := entryCounts(ctx, addr)
 		if err != nil {
 			return sum, err
 		}
-		var status owner.Status
-		if err := json.Unmarshal(page, &status); err != nil {
-			return sum, errors.Wrap(err, "status of an entry")
-		}
-		sum.Starts += status.Counts.Starts
-		sum.NotRun += status.Counts.NotRun
+		sum.Starts += counts.Starts
+		sum.NotRun += counts.NotRun
 	}
 	return sum, nil
 }
 
+func entryCounts(ctx context.Context, addr string) (owner.Counts, error) {
+	var status owner.Status
+	c, err := client.New(client.Options{Entries: []string{addr}})
+	if err != nil {
+		return status.Counts, err
+	}
+	defer c.Close()
+	page, err := c.Status(ctx)
+	if err != nil {
+		return status.Counts, err
+	}
+	err = json.Unmarshal(page, &status)
+	return status.Counts, errors.Wrap(err, "status of an entry")
+}
+
+// killEntry ends an entry at once, after noting what it had counted: what it sends
+// in the milliseconds between is missing from the figures.
+func (f *fleet) killEntry(ctx context.Context, index int) error {
+	p := f.entries[index]
+	counts, err := entryCounts(ctx, p.Addr)
+	if err != nil {
+		return err
+	}
+	used, err := usedMs(p)
+	if err != nil {
+		return err
+	}
+	f.goneCounts.Starts += counts.Starts
+	f.goneCounts.NotRun += counts.NotRun
+	f.goneMs += used
+	p.Kill()
+	return nil
+}
+
 // kill ends every process at once; a graceful end would take as long as a run.
 func (f *fleet) kill() {
 	for _, p := range f.Processes() {
--- a/internal/bench/processor.go
+++ b/internal/bench/processor.go
@@ -18,7 +18,7 @@
 type processorTime struct{ entryMs, agentMs float64 }
 
 func (f *fleet) processorTime() (processorTime, error) {
-	var sum processorTime
+	sum := processorTime{entryMs: f.goneMs}
 	for _, p := range f.entries {
 		used, err := usedMs(p)
 		if err != nil {
--- a/internal/bench/steps.go
+++ b/internal/bench/steps.go
@@ -58,10 +58,7 @@
 	return err
 }
 
-func killEntry(_ context.Context, c *callers) error {
-	c.fleet.entries[0].Kill()
-	return nil
-}
+func killEntry(ctx context.Context, c *callers) error { return c.fleet.killEntry(ctx, 0) }
 
 // startEntry starts the killed entry's successor at its address.
 func startEntry(ctx context.Context, c *callers) error {
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -19,10 +19,17 @@
 	// softShare and hardShare bound how long the queue may take to work off, as a
 	// share of the time that the job at the door has. Jobs that come later and rank
 	// before it can double the wait of a large job, and its own run comes on top.
-	// Above the soft bound, teams above their fair share are refused; above the
-	// hard one, everybody.
+	// Above the soft bound, teams far above their equal share are refused, and jobs
+	// of which the work before them and their own exceeds it: those are the large
+	// ones, so that a given excess turns away few callers, and small jobs still pass.
+	// A team below its equal share is spared by both.
+	// Above the hard one, everybody is refused.
 	softShare = 0.2
 	hardShare = 0.4
+	// fairSlack is how far from its equal share towards the whole a team may fill the
+	// queue before it counts as flooding. Of teams that are alike, half are above their
+	// equal share at any moment, and must not be refused for that.
+	fairSlack = 0.5
 	// SoftQueue and HardQueue bound the same for jobs with much time. At 0.95 of
 	// capacity queues of several seconds come up by chance and go away again, and
 	// small jobs pass them; work refused for them would be missing afterwards.
@@ -118,9 +125,12 @@
 	if queue > hard {
 		return refuse(QueueFull, queue-soft)
 	}
-	if queue > soft && aboveShare(v) {
+	if queue > soft && aboveShare(v, fairSlack) {
 		return refuse(TeamShare, queue-soft)
 	}
+	if turn := drain(v, v.AheadMs+v.RemainingMs); turn > soft && aboveShare(v, 0) {
+		return refuse(QueueFull, turn-soft)
+	}
 	return Decision{Admit: true}
 }
 
@@ -144,8 +154,11 @@
 	return wait + own
 }
 
-func aboveShare(v View) bool {
-	return (v.TeamQueuedMs+v.RemainingMs)*float64(max(v.Teams, 1)) > v.QueuedMs
+// aboveShare reports whether the job's team would fill more of the queue than its
+// equal share and the part slack of the rest.
+func aboveShare(v View, slack float64) bool {
+	equal := 1 / float64(max(v.Teams, 1))
+	return v.TeamQueuedMs+v.RemainingMs > (equal+(1-equal)*slack)*v.QueuedMs
 }
 
 // drain is how long it takes to get work done.
