--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -62,6 +62,7 @@
 	g.GET("/v1/targets", a.targets)
 	g.GET("/v1/status", a.status)
 	g.GET(config.Path, a.configuration)
+	g.POST(config.Path+"/:version", a.refresh)
 	g.POST("/v1/drain", a.startDrain)
 	g.GET("/healthz", a.health)
 	g.GET("/metrics", a.giveMetrics)
@@ -76,6 +77,9 @@
 	a.metrics.requests.Inc(1)
 	g.Next()
 	a.metrics.status(g.Writer.Status())
+	if name := g.GetString(keyFault); name != "" {
+		a.metrics.fault(name)
+	}
 }
 
 // recover turns a panic of one request into its failure, except for a broken
