--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os/exec"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/camphorrack/camphorrack/internal/client"
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/localfleet"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/standin/logservice"
@@ -22,7 +24,7 @@
 // buildDaemons builds the programs that the test runs as processes.
 func buildDaemons() string {
 	bin := GinkgoT().TempDir()
-	out, err := exec.Command("go", "build", "-o", bin+"/", "../../apps/camphorrack-entry", "../../apps/camphorrack-agent", "../../apps/camphorrack-standin-log").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", bin+"/", "../../apps/camphorrack-entry", "../../apps/camphorrack-agent", "../../apps/camphorrack-standin-log", "../../apps/camphorrack-standin-target").CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
 	return bin
 }
@@ -53,6 +55,19 @@
 	return s
 }
 
+// submit has a job of a few tasks done and returns how it ended.
+func submit(ctx context.Context, entry string) job.State {
+	c, err := client.New(client.Options{Entries: []string{entry}, CallTimeout: time.Second})
+	Expect(err).NotTo(HaveOccurred())
+	token, err := c.Token(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	id := fmt.Sprintf("%s-%d-%s", token, time.Now().Add(20*time.Second).UnixMilli(), config.NewChangeID())
+	task := job.Task{Payload: []byte(`{"run_ms":20,"echo":"x"}`)}
+	answer, err := c.Submit(ctx, id, &job.Submission{Team: "a", Class: "any", Tasks: []job.Task{task, task, task}})
+	Expect(err).NotTo(HaveOccurred())
+	return answer.State
+}
+
 func versionAt(p *localfleet.Process) func() uint64 {
 	return func() uint64 { return stateAt(p).Version }
 }
@@ -78,6 +93,9 @@
 		agent, err := f.StartAgent(ctx, "worker-1", "", []string{first.Addr, second.Addr})
 		Expect(err).NotTo(HaveOccurred())
 
+		_, err = f.StartTarget(ctx, localfleet.TargetOptions{Name: "t1", Agent: agent.Addr, Slots: 2, Speed: 1})
+		Expect(err).NotTo(HaveOccurred())
+
 		ops := config.NewPublisher(platformlog.NewHTTP(logURL, 0), 0)
 		before, err := ops.Publish(ctx, setQuota(0, "a", 7))
 		Expect(err).NotTo(HaveOccurred())
@@ -108,6 +126,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(versionAt(first)).WithTimeout(patience).Should(Equal(before.Version), "from its agents")
 
+		Expect(submit(ctx, first.Addr)).To(Equal(job.Complete), "work goes on")
+		Expect(submit(ctx, second.Addr)).To(Equal(job.Complete), "work goes on")
+
 		control(logURL, logservice.Normal)
 		var after *config.State
 		Eventually(func() error {
