--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -196,6 +196,8 @@
 		connect(3, ownerA)
 		err := table.Receive(epoch, 3, starts(1))
 		Expect(err).To(MatchError(&attempt.ProtocolError{Owner: ownerA, Breach: attempt.NoCredit, Seq: 1}))
+		table.Flush()
+		receive(3, starts(1)) // was on its way when the connection was closed
 		Expect(out.runs).To(BeEmpty())
 	})
 
@@ -253,6 +255,12 @@
 		Expect(out.order).To(Equal([]attempt.Key{{Owner: ownerA, Seq: 1}, {Owner: ownerA, Seq: 3}}))
 		Expect(out.report(1, 2).State).To(Equal(wire.NotRun))
 		Expect(table.Status().Running).To(BeZero())
+		receive(1, &wire.ToAgent{Acks: []uint64{1, 2, 3}})
+		table.Drain(epoch)
+		Expect(table.Idle()).To(BeFalse()) // a start may be on its way
+		table.Disconnect(epoch, 1)
+		table.Tick(epoch.Add(6 * time.Second))
+		Expect(table.Idle()).To(BeTrue())
 	})
 
 	It("closes the connection of an owner that returns credits it never had", func() {
