--- a/internal/config/schedule_test.go
+++ b/internal/config/schedule_test.go
@@ -18,7 +18,6 @@
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/config/follower"
 	"github.com/camphorrack/camphorrack/internal/fault"
-	_ "github.com/camphorrack/camphorrack/internal/fixedseed"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/platformlog/logfake"
 )
