Configuration: agents say when they are stale, entries when a change lost

Cause: an agent that lost touch with every entry that reads the log went on with old limits and no event said so; event 503 was in the catalogue and never logged.

Change: the holder logs 502 once for a process that has not found its configuration current for too long (entry 30 s, agent 90 s); a follower logs 503 for a change that lost while it was following.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -63,7 +63,7 @@
 	a.control = newControl(s, a.clock)
 	a.dialers = newDialers(a)
 	a.holder = config.NewHolder(config.Where{DataCentre: o.DataCentre, Rack: o.Rack}, a.clock, log)
-	a.fanOut = config.NewFanOut()
+	a.fanOut = config.NewFanOut(a.holder)
 	a.metrics.config(a.holder)
 	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout}
 	return a, nil
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -121,7 +121,7 @@
 func BenchmarkIdleTell(b *testing.B) {
 	const perEntry = designAgents * assumedLinks / assumedEntries
 	holder := holderAt(b)
-	fan := config.NewFanOut()
+	fan := config.NewFanOut(nil)
 	for i := range perEntry {
 		p := fan.Add(config.NewEntryLink(holder, rand.New(rand.NewPCG(1, uint64(i)))), func(uint64, []byte) {})
 		must(b, p.Heard(holder.Mark()+1, nil))
@@ -183,12 +183,12 @@
 }
 
 func newFanOutFleet(b *testing.B) *fanOutFleet {
-	f := &fanOutFleet{b: b, clock: clock.NewFake(time.Unix(0, 0)), log: logfake.New(), agentFan: config.NewFanOut()}
+	f := &fanOutFleet{b: b, clock: clock.NewFake(time.Unix(0, 0)), log: logfake.New(), agentFan: config.NewFanOut(nil)}
 	start := designState(b)
 	for i := range assumedEntries {
 		h := config.NewHolder(config.Where{}, f.clock, logr.Discard())
 		f.entries = append(f.entries, h)
-		f.fans = append(f.fans, config.NewFanOut())
+		f.fans = append(f.fans, config.NewFanOut(nil))
 		f.followers = append(f.followers, follower.New(follower.Options{Log: f.log, Holder: h, Clock: f.clock, Logger: logr.Discard(), Rand: rand.New(rand.NewPCG(2, uint64(i)))}))
 		f.pollAt = append(f.pollAt, f.clock.Now())
 	}
--- a/internal/config/fanout.go
+++ b/internal/config/fanout.go
@@ -18,11 +18,14 @@
 const (
 	vouchEvery  = 30 * time.Second
 	vouchWithin = 10 * time.Second
+	// PeerStaleAfter is three repetitions: one that is lost or late is no news.
+	PeerStaleAfter = 3 * vouchEvery
 )
 
 // FanOut tells the peers at the ends of a process's connections of changes. It is
 // safe for concurrent use.
 type FanOut struct {
+	stale *Holder // says when it is stale; nil where a follower does
 	mu    sync.Mutex
 	peers map[*Peer]bool
 }
@@ -36,8 +39,9 @@
 	at   time.Time // zero: nothing said yet
 }
 
-// NewFanOut returns a FanOut without connections.
-func NewFanOut() *FanOut { return &FanOut{peers: map[*Peer]bool{}} }
+// NewFanOut returns a FanOut without connections. stale is the holder of a process
+// that hears of configuration from its peers alone, or nil.
+func NewFanOut(stale *Holder) *FanOut { return &FanOut{stale: stale, peers: map[*Peer]bool{}} }
 
 // Add takes a new connection in. send puts the mark and the update, which may be
 // empty, on a frame; it must not block.
@@ -111,6 +115,9 @@
 			return
 		case now := <-tick.C:
 			f.Tell(now)
+			if f.stale != nil {
+				f.stale.SayStale(PeerStaleAfter)
+			}
 		}
 	}
 }
--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -49,16 +49,15 @@
 
 // Follower reads the log for one process. Its methods belong to one goroutine.
 type Follower struct {
-	o           Options
-	wake        chan struct{}
-	fold        *config.Fold
-	backoff     *backoff.ExponentialBackOff
-	downSince   time.Time // zero while the log answers
-	snapshotAt  time.Time
-	snapshots   uint64
-	caughtUp    bool // has been at the end of the log
-	missed      bool // found records dropped, and no snapshot since
-	staleLogged bool
+	o          Options
+	wake       chan struct{}
+	fold       *config.Fold
+	backoff    *backoff.ExponentialBackOff
+	downSince  time.Time // zero while the log answers
+	snapshotAt time.Time
+	snapshots  uint64
+	caughtUp   bool // has been at the end of the log
+	missed     bool // found records dropped, and no snapshot since
 }
 
 // New returns a follower that goes on from what the holder has.
@@ -120,7 +119,7 @@
 func (f *Follower) Poll(ctx context.Context) time.Duration {
 	f.fold.Adopt(f.o.Holder.Get().State) // a peer may have been faster, or this process is new
 	more, err := f.read(ctx)
-	f.sayStale()
+	f.o.Holder.SayStale(f.o.StaleAfter)
 	if err != nil {
 		return f.failed(err)
 	}
@@ -146,9 +145,19 @@
 	if f.fold.Attached() {
 		f.o.Holder.Extend(f.fold.State(), b)
 	}
+	for i := range b.Verdicts {
+		f.sayVoid(&b.Verdicts[i])
+	}
 	return b.More, err
 }
 
+// sayVoid logs a change that lost, while it is news.
+func (f *Follower) sayVoid(v *config.Verdict) {
+	if f.caughtUp && v.Outcome == config.VoidBase {
+		event.Log(f.o.Logger, event.ConfigConflict, "change", v.ID(), "offset", v.Offset, "version", v.Winner.Version)
+	}
+}
+
 func (f *Follower) failed(err error) time.Duration {
 	if f.downSince.IsZero() {
 		f.downSince = f.o.Clock.Now()
@@ -235,19 +244,3 @@
 		f.snapshotAt = soon
 	}
 }
-
-// sayStale logs once when the process has not found its configuration to be
-// current for too long, and again only after it had.
-func (f *Follower) sayStale() {
-	age := f.o.Holder.Age()
-	if age < f.o.StaleAfter {
-		f.staleLogged = false
-		return
-	}
-	if f.staleLogged {
-		return
-	}
-	f.staleLogged = true
-	event.Log(f.o.Logger, event.ConfigStale, "age_ms", age.Milliseconds(),
-		"version", f.o.Holder.Get().State.Version, "attached", f.fold.Attached())
-}
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -31,6 +31,7 @@
 	applied   *Applied
 	tail      tail
 	confirmed time.Time
+	saidStale bool
 	watchers  []func(*Applied)
 }
 
@@ -100,6 +101,24 @@
 	return h.clock.Now().Sub(h.confirmed)
 }
 
+// SayStale logs once when this process has not found its configuration to be
+// current for so long, and again only after it had. Without it, one process that
+// lost touch would quietly go on with old limits.
+func (h *Holder) SayStale(after time.Duration) {
+	age := h.Age()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if age < after {
+		h.saidStale = false
+		return
+	}
+	if h.saidStale {
+		return
+	}
+	h.saidStale = true
+	event.Log(h.log, event.ConfigStale, "age_ms", age.Milliseconds(), "version", h.applied.State.Version)
+}
+
 // Mark is what a process tells its peers on frames that are sent anyway: the
 // position of its state, which rises with the version.
 func (h *Holder) Mark() uint64 { return h.Get().State.AsOf }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -28,7 +28,7 @@
 func newConfiguration(e *Entry) *configuration {
 	self := e.api.owner
 	where := config.Where{DataCentre: e.o.DataCentre, Entry: self.Addr.String()}
-	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut()}
+	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut(nil)}
 	if e.o.Log != "" {
 		c.follower = follower.New(follower.Options{
 			Log: platformlog.NewHTTP(e.o.Log, 0), Holder: c.holder, Clock: e.clock, Logger: e.log,
