Forward: one client a peer; a test that silent idle connections are left together

Cause: with the second try forced back onto the pool every test still passed: the client of fresh connections proved nothing that closing the idle ones does not do.

Change: that client is gone; a test with two forgotten idle connections was added, since nothing showed why the idle ones are closed.

--- a/internal/entry/passing.go
+++ b/internal/entry/passing.go
@@ -40,7 +40,8 @@
 // dontPass returns why a request must not be passed on to the owner, or nil.
 func (a *api) dontPass(g *gin.Context, o job.Owner) *fault.Fault {
 	if o.Addr == a.owner.Addr {
-		// This process listens where the owner did, so the owner has ended.
+		// This process listens where the owner did, so the owner has ended; calling
+		// the address would only prove it the long way.
 		return forward.OwnerGone(o)
 	}
 	if g.GetHeader(forward.HeaderForwarded) != "" {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -119,7 +119,7 @@
 	until := f.o.Clock.Now().Add(r.Wait)
 	failures := 0
 	for {
-		reply, err := f.once(ctx, r, until, failures > 0)
+		reply, err := f.once(ctx, r, until)
 		switch {
 		case err == nil && (!reply.pending() || !f.o.Clock.Now().Before(until)):
 			return reply, nil
@@ -149,12 +149,13 @@
 }
 
 // once makes one call, for one slice of the wait.
-func (f *Forwarder) once(ctx context.Context, r Request, until time.Time, fresh bool) (*Reply, error) {
+func (f *Forwarder) once(ctx context.Context, r Request, until time.Time) (*Reply, error) {
 	slice := min(f.o.Slice, max(until.Sub(f.o.Clock.Now()), 0))
 	p := f.peers.get(r.Owner.Addr)
-	reply, err := p.call(ctx, r, slice, slice+f.o.Grace, fresh)
+	reply, err := p.call(ctx, r, slice, slice+f.o.Grace)
 	if err != nil && !errors.Is(err, errAnotherIncarnation) {
-		// Whatever took this connection's bytes has likely forgotten the idle ones too.
+		// Whatever took this connection's bytes has likely forgotten the idle ones too;
+		// without them the next call makes a new one.
 		p.closeIdle()
 	}
 	return reply, err
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,6 +126,35 @@
 		Expect(addrs[2]).NotTo(Equal(addrs[0]))
 	})
 
+	// The device forgets the idle connections as well. Tried one after the other, each
+	// would cost the caller another silence.
+	It("leaves all idle connections once one was silent", func() {
+		both := make(chan struct{})
+		var forgotten sync.Map
+		s := newScripted(func(call int, s *scripted, w http.ResponseWriter, r *http.Request) {
+			if call <= 2 {
+				forgotten.Store(r.RemoteAddr, true)
+				if call == 2 {
+					close(both)
+				}
+				<-both
+			} else if _, ok := forgotten.Load(r.RemoteAddr); ok {
+				silent(r)
+				return
+			}
+			s.answer(w, http.StatusOK, "done")
+		})
+		var calls sync.WaitGroup
+		for range 2 {
+			calls.Go(func() { _, _ = post(s, 0) })
+		}
+		calls.Wait()
+		reply, err := post(s, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply.Body)).To(Equal("done"))
+		Expect(s.calls.Load()).To(Equal(int32(4)))
+	})
+
 	// The owner is paused, cut off, or gone; nobody can tell which. It may have
 	// started the job, so neither "not run" nor a failure would be true for sure.
 	DescribeTable("is undecided while an unreachable owner may be alive, and unknown past the deadline",
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -80,32 +80,27 @@
 type peer struct {
 	addr     netip.AddrPort
 	lastUsed time.Time // guarded by peers.mu
-	pooled   *http.Client
-	fresh    *http.Client // a new connection for each call
+	client   *http.Client
 }
 
 func newPeer(addr netip.AddrPort) *peer {
-	client := func(keep bool) *http.Client {
-		return &http.Client{
-			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{}).DialContext, // bounded by the call's silence
-				MaxIdleConnsPerHost: idlePerPeer,
-				IdleConnTimeout:     idleTimeout,
-				DisableKeepAlives:   !keep,
-				DisableCompression:  true,
-			},
-			// A redirect would lead to a process that the id does not name.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}
-	}
-	return &peer{addr: addr, pooled: client(true), fresh: client(false)}
+	return &peer{addr: addr, client: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{}).DialContext, // bounded by the call's silence
+			MaxIdleConnsPerHost: idlePerPeer,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		// A redirect would lead to a process that the id does not name.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
-func (p *peer) closeIdle() { p.pooled.CloseIdleConnections() }
+func (p *peer) closeIdle() { p.client.CloseIdleConnections() }
 
 // call makes one request. It gives up, and closes the connection, when no byte
 // moved for as long as silence; a large body on a slow path may take longer.
-func (p *peer) call(ctx context.Context, r Request, wait, silence time.Duration, fresh bool) (*Reply, error) {
+func (p *peer) call(ctx context.Context, r Request, wait, silence time.Duration) (*Reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := &watch{limit: silence, timer: time.AfterFunc(silence, func() { cancel(errSilent) })}
@@ -114,11 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := p.pooled
-	if fresh {
-		client = p.fresh
-	}
-	response, err := client.Do(request)
+	response, err := p.client.Do(request)
 	if err != nil {
 		return nil, lost(ctx, err)
 	}
