Admission: an urgent job is judged by what goes before it, not by the whole queue

Cause: the hard bound compared the whole queue with a share of the time that the job at the door has. Change: the share of the deadline bounds the work before the job and its own; the whole queue is held to the absolute bound. The new test fails without the change.

--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -22,8 +22,9 @@
 	// Above the soft bound, teams far above their equal share are refused, and jobs
 	// of which the work before them and their own exceeds it: those are the large
 	// ones, so that a given excess turns away few callers, and small jobs still pass.
-	// A team below its equal share is spared by both.
-	// Above the hard one, everybody is refused.
+	// A team below its equal share is spared by both. Above the hard one, everybody
+	// is refused whose own turn comes that late; an urgent job that ranks before a
+	// long queue never stands in it.
 	softShare = 0.2
 	hardShare = 0.4
 	// fairSlack is how far from its equal share towards the whole a team may fill the
@@ -120,15 +121,15 @@
 			return refuse(TooLate, need-v.DeadlineIn)
 		}
 	}
-	queue := drain(v, v.QueuedMs)
+	queue, turn := drain(v, v.QueuedMs), drain(v, v.AheadMs+v.RemainingMs)
 	soft, hard := v.queues()
-	if queue > hard {
-		return refuse(QueueFull, queue-soft)
+	if queue > v.Limits.HardQueue || turn > hard {
+		return refuse(QueueFull, max(queue, turn)-soft)
 	}
 	if queue > soft && aboveShare(v, fairSlack) {
 		return refuse(TeamShare, queue-soft)
 	}
-	if turn := drain(v, v.AheadMs+v.RemainingMs); turn > soft && aboveShare(v, 0) {
+	if turn > soft && aboveShare(v, 0) {
 		return refuse(QueueFull, turn-soft)
 	}
 	return Decision{Admit: true}
--- a/internal/scheduler/admission/admission_test.go
+++ b/internal/scheduler/admission/admission_test.go
@@ -133,6 +133,17 @@
 
 	// A job can't end before its deadline however it is served. Let in, it takes
 	// slots from jobs that can.
+	// Large jobs with much time fill the queue, and a check comes that is due in
+	// 150 ms. It goes before all of them; turned away for the length of a queue that
+	// it never stands in, it would leave a valve without its check.
+	It("lets an urgent small job pass a long queue of large ones", func() {
+		urgent := View{QueuedMs: 20_000, CapacityMsPerMs: 100, FastestSpeed: 3, RemainingMs: 60, LongestMs: 60,
+			DeadlineIn: 150 * time.Millisecond, TeamQueuedMs: 10, Teams: 2}
+		Expect(Decide(urgent).Admit).To(BeTrue())
+		urgent.AheadMs = 20_000
+		Expect(Decide(urgent).Admit).To(BeFalse())
+	})
+
 	It("refuses what can't be in time", func() {
 		v := View{CapacityMsPerMs: 100, FastestSpeed: 2, RemainingMs: 4000, LongestMs: 4000, DeadlineIn: time.Second}
 		Expect(Decide(v).Reason).To(Equal(TooLate))
