Chaos run: a process that goes back told apart from one that is behind its predecessor

Some five restarted entries came up while the log was out and for a few tenths of a second enforced what the first agent to connect knew, which was older than what their predecessor had.

--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -42,7 +42,8 @@
 	conflicts int
 	notTaken  int
 	undecided int
-	inForce   map[string]uint64 // by name, across restarts
+	seen      map[*localfleet.Process]uint64 // highest version that each process had
+	inForce   map[string]uint64              // the same by name, across restarts
 	// without counts sightings of a daemon that had come up and not yet learned the
 	// configuration that its predecessor had in force.
 	without  int
@@ -59,7 +60,9 @@
 
 func newOperators(d *deployment) *operators {
 	log := platformlog.NewHTTP(d.logURL(), 0)
-	return &operators{deployment: d, publisher: config.NewPublisher(log, 0), inForce: map[string]uint64{}}
+	return &operators{
+		deployment: d, publisher: config.NewPublisher(log, 0), seen: map[*localfleet.Process]uint64{}, inForce: map[string]uint64{},
+	}
 }
 
 // start begins to change and to watch; the function that it returns ends the
@@ -174,26 +177,31 @@
 	}
 	defer c.Close()
 	state, err := c.Config(ctx)
-	if err != nil {
-		return nil
+	if err != nil || p.Ended() {
+		return nil // a reply may have come from its successor
 	}
-	o.saw(p.Name, state.Version)
+	o.saw(p, state.Version)
 	return &state.Version
 }
 
-// saw checks a version against those that the daemon, or its predecessor at the
-// same address, had in force before.
-func (o *operators) saw(name string, version uint64) {
+// saw checks a version against those that the process, and its predecessors at the
+// same address, had in force before. A process that is behind its predecessor is
+// one breach, however long it lasts.
+func (o *operators) saw(p *localfleet.Process, version uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	before := o.inForce[name]
+	own, known := o.seen[p]
+	before := o.inForce[p.Name]
+	o.seen[p] = max(own, version)
+	o.inForce[p.Name] = max(before, version)
+	detail := fmt.Sprintf("version %d after version %d", version, before)
 	switch {
-	case version >= before:
-		o.inForce[name] = version
-	case version == 0:
+	case version < own:
+		o.breaches = append(o.breaches, Breach{RuleConfigReverts, p.Name, detail})
+	case version == 0 && before > 0:
 		o.without++
-	default:
-		o.breaches = append(o.breaches, Breach{RuleConfigReverts, name, fmt.Sprintf("version %d after version %d", version, before)})
+	case version < before && (!known || own == 0):
+		o.breaches = append(o.breaches, Breach{RuleConfigBehind, p.Name, detail})
 	}
 }
 
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -27,7 +27,10 @@
 	RuleConfigLate   Rule = "config_late"   // an accepted change is not in force everywhere in time
 	// RuleConfigReverts is broken by a process whose configuration goes back.
 	RuleConfigReverts Rule = "config_reverts"
-	RuleProcesses     Rule = "processes" // a process crashed or had to be killed
+	// RuleConfigBehind is broken by a restarted process that enforces an older
+	// configuration than its predecessor did.
+	RuleConfigBehind Rule = "config_behind"
+	RuleProcesses    Rule = "processes" // a process crashed or had to be killed
 )
 
 // Breach is one broken rule.
--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -228,13 +228,22 @@
 	p.killed = p.killed || kill
 }
 
-// Crashed reports whether the process ended although nobody asked it to.
-func (p *Process) Crashed() bool {
+// Ended reports whether the process has ended. While it has not, nobody else can
+// answer at its address.
+func (p *Process) Ended() bool {
 	select {
 	case <-p.ended:
+		return true
 	default:
 		return false
 	}
+}
+
+// Crashed reports whether the process ended although nobody asked it to.
+func (p *Process) Crashed() bool {
+	if !p.Ended() {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !p.wanted
