Agents keep sessions with four entries out of all they know

An agent dialled every entry it knew. At the design size that is 30 sessions an agent and 5,700 an entry, and idle sessions alone are beyond an entry's control budget.

Each agent now ranks the entries it knows by a rendezvous hash of its own name and theirs (internal/scheduler/subset): its data centre's first, one outside where there is one, -entry-sessions in all. An entry says its data centre in the welcome; agents pass on, in the hello and when they first meet an entry, what they know. An entry that can't be reached for 1 s, or that drains, is replaced; a substitute's session is given up 10 s after all the preferred ones stand. It is not just closed: a start under way on it would leave its job hanging until the deadline. The agent calls its credits back, waits for every report to be acknowledged, then closes.

Entries behind a balancer that are named to nobody are found by agents, which ask through the balancer once a minute which entry answers. An entry that knows 64 others puts a new one in the place of the one not named for the longest time; before, replaced hosts filled the list for good.

Ruled out: passing the entries' list in a directory (a service of its own), a random subset (a restart of an agent moves all its sessions), and closing surplus sessions at a moment without work (credits out may just have been spent).

The test of wire's heartbeat learned about fields of kind bool; it checks the same.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,7 @@
 	s.runTask = a.runTask
 	a.control = newControl(s, a.clock)
 	a.dialers = newDialers(a)
+	a.metrics.members(a.dialers)
 	a.holder = config.NewHolder(config.Where{DataCentre: o.DataCentre, Rack: o.Rack}, a.clock, log)
 	a.fanOut = config.NewFanOut()
 	a.metrics.config(a.holder)
@@ -82,6 +83,7 @@
 	for _, addr := range a.o.entries() {
 		a.dialers.configured(addr)
 	}
+	a.dialers.done.Go(a.dialers.run)
 	event.Log(a.log, event.ProcessStarted, "addr", a.Addr(), "worker", a.o.Worker,
 		"incarnation", a.control.state.incarnation.String(), "data_centre", a.o.DataCentre, "rack", a.o.Rack, "policy", a.o.Policy)
 }
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -23,6 +23,7 @@
 	sessions *session.Counters
 	outcomes [wire.Unknown + 1]metrics.Counter
 	runMs    metrics.Histogram
+	retired  metrics.Counter
 }
 
 func newCounters(queued func() int) *counters {
@@ -32,6 +33,7 @@
 		c.outcomes[state] = metrics.NewRegisteredCounter("calls."+names[state], c.registry)
 	}
 	c.runMs = metrics.NewRegisteredHistogram("calls.run_ms", c.registry, metrics.NewUniformSample(latencySamples))
+	c.retired = metrics.NewRegisteredCounter("entries.retired", c.registry)
 	c.gauge("control.queued_commands", func() int64 { return int64(queued()) })
 	c.gauge("sessions.frames_in", c.sessions.FramesIn.Load)
 	c.gauge("sessions.frames_out", c.sessions.FramesOut.Load)
@@ -72,6 +74,14 @@
 	c.gauge("config.age_ms", func() int64 { return h.Age().Milliseconds() })
 }
 
+// members shows which entries the agent knows and keeps sessions with.
+func (c *counters) members(d *dialers) {
+	c.gauge("entries.known", func() int64 { return d.counts().known })
+	c.gauge("entries.connected", func() int64 { return d.counts().connected })
+	c.gauge("entries.connected_home", func() int64 { return d.counts().home })
+	c.gauge("entries.down", func() int64 { return d.counts().down })
+}
+
 // update copies the control state's figures.
 func (c *counters) update(s *attempt.Status) {
 	set := func(name string, value int64) {
--- a/internal/agent/daemon_test.go
+++ b/internal/agent/daemon_test.go
@@ -260,7 +260,7 @@
 		conn := entry.conn(0)
 		balancer := httptest.NewServer(http.HandlerFunc(entry.serve))
 		DeferCleanup(balancer.Close)
-		conn.Send(&wire.ToAgent{Entries: []string{balancer.Listener.Addr().String(), "0.0.0.0:1", "nonsense"}})
+		conn.Send(&wire.ToAgent{Entries: []wire.Peer{{Addr: balancer.Listener.Addr().String()}, {Addr: "0.0.0.0:1"}, {Addr: "nonsense"}}})
 		entry.conn(1) // through the balancer, which ends at once
 		Eventually(agent.sessionsOpen, "5s").Should(Equal(1))
 		Consistently(entry.opened, "300ms").Should(BeNumerically("<=", 3))
--- a/internal/agent/dialers.go
+++ b/internal/agent/dialers.go
@@ -8,8 +8,6 @@
 
 	"github.com/cenkalti/backoff/v4"
 	"github.com/cockroachdb/errors"
-
-	"github.com/camphorrack/camphorrack/internal/event"
 )
 
 const (
@@ -30,21 +28,23 @@
 	aliasRetry = time.Second
 )
 
-// dialers keeps one dialling goroutine for each entry's address. A single
-// goroutine an address makes the connection dialled last the newest one.
+// dialers keeps one dialling goroutine for each entry that is kept a session with
+// or can't be reached. A single goroutine an address makes the connection dialled
+// last the newest one.
 type dialers struct {
 	agent *Agent
 	ctx   context.Context
 	stop  context.CancelFunc
 	done  sync.WaitGroup
+	kick  chan struct{} // the choice of entries should be looked at
 
 	mu    sync.Mutex
-	known map[string]bool
+	known map[string]*member
 }
 
 func newDialers(a *Agent) *dialers {
 	ctx, stop := context.WithCancel(context.Background())
-	return &dialers{agent: a, ctx: ctx, stop: stop, known: map[string]bool{}}
+	return &dialers{agent: a, ctx: ctx, stop: stop, kick: make(chan struct{}, 1), known: map[string]*member{}}
 }
 
 // canonical returns the address in the one form it is compared by, or "".
@@ -56,50 +56,29 @@
 	return parsed.String()
 }
 
-// configured starts dialling an address from the settings, which is never forgotten.
-func (d *dialers) configured(addr string) { d.add(canonical(addr), true) }
-
-// learn starts dialling an address that an entry named. One that is known,
-// malformed or beyond the cap is left out.
-func (d *dialers) learn(addr string) {
-	if own := canonical(addr); d.add(own, false) {
-		event.Log(d.agent.log, event.PeerLearned, "entry", own)
-	}
-}
-
-func (d *dialers) add(addr string, configured bool) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if addr == "" || d.known[addr] || len(d.known) >= d.agent.o.MaxEntries || d.ctx.Err() != nil {
-		return false
-	}
-	d.known[addr] = true
+// dial starts the dialling goroutine of an entry. The caller holds the lock.
+func (d *dialers) dial(m *member) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	m.cancel = cancel
 	d.done.Go(func() {
-		d.keep(addr, configured)
-		d.forget(addr)
+		defer cancel()
+		d.keep(ctx, m)
 	})
-	return true
-}
-
-func (d *dialers) forget(addr string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.known, addr)
 }
 
-// keep holds a connection to the address until the agent ends or the address is
-// given up.
-func (d *dialers) keep(addr string, configured bool) {
+// keep holds a connection to the entry until it is no longer wanted, or until the
+// address is given up.
+func (d *dialers) keep(ctx context.Context, m *member) {
 	wait := newBackoff()
 	lastReached := time.Now()
 	strict := true
-	for d.ctx.Err() == nil {
+	for ctx.Err() == nil {
 		began := time.Now()
-		err := d.agent.connect(d.ctx, addr, strict)
+		err := d.agent.connect(ctx, m.addr, strict)
 		var alias *aliasError
 		isAlias := errors.As(err, &alias)
-		lasted := time.Since(began)
-		if lasted > steadyAfter {
+		d.ended(ctx, m, isAlias)
+		if time.Since(began) > steadyAfter {
 			wait.Reset()
 		}
 		switch {
@@ -107,35 +86,42 @@
 			// The entry's own address is dialled from here on. Dialling it here too
 			// would only make the two connections replace each other for ever. Should
 			// the own address prove out of reach, this one has to do.
-			strict = !d.idleUntilAlone()
+			strict = !d.idleUntilAlone(ctx, m.addr)
 			lastReached = time.Now()
 			continue
 		case reached(err):
 			lastReached = time.Now()
-		case !configured && time.Since(lastReached) > forgetAfter:
+		case !m.configured && time.Since(lastReached) > forgetAfter:
+			d.forget(m)
 			return
 		}
-		d.sleep(wait.NextBackOff())
+		sleep(ctx, wait.NextBackOff())
 	}
 }
 
 // idleUntilAlone waits while any entry is connected and returns true when none is.
-func (d *dialers) idleUntilAlone() bool {
-	for d.ctx.Err() == nil {
-		d.sleep(aliasRetry)
+// Now and then it asks through the alias for entries that are not known yet.
+func (d *dialers) idleUntilAlone(ctx context.Context, addr string) bool {
+	next := time.Now().Add(probeWait())
+	for ctx.Err() == nil {
+		sleep(ctx, aliasRetry)
 		if d.agent.sessionsOpen() == 0 {
 			return true
 		}
+		if time.Now().After(next) {
+			d.probe(ctx, addr)
+			next = time.Now().Add(probeWait())
+		}
 	}
 	return false
 }
 
-func (d *dialers) sleep(wait time.Duration) {
+func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-d.ctx.Done():
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/agent/entrysession.go
+++ b/internal/agent/entrysession.go
@@ -35,6 +35,7 @@
 	conn   *session.ToEntryConn
 	strict bool // give way to the entry's own address
 	owner  job.Incarnation
+	peer   wire.Peer // the entry, as it says itself
 	config *config.Peer
 }
 
@@ -93,28 +94,33 @@
 		return &welcomeError{"the incarnation is missing"}
 	}
 	if own := canonical(w.Addr); s.strict && own != "" && own != s.addr {
-		s.dialers.learn(own)
+		s.dialers.learn(wire.Peer{Addr: own, DataCentre: w.DataCentre})
 		return &aliasError{own}
 	}
-	s.owner = w.Incarnation
+	s.owner, s.peer = w.Incarnation, wire.Peer{Addr: s.addr, DataCentre: w.DataCentre}
 	s.openConfig()
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.open.Add(1)
-	return s.control.push(func(now time.Time, st *state) {
+	err := s.control.push(func(now time.Time, st *state) {
 		st.sessions[s.id] = s
 		st.table.Connect(now, s.id, w)
 	})
+	s.dialers.opened(s, w)
+	return err
 }
 
 func (s *entrySession) learn(f *wire.ToAgent) {
-	for _, addr := range f.Entries {
-		s.dialers.learn(addr)
+	for _, p := range f.Entries {
+		s.dialers.learn(p)
 	}
 	if f.Welcome != nil {
-		for _, addr := range f.Welcome.Entries {
-			s.dialers.learn(addr)
+		for _, p := range f.Welcome.Entries {
+			s.dialers.learn(p)
 		}
 	}
+	if f.Leaving {
+		s.dialers.left(s)
+	}
 }
 
 // isHeartbeat reports whether a frame carries nothing for the attempt table.
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -16,6 +16,7 @@
 	"github.com/camphorrack/camphorrack/internal/attempt"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/scheduler/subset"
 	"github.com/camphorrack/camphorrack/internal/settings"
 )
 
@@ -30,6 +31,7 @@
 	Rack          string
 	Entries       string // addresses of entries, comma separated
 	MaxEntries    int
+	EntrySessions int // 0 means subset.DefaultSessions
 	Policy        string
 	Processors    int
 	LogLevel      int
@@ -50,7 +52,8 @@
 	s.StringVar(&o.DataCentre, "data-centre", "", "name of the worker's data centre")
 	s.StringVar(&o.Rack, "rack", "", "name of the worker's rack")
 	s.StringVar(&o.Entries, "entries", "", "addresses of entries, comma separated; more are learned from them")
-	s.IntVar(&o.MaxEntries, "max-entries", 64, "most entries to connect to")
+	s.IntVar(&o.MaxEntries, "max-entries", 64, "most entries to know")
+	s.IntVar(&o.EntrySessions, "entry-sessions", subset.DefaultSessions, "entries to keep sessions with, of those that are known")
 	s.StringVar(&o.Policy, "policy", string(attempt.Grants), "grants: owners start tasks against granted slots; push: they send at will")
 	s.IntVar(&o.Processors, "processors", defaultProcessors, "most processors the agent runs on at a time")
 	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: every decision, 2: debugging")
@@ -76,6 +79,7 @@
 	s.Check("max-entries", func() string {
 		return failIf(o.MaxEntries < len(o.entries()), "takes at least the number of -entries")
 	})
+	s.Check("entry-sessions", func() string { return failIf(o.EntrySessions < 1, "takes 1 or more") })
 	s.Check("policy", func() string {
 		policies := []attempt.Policy{attempt.Grants, attempt.Push}
 		return failIf(!slices.Contains(policies, attempt.Policy(o.Policy)), "takes grants or push")
@@ -97,6 +101,13 @@
 	return ""
 }
 
+func (o *Options) entrySessions() int {
+	if o.EntrySessions == 0 {
+		return subset.DefaultSessions
+	}
+	return o.EntrySessions
+}
+
 func (o *Options) entries() []string {
 	var addrs []string
 	for _, addr := range strings.Split(o.Entries, ",") {
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -114,11 +114,13 @@
 	s.table.Tick(now)
 }
 
-// connected returns the addresses of the entries that are connected.
-func (s *state) connected() []string {
-	addrs := make([]string, 0, len(s.sessions))
+// connected returns the entries that are connected at their own addresses.
+func (s *state) connected() []wire.Peer {
+	peers := make([]wire.Peer, 0, len(s.sessions))
 	for _, session := range s.sessions {
-		addrs = append(addrs, session.addr)
+		if session.strict {
+			peers = append(peers, session.peer)
+		}
 	}
-	return addrs
+	return peers
 }
--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -115,6 +115,31 @@
 	t.connector.disconnect(conn)
 }
 
+// Retire grants nothing more on a connection and calls its credits back, so that
+// Quiet becomes true; with on false, the connection takes part again.
+func (t *Table) Retire(conn ConnID, on bool) {
+	if o := t.b.conns[conn]; o != nil {
+		t.b.sharer.Retire(uint64(o.incarnation), on)
+	}
+}
+
+// Quiet reports whether the agent may close a connection that counts and that was
+// retired: the owner can start nothing on it and every report has arrived. Closing
+// it earlier could lose a start under way, and its job would hang until its
+// deadline. It is never true under Push, where nothing counts the starts.
+func (t *Table) Quiet(conn ConnID) bool {
+	o := t.b.conns[conn]
+	if o == nil || t.b.policy == Push || o.credits.unspent() > 0 || o.unacked > 0 {
+		return false
+	}
+	for _, a := range o.attempts {
+		if !a.state.Final() {
+			return false
+		}
+	}
+	return true
+}
+
 // Receive takes a frame. A frame on a connection that no longer counts has no
 // effect. The error is a *ProtocolError: close the connection then, which does not
 // count from here on.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,7 @@
 	PeerLearned     ID = 406
 	BadFrame        ID = 407
 	AgentRated      ID = 408
+	SessionRetired  ID = 409
 
 	ConfigApplied  ID = 501
 	ConfigStale    ID = 502
@@ -89,6 +90,7 @@
 	{PeerLearned, "peer_learned", "another entry's address was learned"},
 	{BadFrame, "bad_frame", "a frame could not be decoded or broke the protocol; the connection is closed"},
 	{AgentRated, "agent_rated", "an agent's rating changed: failing, straggling or well again"},
+	{SessionRetired, "session_retired", "an agent gave up the session of a substitute, since the entries it prefers are connected"},
 	{ConfigApplied, "config_applied", "a configuration version is in force on this process"},
 	{ConfigStale, "config_stale", "this process has not heard of the configuration for too long"},
 	{ConfigConflict, "config_conflict", "a change lost against another operator's"},
--- a/internal/owner/board.go
+++ b/internal/owner/board.go
@@ -26,7 +26,7 @@
 	kept     int                      // bytes of results in answers
 
 	waitingTasks map[string]int // by class
-	entries      []string       // addresses of other entries, for agents to dial
+	peers        peers          // other entries, for agents to dial
 	started      time.Time      // first time seen by a controller
 
 	queuedMs  float64 // unfinished work of all live jobs
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -105,7 +105,7 @@
 		o.Policy = PolicyLeastWork
 	}
 	c := &Core{board: newBoard(o), opts: o, log: o.Log}
-	c.learn(o.Entries)
+	c.configurePeers(o.Entries)
 	return c
 }
 
@@ -145,6 +145,7 @@
 	}
 	c.draining = true
 	event.Log(c.log, event.DrainStarted, "pending", c.pending)
+	c.tellLeaving()
 }
 
 // Idle reports whether every accepted submission has its answer.
--- a/internal/owner/sessions.go
+++ b/internal/owner/sessions.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,7 +23,7 @@
 // asked about, because a start may have been lost with the old connection. Another
 // incarnation of the same worker proves the former one dead.
 func (c *Core) Connect(now time.Time, conn ConnID, h *wire.Hello) {
-	c.learn(h.Entries)
+	c.learn(now, h.Entries)
 	a, known := c.agents[h.Incarnation]
 	if !known {
 		a = &agent{incarnation: h.Incarnation, worker: h.Worker, attempts: map[uint64]*attempt{}}
@@ -48,7 +47,9 @@
 		Version:     wire.Version,
 		Incarnation: c.opts.Owner.Incarnation,
 		Addr:        c.opts.Owner.Addr.String(),
-		Entries:     c.entries,
+		Entries:     c.peers.list(),
+		DataCentre:  c.opts.DataCentre,
+		Leaving:     c.draining,
 	}
 	out.Queries = a.open()
 	out.Cancels = a.abandoned()
@@ -79,31 +80,6 @@
 	return seqs
 }
 
-// maxEntries bounds how many entries are passed on: a few thin hosts exist.
-const maxEntries = 64
-
-// learn adds entries that an agent knows and tells the connected agents. This is
-// how agents find the entries behind the balancer without a list or a
-// coordination service.
-func (c *Core) learn(addrs []string) {
-	var added []string
-	for _, addr := range addrs {
-		if addr == c.opts.Owner.Addr.String() || slices.Contains(c.entries, addr) || len(c.entries) >= maxEntries {
-			continue
-		}
-		c.entries = append(c.entries, addr)
-		added = append(added, addr)
-		event.Log(c.log, event.PeerLearned, "entry", addr)
-	}
-	if len(added) == 0 {
-		return
-	}
-	for _, a := range c.byConn {
-		out := c.touch(a)
-		out.Entries = append(out.Entries, added...)
-	}
-}
-
 func (c *Core) replaceWorker(now time.Time, a *agent) {
 	former := c.byWorker[a.worker]
 	c.byWorker[a.worker] = a
@@ -140,6 +116,7 @@
 	if f.Hello != nil {
 		return breach("a second hello")
 	}
+	c.learn(now, f.Entries)
 	if f.Target != nil {
 		a.target = *f.Target
 		c.configureAgent(a)
--- a/internal/scheduler/grants/sharer.go
+++ b/internal/scheduler/grants/sharer.go
@@ -51,6 +51,7 @@
 	recalled int // asked back and neither returned nor spent yet
 	askBack  int // part of recalled that the owner has not been told of
 	passed   int // contested grants to others while this one waited
+	retired  bool
 }
 
 // outstanding is the number of credits the owner may still spend.
@@ -68,7 +69,8 @@
 // settled reports whether no recall is under way. While one is, the owner gets
 // nothing new: the recall could then take back a later credit than was meant,
 // and both sides would count differently.
-func (o *owner) settled() bool { return o.recalled == 0 }
+// A retired owner gets nothing at all.
+func (o *owner) settled() bool { return o.recalled == 0 && !o.retired }
 
 // Sharer divides slots. It is not safe for concurrent use.
 type Sharer struct {
@@ -101,6 +103,15 @@
 	}
 }
 
+// Retire stops granting to an owner and calls back what it holds, so that its
+// connection can be closed without losing a start that is under way on it. With
+// on false, the owner takes part again.
+func (s *Sharer) Retire(id uint64, on bool) {
+	if i, ok := s.find(id); ok {
+		s.owners[i].retired = on
+	}
+}
+
 // Owners returns the number of owners.
 func (s *Sharer) Owners() int { return len(s.owners) }
 
@@ -247,6 +258,12 @@
 // recall asks credits back: all that exceed the slots, else from owners that
 // don't wait as many as others wait for, else one to even out.
 func (s *Sharer) recall() {
+	for _, o := range s.owners {
+		if back := o.outstanding() - o.recalled; o.retired && back > 0 {
+			o.recalled += back
+			o.askBack += back
+		}
+	}
 	pending, wanted := 0, 0
 	empty := false
 	for _, o := range s.owners {
--- a/internal/wire/sequence.go
+++ b/internal/wire/sequence.go
@@ -13,7 +13,7 @@
 // Heartbeat reports whether the frame carries nothing but its numbers.
 func (f *ToEntry) Heartbeat() bool {
 	return f.Hello == nil && f.Target == nil && len(f.Reports) == 0 && f.Credits == nil &&
-		len(f.Config) == 0 && f.Version == 0
+		len(f.Config) == 0 && f.Version == 0 && len(f.Entries) == 0
 }
 
 // Weight estimates the frame's encoded size in bytes, without encoding it.
@@ -34,7 +34,7 @@
 // Heartbeat reports whether the frame carries nothing but its numbers.
 func (f *ToAgent) Heartbeat() bool {
 	return f.Welcome == nil && len(f.Starts) == 0 && len(f.Cancels) == 0 && len(f.Queries) == 0 && len(f.Acks) == 0 &&
-		f.Settled == 0 && f.Demand == nil && len(f.Config) == 0 && f.Version == 0 && len(f.Entries) == 0
+		f.Settled == 0 && f.Demand == nil && len(f.Config) == 0 && f.Version == 0 && len(f.Entries) == 0 && !f.Leaving
 }
 
 // Weight estimates the frame's encoded size in bytes, without encoding it.
--- a/internal/wire/sequence_test.go
+++ b/internal/wire/sequence_test.go
@@ -31,6 +31,8 @@
 		field.Set(reflect.New(field.Type().Elem()))
 	case reflect.Slice:
 		field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+	case reflect.Bool:
+		field.SetBool(true)
 	default:
 		field.SetUint(1)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -32,7 +32,13 @@
 	DataCentre  string          `cbor:"4,keyasint,omitempty"`
 	Rack        string          `cbor:"5,keyasint,omitempty"`
 	Target      Target          `cbor:"6,keyasint"`
-	Entries     []string        `cbor:"7,keyasint,omitempty"` // addresses of entries the agent knows
+	Entries     []Peer          `cbor:"7,keyasint,omitempty"` // entries that the agent is connected to
+}
+
+// Peer is an entry as others know it.
+type Peer struct {
+	Addr       string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint,omitempty"` // empty while it is not known
 }
 
 // Target is the state of the target beside the agent, as last announced.
@@ -51,7 +57,9 @@
 	Version     int             `cbor:"1,keyasint"`
 	Incarnation job.Incarnation `cbor:"2,keyasint"`
 	Addr        string          `cbor:"3,keyasint"`           // this entry's own address, behind the balancer
-	Entries     []string        `cbor:"4,keyasint,omitempty"` // addresses of other entries it knows
+	Entries     []Peer          `cbor:"4,keyasint,omitempty"` // other entries it knows
+	DataCentre  string          `cbor:"5,keyasint,omitempty"` // this entry's own
+	Leaving     bool            `cbor:"6,keyasint,omitempty"` // it takes no new submissions
 }
 
 // Start asks an agent to run a task. It is sent only against a credit, except
@@ -136,6 +144,7 @@
 	Credits *Credits `cbor:"6,keyasint,omitempty"`
 	Config  []byte   `cbor:"7,keyasint,omitempty"` // encoded configuration, where newer than the entry's
 	Version uint64   `cbor:"8,keyasint,omitempty"` // configuration version in force at the agent
+	Entries []Peer   `cbor:"9,keyasint,omitempty"` // entries that the agent has connected to since
 }
 
 // ToAgent is a frame from an entry to an agent.
@@ -149,9 +158,10 @@
 	Acks    []uint64 `cbor:"7,keyasint,omitempty"` // final reports that arrived
 	// Settled says that every attempt below it is settled and will never be
 	// started: the agent forgets those and refuses them if they still come.
-	Settled uint64   `cbor:"8,keyasint,omitempty"`
-	Demand  *Demand  `cbor:"9,keyasint,omitempty"`
-	Config  []byte   `cbor:"10,keyasint,omitempty"`
-	Version uint64   `cbor:"11,keyasint,omitempty"`
-	Entries []string `cbor:"12,keyasint,omitempty"` // entries learned since
+	Settled uint64  `cbor:"8,keyasint,omitempty"`
+	Demand  *Demand `cbor:"9,keyasint,omitempty"`
+	Config  []byte  `cbor:"10,keyasint,omitempty"`
+	Version uint64  `cbor:"11,keyasint,omitempty"`
+	Entries []Peer  `cbor:"12,keyasint,omitempty"` // entries learned since
+	Leaving bool    `cbor:"13,keyasint,omitempty"` // from now on it takes no new submissions
 }
