Fleet schedules: agents give sessions up

Random schedules now have agents call credits back and close quiet sessions, and check that no attempt of the entry's is left open by it.

--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/camphorrack/camphorrack/internal/attempt"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -43,6 +44,9 @@
 			"kill":       w.drawKill,
 			"leave":      w.drawLeave,
 			"drain":      w.drawDrain,
+			"retire":     w.drawRetire,
+			"giveUp":     w.drawGiveUp,
+			"giveUp2":    w.drawGiveUp,
 		})
 		w.settle()
 		total.add(w)
@@ -50,7 +54,7 @@
 }
 
 // tally counts what a run went through.
-type tally struct{ Schedules, Jobs, Accepted, Starts, Answers, Refusals, Kills, Freezes, Cuts, Closes, Leaves int }
+type tally struct{ Schedules, Jobs, Accepted, Starts, Answers, Refusals, Kills, Freezes, Cuts, Closes, Leaves, GivenUp int }
 
 func (s *tally) add(w *world) {
 	s.Schedules++
@@ -68,6 +72,7 @@
 	s.Cuts += w.faults.Cuts
 	s.Closes += w.faults.Closes
 	s.Leaves += w.faults.Leaves
+	s.GivenUp += w.faults.GivenUp
 }
 
 func (w *world) anyEntry(t *rapid.T) *entry { return rapid.SampledFrom(w.entries).Draw(t, "entry") }
@@ -193,6 +198,44 @@
 	w.dial(a, w.anyEntry(t))
 }
 
+// drawRetire has an agent call its credits back from an entry, or take part again.
+func (w *world) drawRetire(t *rapid.T) {
+	l := w.anyLink(t)
+	if !l.agentOpen || l.agent.frozen || w.agents[l.agent.slot] != l.agent {
+		t.Skip("no live agent on it")
+	}
+	l.retired = rapid.IntRange(0, 3).Draw(t, "back") > 0
+	l.agent.table.Retire(attempt.ConnID(l.id), l.retired)
+	l.agent.table.Flush()
+}
+
+// drawGiveUp has agents close the sessions that they retired and that are quiet.
+// Nothing may hang on one: a start that is lost with it is asked about on the next
+// connection, and an agent that prefers other entries makes none.
+func (w *world) drawGiveUp(*rapid.T) {
+	for _, l := range w.links {
+		if !l.retired || !l.agentOpen || l.agent.frozen || w.agents[l.agent.slot] != l.agent ||
+			!l.agent.table.Quiet(attempt.ConnID(l.id)) {
+			continue
+		}
+		if n := w.openAt(l.entry, l.agent); n > 0 && w.alive(l.entry) {
+			w.t.Fatalf("entry %d has %d attempts at agent %d, which gives its session up", l.entry.slot, n, l.agent.slot)
+		}
+		w.faults.GivenUp++
+		w.closeAgentSide(l)
+	}
+}
+
+// openAt is the number of attempts at an agent that the entry has not settled.
+func (w *world) openAt(e *entry, a *agent) int {
+	for _, target := range e.core.Targets() {
+		if target.Incarnation == a.incarnation.String() {
+			return target.Attempts
+		}
+	}
+	return 0
+}
+
 func (w *world) drawFreeze(t *rapid.T) {
 	w.faults.Freezes++
 	if rapid.Bool().Draw(t, "anEntry") {
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -95,6 +95,7 @@
 	// read from it before.
 	entryLate bool
 	agentLate bool
+	retired   bool // the agent called its credits back
 }
 
 // submission is what the callers know of one id.
