--- a/internal/agent/daemon_test.go
+++ b/internal/agent/daemon_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -26,6 +27,7 @@
 	server      *httptest.Server
 	incarnation job.Incarnation
 	addr        string // as told in the welcome
+	dataCentre  string
 
 	mu    sync.Mutex
 	conns []*fakeConn
@@ -41,8 +43,15 @@
 }
 
 func newFakeEntry() *fakeEntry {
+	return newFakeEntryAt("127.0.0.1:0")
+}
+
+func newFakeEntryAt(addr string) *fakeEntry {
 	e := &fakeEntry{incarnation: job.NewIncarnation()}
-	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+	listener, err := net.Listen("tcp", addr)
+	Expect(err).NotTo(HaveOccurred())
+	e.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(e.serve)}}
+	e.server.Start()
 	e.addr = e.server.Listener.Addr().String()
 	DeferCleanup(e.server.Close)
 	return e
@@ -61,7 +70,7 @@
 	if f.Hello != nil {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		c.Send(&wire.ToAgent{Welcome: &wire.Welcome{Version: wire.Version, Incarnation: e.incarnation, Addr: e.addr}})
+		c.Send(&wire.ToAgent{Welcome: &wire.Welcome{Version: wire.Version, Incarnation: e.incarnation, Addr: e.addr, DataCentre: e.dataCentre}})
 		e.conns = append(e.conns, c)
 		return nil
 	}
--- a/internal/agent/dialers.go
+++ b/internal/agent/dialers.go
@@ -37,6 +37,8 @@
 	stop  context.CancelFunc
 	done  sync.WaitGroup
 	kick  chan struct{} // the choice of entries should be looked at
+	// surplusAfter is the constant of that name; tests shorten it.
+	surplusAfter time.Duration
 
 	mu    sync.Mutex
 	known map[string]*member
@@ -44,7 +46,7 @@
 
 func newDialers(a *Agent) *dialers {
 	ctx, stop := context.WithCancel(context.Background())
-	return &dialers{agent: a, ctx: ctx, stop: stop, kick: make(chan struct{}, 1), known: map[string]*member{}}
+	return &dialers{agent: a, ctx: ctx, stop: stop, kick: make(chan struct{}, 1), surplusAfter: surplusAfter, known: map[string]*member{}}
 }
 
 // canonical returns the address in the one form it is compared by, or "".
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -237,7 +237,7 @@
 	switch {
 	case m.surplusSince.IsZero() || !whole && !m.retiring:
 		m.surplusSince = now
-	case now.Sub(m.surplusSince) > surplusAfter:
+	case now.Sub(m.surplusSince) > d.surplusAfter:
 		m.retiring = true
 		d.retire(m.session, true)
 	}
