Entry: a drain does not wait for connections that were never used

Cause: the test of the whole path failed once on a loaded machine: the entry's drain ended with a deadline exceeded while closing callers' connections. net/http counts a connection without a request as in use for five seconds, our bound is two, and clients dial in reserve. Ruled out: a request in progress (every caller had its answer). Change: such connections are closed once the listener is.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	control  *control
 	listener net.Listener
 	server   *http.Server
+	unused   *unusedConns
 
 	draining  atomic.Bool
 	drainOnce sync.Once
@@ -106,8 +107,10 @@
 	e.api.config = newConfiguration(e)
 	e.api.agents.config = e.api.config
 	metrics.config(e.api.config.holder)
+	e.unused = newUnusedConns()
 	e.server = &http.Server{
-		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: e.unused.note,
+		Handler:   e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.o.MaxTimeout + writeSlack,
 		// What the library would print to stderr as plain text is for debugging only.
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -320,6 +321,17 @@
 		Eventually(e.Drained(), "5s").Should(BeClosed())
 	})
 
+	// A caller's client holds a connection in reserve that never carried a request.
+	// The drain that has finished everything waited for it, and ended as failed.
+	It("does not wait for connections that were never used", func() {
+		e := startEntry(GinkgoT())
+		reserve, err := net.Dial("tcp", e.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = reserve.Close() }()
+		Expect(call(http.MethodGet, e.Addr(), "/healthz", nil).status).To(Equal(http.StatusOK))
+		Expect(e.Stop(context.Background())).To(Succeed())
+	})
+
 	It("ends with an error when the drain timeout is over first", func() {
 		e := startEntry(GinkgoT(), func(o *entry.Options) { o.DrainTimeout = 50 * time.Millisecond })
 		id := newID(tokenOf(e.Addr()), time.Minute, "job")
