Control goroutine: one loop for both daemons

The entry and the agent each had a copy of the same loop, hand-over and end. The generic one keeps what differed (pace of ticks, patience) as options.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/invariant"
+	"github.com/camphorrack/camphorrack/internal/job"
 )
 
 const (
@@ -29,17 +30,18 @@
 
 // Agent is the daemon.
 type Agent struct {
-	o        Options
-	log      logr.Logger
-	clock    clock.Clock
-	metrics  *counters
-	control  *control
-	dialers  *dialers
-	holder   *config.Holder
-	fanOut   *config.FanOut
-	stopConf context.CancelFunc
-	listener net.Listener
-	server   *http.Server
+	o           Options
+	incarnation job.Incarnation
+	log         logr.Logger
+	clock       clock.Clock
+	metrics     *counters
+	control     *controlLoop
+	dialers     *dialers
+	holder      *config.Holder
+	fanOut      *config.FanOut
+	stopConf    context.CancelFunc
+	listener    net.Listener
+	server      *http.Server
 
 	lastConn  atomic.Uint64
 	open      atomic.Int64 // sessions that are welcomed
@@ -57,9 +59,10 @@
 		return nil, errors.Wrapf(err, "listen on %s", o.Listen)
 	}
 	a := &Agent{o: o, log: log, clock: clock.NewAnchored(), listener: listener, endAsked: make(chan struct{})}
-	a.metrics = newCounters(func() int { return len(a.control.commands) })
+	a.metrics = newCounters(func() int { return a.control.Waiting() })
 	s := newState(o, log, a.metrics)
 	s.runTask = a.runTask
+	a.incarnation = s.incarnation
 	a.control = newControl(s, a.clock)
 	a.dialers = newDialers(a)
 	a.metrics.members(a.dialers)
@@ -75,7 +78,7 @@
 
 // Start serves and dials until Stop.
 func (a *Agent) Start() {
-	go a.control.run()
+	go a.control.Run()
 	go a.serve()
 	ctx, stop := context.WithCancel(context.Background())
 	a.stopConf = stop
@@ -85,7 +88,7 @@
 	}
 	a.dialers.done.Go(a.dialers.run)
 	event.Log(a.log, event.ProcessStarted, "addr", a.Addr(), "worker", a.o.Worker,
-		"incarnation", a.control.state.incarnation.String(), "data_centre", a.o.DataCentre, "rack", a.o.Rack, "policy", a.o.Policy)
+		"incarnation", a.incarnation.String(), "data_centre", a.o.DataCentre, "rack", a.o.Rack, "policy", a.o.Policy)
 }
 
 func (a *Agent) serve() {
@@ -107,7 +110,7 @@
 		a.draining.Store(true)
 		event.Log(a.log, event.DrainStarted)
 		// The error means that the process ends anyway.
-		_ = a.control.push(func(now time.Time, s *state) { s.table.Drain(now) })
+		_ = a.control.Push(func(now time.Time, s *state) { s.table.Drain(now) })
 	})
 }
 
@@ -124,8 +127,7 @@
 	if closeErr := a.server.Shutdown(closing); err == nil && closeErr != nil {
 		err = errors.Wrap(closeErr, "close HTTP connections")
 	}
-	close(a.control.stop)
-	<-a.control.stopped
+	a.control.End()
 	event.Log(a.log, event.ProcessStopped, "clean", err == nil)
 	return err
 }
--- a/internal/agent/entrysession.go
+++ b/internal/agent/entrysession.go
@@ -77,7 +77,7 @@
 	if isHeartbeat(f) {
 		return nil
 	}
-	return s.control.push(func(now time.Time, st *state) {
+	return s.control.Push(func(now time.Time, st *state) {
 		if err := st.table.Receive(now, s.id, f); err != nil {
 			s.conn.Close(err)
 		}
@@ -101,7 +101,7 @@
 	s.openConfig()
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.open.Add(1)
-	err := s.control.push(func(now time.Time, st *state) {
+	err := s.control.Push(func(now time.Time, st *state) {
 		st.sessions[s.id] = s
 		st.table.Connect(now, s.id, w)
 	})
@@ -137,7 +137,7 @@
 	s.open.Add(-1)
 	s.closeConfig()
 	// The error means that the process ends, and the state with it.
-	_ = s.control.push(func(now time.Time, st *state) {
+	_ = s.control.Push(func(now time.Time, st *state) {
 		delete(st.sessions, s.id)
 		st.table.Disconnect(now, s.id)
 	})
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -252,7 +252,7 @@
 	// A goroutine of its own, because the control goroutine may be waiting for the
 	// lock that is held here. The error means that the process ends.
 	go func() {
-		_ = s.control.push(func(_ time.Time, st *state) {
+		_ = s.control.Push(func(_ time.Time, st *state) {
 			st.table.Retire(s.id, on)
 			if on && st.table.Quiet(s.id) {
 				d.close(s)
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -12,7 +12,7 @@
 func (a *Agent) runTask(ctx context.Context, c *caller, k attempt.Key, s wire.Start) {
 	out := a.callInTime(ctx, c, &s)
 	// The error means that the process ends, and the state with it.
-	_ = a.control.push(func(now time.Time, st *state) { st.finished(now, k, c, out) })
+	_ = a.control.Push(func(now time.Time, st *state) { st.finished(now, k, c, out) })
 }
 
 // callInTime looks at the deadline once more. This goroutine may begin long after
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -53,7 +53,7 @@
 // agents serves the agents' connections.
 type agents struct {
 	log      logr.Logger
-	control  *control
+	control  *controlLoop
 	outbox   *outbox
 	options  session.Options
 	lastConn atomic.Uint64
@@ -92,7 +92,7 @@
 	if f.Heartbeat() {
 		return nil // the session has seen it, and the owner need not
 	}
-	return s.control.push(func(now time.Time, c core) {
+	return s.control.Push(func(now time.Time, c core) {
 		if err := c.Receive(now, s.id, f); err != nil {
 			s.conn.Close(err)
 		}
@@ -111,7 +111,7 @@
 	}
 	s.opened = true
 	s.agents.config.open(s)
-	return s.control.push(func(now time.Time, c core) {
+	return s.control.Push(func(now time.Time, c core) {
 		s.outbox.conns[s.id] = s.conn
 		c.Connect(now, s.id, f.Hello)
 	})
@@ -127,7 +127,7 @@
 	}
 	s.agents.config.close(s)
 	// The error means that the process ends, and the state with it.
-	_ = s.control.push(func(now time.Time, c core) {
+	_ = s.control.Push(func(now time.Time, c core) {
 		delete(s.outbox.conns, s.id)
 		c.Disconnect(now, s.id)
 	})
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -32,7 +32,7 @@
 	dataCentre string
 	maxTimeout time.Duration
 
-	control   *control
+	control   *controlLoop
 	forwarder *forward.Forwarder
 	agents    *agents
 	config    *configuration
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -44,7 +44,7 @@
 }
 
 // start follows the log and tells agents until end. The control goroutine must run.
-func (c *configuration) start(k *control) {
+func (c *configuration) start(k *controlLoop) {
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.holder.Watch(func(a *config.Applied) {
@@ -54,7 +54,7 @@
 		// In a goroutine: the channel of commands may be full for a while. The
 		// command takes what is newest then, so an older one can't come last.
 		go func() {
-			_ = k.push(func(now time.Time, core core) { core.Configure(now, c.holder.Get()) }) // fails only at the end
+			_ = k.Push(func(now time.Time, core core) { core.Configure(now, c.holder.Get()) }) // fails only at the end
 		}()
 	})
 	go c.fanOut.Run(ctx)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -4,10 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/config"
+	"github.com/camphorrack/camphorrack/internal/control"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -30,14 +29,6 @@
 	busyAfter = 500 * time.Millisecond
 )
 
-var (
-	// errBusy is a command that found no room; it was not executed and won't be.
-	errBusy = errors.New("the control goroutine has too many commands")
-	// errStopped is a command that the end of the process overtook; whether it was
-	// executed is unknown.
-	errStopped = errors.New("the control goroutine has ended")
-)
-
 // core is the control state; *owner.Core implements it.
 type core interface {
 	Submit(now time.Time, s *job.Submission, w owner.Waiter) (stop func(), err error)
@@ -57,119 +48,33 @@
 }
 
 // command is something to do with the control state, on the control goroutine.
-type command func(now time.Time, c core)
+type command = control.Command[core]
 
-// control runs commands on the one goroutine that owns the control state.
-type control struct {
-	core     core
-	clock    clock.Clock
-	commands chan command
-	stop     chan struct{}
-	stopped  chan struct{}
-	endOnce  sync.Once
+// controlLoop is the goroutine that owns the control state.
+type controlLoop struct {
+	*control.Loop[core]
+	endOnce sync.Once
 }
 
-func newControl(c core, k clock.Clock) *control {
-	return &control{
-		core: c, clock: k,
-		commands: make(chan command, maxCommands),
-		stop:     make(chan struct{}), stopped: make(chan struct{}),
-	}
+func newControl(c core, k clock.Clock) *controlLoop {
+	return &controlLoop{Loop: control.New(control.Options[core]{
+		State: c, Clock: k,
+		Tick:  func(now time.Time, c core) { c.Tick(now) },
+		Pace:  pace,
+		Flush: core.Flush, MaxCommands: maxCommands, MaxBatch: maxBatch,
+	})}
 }
 
-// run is the control goroutine. It ends when stop is closed.
-func (c *control) run() {
-	defer close(c.stopped)
-	lastTick := time.Now()
-	c.core.Tick(c.clock.Now()) // sets its time before the first submission
-	tick := time.NewTimer(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-c.stop:
-			return
-		case first := <-c.commands:
-			c.batch(first)
-		case <-tick.C:
-			lastTick = time.Now()
-			c.core.Tick(c.clock.Now())
-		}
-		c.core.Flush()
-		// Counted from the last tick, so that commands can't put the next one off.
-		tick.Reset(time.Until(lastTick.Add(c.pace())))
-	}
-}
-
-func (c *control) pace() time.Duration {
-	if c.core.Idle() {
+func pace(c core) time.Duration {
+	if c.Idle() {
 		return idleTickEvery
 	}
 	return tickEvery
 }
 
-// batch runs what has gathered, so that one frame per agent carries all of it.
-func (c *control) batch(first command) {
-	first(c.clock.Now(), c.core)
-	for range maxBatch - 1 {
-		select {
-		case next := <-c.commands:
-			next(c.clock.Now(), c.core)
-		default:
-			return
-		}
-	}
-}
+// do runs a command and waits until it is done. The error is control.ErrBusy, where
+// it was not executed, or control.ErrStopped.
+func (l *controlLoop) do(run command) error { return l.Do(busyAfter, run) }
 
-// do runs a command and waits until it is done.
-func (c *control) do(run command) error {
-	done := make(chan struct{})
-	err := c.post(func(now time.Time, k core) {
-		run(now, k)
-		close(done)
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case <-done:
-		return nil
-	case <-c.stopped:
-		return errStopped
-	}
-}
-
-// post hands over a command without waiting for it. It gives up with errBusy.
-func (c *control) post(run command) error {
-	select {
-	case c.commands <- run:
-		return nil
-	default:
-	}
-	timer := time.NewTimer(busyAfter)
-	defer timer.Stop()
-	select {
-	case c.commands <- run:
-		return nil
-	case <-c.stopped:
-		return errStopped
-	case <-timer.C:
-		return errBusy
-	}
-}
-
-// push hands over a command, however long it takes. Agents' connections use it:
-// while one waits here, its agent sees that its frames are not heard.
-func (c *control) push(run command) error {
-	select {
-	case c.commands <- run:
-		return nil
-	case <-c.stopped:
-		return errStopped
-	}
-}
-
-// end stops the control goroutine and waits for it.
-func (c *control) end() {
-	close(c.stop)
-	<-c.stopped
-}
+// post hands over a command without waiting for it; errors are as for do.
+func (l *controlLoop) post(run command) error { return l.Post(busyAfter, run) }
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/control"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/owner"
 )
@@ -18,18 +19,18 @@
 	g := NewWithT(t)
 	c := newControl(owner.New(owner.Options{}), clock.NewFake(time.UnixMilli(1)))
 	gate := make(chan struct{})
-	go c.run()
+	go c.Run()
 	g.Expect(c.post(func(time.Time, core) { <-gate })).To(Succeed())
 	ran := 0
 	for range maxCommands {
-		g.Expect(c.push(func(time.Time, core) { ran++ })).To(Succeed())
+		g.Expect(c.Push(func(time.Time, core) { ran++ })).To(Succeed())
 	}
-	for len(c.commands) < maxCommands { // the first may have been taken before
-		g.Expect(c.push(func(time.Time, core) { ran++ })).To(Succeed())
+	for c.Waiting() < maxCommands { // the first may have been taken before
+		g.Expect(c.Push(func(time.Time, core) { ran++ })).To(Succeed())
 	}
 	lost := false
 	err := c.do(func(time.Time, core) { lost = true })
-	g.Expect(err).To(MatchError(errBusy))
+	g.Expect(err).To(MatchError(control.ErrBusy))
 	told := asFault(err)
 	g.Expect(told.Code).To(Equal(fault.Undecided))
 	g.Expect(told.NotRun).To(BeFalse())
@@ -39,8 +40,8 @@
 	g.Expect(c.do(func(time.Time, core) {})).To(Succeed())
 	g.Expect(ran).To(BeNumerically(">=", maxCommands))
 	g.Expect(lost).To(BeFalse())
-	c.end()
-	g.Expect(c.do(func(time.Time, core) {})).To(MatchError(errStopped))
+	c.End()
+	g.Expect(c.do(func(time.Time, core) {})).To(MatchError(control.ErrStopped))
 }
 
 var _ core = (*owner.Core)(nil)
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -70,7 +70,7 @@
 	e.control.endOnce.Do(func() {
 		e.drainErr = err
 		e.api.config.end()
-		e.control.end()
+		e.control.End()
 		e.api.agents.outbox.closeAll()
 		event.Log(e.log, event.ProcessStopped, "clean", err == nil)
 		close(e.drainedCh)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,7 +39,7 @@
 	log      logr.Logger
 	clock    clock.Clock
 	api      *api
-	control  *control
+	control  *controlLoop
 	listener net.Listener
 	server   *http.Server
 	unused   *unusedConns
@@ -90,7 +90,7 @@
 
 // build wires the traffic side.
 func (e *Entry) build(self job.Owner, out *outbox) error {
-	metrics, err := newCounters(func() int { return len(e.control.commands) })
+	metrics, err := newCounters(func() int { return e.control.Waiting() })
 	if err != nil {
 		return errors.Wrap(err, "register metrics")
 	}
@@ -123,7 +123,7 @@
 
 // Start serves until Stop.
 func (e *Entry) Start() {
-	go e.control.run()
+	go e.control.Run()
 	e.api.config.start(e.control)
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
