Decision lines by default, sampled by a setting, and never in the way of the control goroutine

Cause: the architects ask for a line for each placement; it was written only at level 1, and on the control goroutine straight to stderr, so that a stalled reader of the log would stop heartbeats and answers.

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -22,7 +22,12 @@
 	)
 }
 
-func newLogger(o Options) logr.Logger { return logging.New(os.Stderr, Program, o.LogLevel) }
+// newLogger is made before the daemon, so that its end comes after the daemon's.
+func newLogger(life fx.Lifecycle, o Options) logr.Logger {
+	buffer := logging.NewBuffer(os.Stderr)
+	life.Append(fx.StopHook(buffer.Close))
+	return logging.New(buffer, Program, o.LogLevel)
+}
 
 func run(life fx.Lifecycle, shutdown fx.Shutdowner, a *Agent) {
 	life.Append(fx.Hook{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,7 +66,7 @@
 	out := newOutbox()
 	e.control = newControl(owner.New(owner.Options{
 		Owner: self, Outbox: out, Log: log, Policy: owner.Policy(o.Policy), MaxJobs: o.MaxJobs,
-		MaxTimeout: o.MaxTimeout, DataCentre: o.DataCentre, Entries: o.entries(), Seed: uint64(self.Incarnation),
+		LogEvery: o.LogPlacements, MaxTimeout: o.MaxTimeout, DataCentre: o.DataCentre, Entries: o.entries(), Seed: uint64(self.Incarnation),
 	}), e.clock)
 	if err := e.build(self, out); err != nil {
 		_ = listener.Close()
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -37,6 +37,7 @@
 	SnapshotEvery time.Duration // of the configuration; at most half of the log's retention
 	MaxTimeout    time.Duration
 	MaxJobs       int
+	LogPlacements int
 	LogLevel      int
 	Policy        string
 	CrashOnBreach bool
@@ -59,7 +60,8 @@
 	s.DurationVar(&o.SnapshotEvery, "snapshot-every", follower.DefaultSnapshotEvery, "longest time between snapshots of the configuration; at most half of the log's retention")
 	s.DurationVar(&o.MaxTimeout, "max-timeout", 10*time.Minute, "longest time from now to a submission's deadline")
 	s.IntVar(&o.MaxJobs, "max-jobs", owner.DefaultMaxJobs, "most submission ids held")
-	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: every decision, 2: debugging")
+	s.IntVar(&o.LogPlacements, "log-placements", 1, "log one placement of a task in so many; 0: none")
+	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: reports and forwards too, 2: debugging")
 	s.StringVar(&o.Policy, "policy", string(owner.PolicyLeastWork), "how tasks reach targets: "+policyNames())
 	s.BoolVar(&o.CrashOnBreach, "crash-on-breach", false, "end the process when an invariant is broken")
 	s.DurationVar(&o.DrainTimeout, "drain-timeout", 0, "longest graceful shutdown (default: max-timeout and 5s more)")
@@ -88,6 +90,7 @@
 	s.Check("log", func() string { return checkLog(o.Log) })
 	s.Check("snapshot-every", func() string { return failIf(o.SnapshotEvery < time.Second, "takes 1s or more") })
 	s.Check("max-jobs", func() string { return failIf(o.MaxJobs < 1, "takes 1 or more") })
+	s.Check("log-placements", func() string { return failIf(o.LogPlacements < 0, "takes 0 or more") })
 	s.Check("log-level", func() string { return failIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
 	s.Check("policy", func() string {
 		return failIf(!slices.Contains(owner.Policies, owner.Policy(o.Policy)), "takes "+policyNames())
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,6 +16,7 @@
 	ProcessStopped  ID = 103
 	InvariantBroken ID = 104
 	DrainStarted    ID = 105
+	LinesDropped    ID = 106
 
 	JobAccepted  ID = 201
 	JobRefused   ID = 202
@@ -70,6 +71,7 @@
 	{ProcessStopped, "process_stopped", "the daemon has finished what it had and ends"},
 	{InvariantBroken, "invariant_broken", "an invariant does not hold; the history follows"},
 	{DrainStarted, "drain_started", "an operator or a signal asked this daemon to take no new work"},
+	{LinesDropped, "log_lines_dropped", "whatever reads the log stalled, and lines were dropped rather than the daemon stopped"},
 	{JobAccepted, "job_accepted", "a submission was let in"},
 	{JobRefused, "job_refused", "a submission was turned away and did not run"},
 	{JobComplete, "job_complete", "every task succeeded and the answer is whole"},
--- /dev/null
+++ b/internal/logging/buffer_test.go
@@ -0,0 +1,42 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// stalled is a log reader that takes nothing until it is released.
+type stalled struct {
+	release chan struct{}
+	got     bytes.Buffer
+}
+
+func (s *stalled) Write(b []byte) (int, error) {
+	<-s.release
+	return s.got.Write(b)
+}
+
+// Whatever collects the log stalls, as a full disk or a stopped collector does. A
+// daemon that writes its log directly stands still with it: heartbeats stop and
+// jobs miss their deadlines because of a log line.
+func TestStalledReader(t *testing.T) {
+	g := NewWithT(t)
+	out := &stalled{release: make(chan struct{})}
+	b := NewBuffer(out)
+	const lines = maxBuffered + 100
+	for range lines {
+		_, err := io.WriteString(b, "line\n")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	close(out.release)
+	b.Close()
+	got := out.got.String()
+	written := strings.Count(got, "line\n")
+	g.Expect(written).To(BeNumerically(">=", maxBuffered))
+	g.Expect(written).To(BeNumerically("<", lines))
+	g.Expect(got).To(ContainSubstring("log_lines_dropped"))
+}
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -79,6 +79,7 @@
 	Outbox     Outbox
 	Log        logr.Logger
 	Policy     Policy
+	LogEvery   int // one placement in so many is logged; 0: none
 	MaxJobs    int
 	MaxTimeout time.Duration // longest time to a deadline; 0 means 10 minutes
 	DataCentre string
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -127,15 +127,14 @@
 }
 
 func (c *Core) logPlacement(l *liveJob, task int, at *attempt, choice placement.Choice) {
-	log := c.log.V(logging.LevelDecision)
-	if !log.Enabled() {
+	if c.opts.LogEvery == 0 || c.counts.Starts%uint64(c.opts.LogEvery) != 0 {
 		return
 	}
 	runnerUp := ""
 	if choice.RunnerUp != placement.None {
 		runnerUp = c.viewed[choice.RunnerUp].worker
 	}
-	event.Log(log, event.TaskPlaced, "job", l.sub.ID.String(), "task", task, "attempt", at.seq,
+	event.Log(c.log, event.TaskPlaced, "job", l.sub.ID.String(), "task", task, "attempt", at.seq,
 		"worker", at.agent.worker, "reason", choice.Reason.String(), "runner_up", runnerUp,
 		"estimate_ms", at.estimateMs, "rank", l.rank)
 }
