--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -29,6 +29,10 @@
 	// held to their shares: less than what admission lets in of a flood, so that
 	// shares apply by the time the flood's jobs fill the queue.
 	contendedAfter = time.Second
+	// holdBelow is how long the queue may take to work off for tasks to be held back
+	// for faster targets. Holding leaves slots idle, and in a long queue somebody
+	// always has a use for them.
+	holdBelow = 2 * time.Second
 	// anyClass asks for the capacity of all targets together.
 	anyClass = ""
 )
@@ -123,6 +127,7 @@
 	c.limiter.SetSlots(slots / owners)
 	c.limiter.SetOwners(owners)
 	c.limiter.SetContended(c.queuedMs > perMs*ms(contendedAfter))
+	c.placing.NoHold = c.queuedMs > perMs*ms(holdBelow)
 }
 
 // shed ends waiting jobs that can't be done in time any more, so that their
