--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,9 +39,10 @@
 	log      logr.Logger
 	clock    clock.Clock
 	api      *api
-	control  *control
+	control  *controlLoop
 	listener net.Listener
 	server   *http.Server
+	unused   *unusedConns
 
 	draining  atomic.Bool
 	drainOnce sync.Once
@@ -89,7 +90,7 @@
 
 // build wires the traffic side.
 func (e *Entry) build(self job.Owner, out *outbox) error {
-	metrics, err := newCounters(func() int { return len(e.control.commands) })
+	metrics, err := newCounters(func() int { return e.control.Waiting() })
 	if err != nil {
 		return errors.Wrap(err, "register metrics")
 	}
@@ -106,8 +107,10 @@
 	e.api.config = newConfiguration(e)
 	e.api.agents.config = e.api.config
 	metrics.config(e.api.config.holder)
+	e.unused = newUnusedConns()
 	e.server = &http.Server{
-		Handler: e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: e.unused.note,
+		Handler:   e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.o.MaxTimeout + writeSlack,
 		// What the library would print to stderr as plain text is for debugging only.
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
@@ -120,7 +123,7 @@
 
 // Start serves until Stop.
 func (e *Entry) Start() {
-	go e.control.run()
+	go e.control.Run()
 	e.api.config.start(e.control)
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
