Entries make themselves known to those in their settings

A new entry that named another one in -entries told its agents of that one, but had none itself: nothing told anybody of it, unless an agent had the balancer's address. It owned submissions and had no targets.

An entry now posts its address, under the fleet's signature, to those in its settings, at its start and about once a minute; they tell their agents. Ruled out: relying on the agents' question through the balancer alone, which not every deployment has.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -68,6 +68,7 @@
 	g.GET("/metrics", a.giveMetrics)
 
 	g.GET(session.Path, a.agents.serve)
+	g.POST(pathPeer, a.takePeer)
 	return g
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -47,6 +47,7 @@
 	Connect(now time.Time, conn owner.ConnID, h *wire.Hello)
 	Receive(now time.Time, conn owner.ConnID, f *wire.ToEntry) error
 	Disconnect(now time.Time, conn owner.ConnID)
+	Learn(now time.Time, named []wire.Peer)
 	Tick(now time.Time)
 	Configure(now time.Time, applied *config.Applied)
 	Flush()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,6 +122,9 @@
 func (e *Entry) Start() {
 	go e.control.run()
 	e.api.config.start(e.control)
+	for _, addr := range e.o.entries() {
+		go e.introduce(addr)
+	}
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -53,7 +53,7 @@
 	s.StringVar(&o.Listen, "listen", "127.0.0.1:7400", "address for callers, other entries and agents")
 	s.StringVar(&o.Advertise, "advertise", "", "address by which others reach this entry, ip:port (default: the bound address)")
 	s.StringVar(&o.DataCentre, "data-centre", "", "name of the data centre")
-	s.StringVar(&o.Entries, "entries", "", "addresses of other entries to tell agents about, comma separated")
+	s.StringVar(&o.Entries, "entries", "", "addresses of other entries, to tell agents about and to make itself known to, comma separated")
 	key := s.Secret("key", "secret of the fleet that signs tokens, at least 16 bytes")
 	s.StringVar(&o.Log, "log", "", "base URL of the platform's log, such as http://10.0.0.7:7000; without it, configuration comes from agents alone")
 	s.DurationVar(&o.SnapshotEvery, "snapshot-every", follower.DefaultSnapshotEvery, "longest time between snapshots of the configuration; at most half of the log's retention")
--- a/internal/localfleet/membership_test.go
+++ b/internal/localfleet/membership_test.go
@@ -31,6 +31,7 @@
 //	leaving-ms      from when its agent is told to drain to the last task begun
 //	dead-target-ms  from a target's kill to the last call its agent was sent for
 //	substitute-ms   from an entry's kill until an agent has all its sessions again
+//	new-entry-ms    from before the start of an entry, which names one other, to its first agent
 func BenchmarkMembership(b *testing.B) {
 	bin := os.Getenv(envBin)
 	if bin == "" {
@@ -95,6 +96,10 @@
 	f.await("a substitute", func() bool { return f.figure(lost, "entries.connected") == 4 })
 	took["substitute-ms"] = time.Since(began)
 
+	began = time.Now()
+	added := f.startEntry(ctx, 6)
+	f.await("an agent of the new entry", func() bool { return f.connectedAgents(added) > 0 })
+	took["new-entry-ms"] = time.Since(began)
 	return took
 }
 
@@ -183,6 +188,12 @@
 	return n
 }
 
+func (f *membershipFleet) connectedAgents(entry *Process) int {
+	var status struct{ Agents int }
+	f.read(entry, "/v1/status", &status)
+	return status.Agents
+}
+
 func (f *membershipFleet) starts(target *Process) int {
 	var all struct{ Total int }
 	f.read(target, "/starts", &all)
--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -14,7 +14,7 @@
 type peer struct {
 	wire.Peer
 	configured bool
-	heard      time.Time // when an agent last named it
+	heard      time.Time // when it was last named
 }
 
 // peers are the other entries, in the order in which they were learned.
@@ -76,7 +76,10 @@
 	}
 }
 
-// learn adds entries that an agent is connected to and tells the connected agents
+// Learn takes the names of other entries that are up.
+func (c *Core) Learn(now time.Time, named []wire.Peer) { c.learn(now, named) }
+
+// learn adds entries that are up and tells the connected agents
 // what is new. This is how entries and agents find each other behind the balancer
 // without a list or a coordination service.
 func (c *Core) learn(now time.Time, named []wire.Peer) {
