--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -28,7 +28,7 @@
 func newConfiguration(e *Entry) *configuration {
 	self := e.api.owner
 	where := config.Where{DataCentre: e.o.DataCentre, Entry: self.Addr.String()}
-	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut()}
+	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut(nil)}
 	if e.o.Log != "" {
 		c.follower = follower.New(follower.Options{
 			Log: platformlog.NewHTTP(e.o.Log, 0), Holder: c.holder, Clock: e.clock, Logger: e.log,
@@ -44,7 +44,7 @@
 }
 
 // start follows the log and tells agents until end. The control goroutine must run.
-func (c *configuration) start(k *control) {
+func (c *configuration) start(k *controlLoop) {
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.holder.Watch(func(a *config.Applied) {
@@ -54,7 +54,7 @@
 		// In a goroutine: the channel of commands may be full for a while. The
 		// command takes what is newest then, so an older one can't come last.
 		go func() {
-			_ = k.push(func(now time.Time, core core) { core.Configure(now, c.holder.Get()) }) // fails only at the end
+			_ = k.Push(func(now time.Time, core core) { core.Configure(now, c.holder.Get()) }) // fails only at the end
 		}()
 	})
 	go c.fanOut.Run(ctx)
