--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -85,7 +87,7 @@
 func (c *Core) learn(now time.Time, named []wire.Peer) {
 	var news []wire.Peer
 	for _, p := range named {
-		if p.Addr == c.opts.Owner.Addr.String() || !c.peers.hear(now, p, false) {
+		if !wellFormed(p) || p.Addr == c.opts.Owner.Addr.String() || !c.peers.hear(now, p, false) {
 			continue
 		}
 		news = append(news, p)
@@ -100,6 +102,13 @@
 	}
 }
 
+// wellFormed reports whether an entry can be passed on: what one broken agent names
+// would else reach every agent and push real entries out of the list.
+func wellFormed(p wire.Peer) bool {
+	addr, err := netip.ParseAddrPort(p.Addr)
+	return err == nil && addr.Port() != 0 && len(p.DataCentre) <= job.MaxNameBytes
+}
+
 // tellLeaving lets the connected agents look for other entries while this one
 // still finishes what it has.
 func (c *Core) tellLeaving() {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -41,6 +41,7 @@
 
 export CAMPHORRACK_BENCH_BIN=$PWD/bin
 bench internal/localfleet IdlePath -benchtime 300x
+bench internal/localfleet Membership -benchtime 3x
 
 start_entry first; first=$addr
 start_entry second; second=$addr
