--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -14,7 +16,7 @@
 type peer struct {
 	wire.Peer
 	configured bool
-	heard      time.Time // when an agent last named it
+	heard      time.Time // when it was last named
 }
 
 // peers are the other entries, in the order in which they were learned.
@@ -76,13 +78,16 @@
 	}
 }
 
-// learn adds entries that an agent is connected to and tells the connected agents
+// Learn takes the names of other entries that are up.
+func (c *Core) Learn(now time.Time, named []wire.Peer) { c.learn(now, named) }
+
+// learn adds entries that are up and tells the connected agents
 // what is new. This is how entries and agents find each other behind the balancer
 // without a list or a coordination service.
 func (c *Core) learn(now time.Time, named []wire.Peer) {
 	var news []wire.Peer
 	for _, p := range named {
-		if p.Addr == c.opts.Owner.Addr.String() || !c.peers.hear(now, p, false) {
+		if !wellFormed(p) || p.Addr == c.opts.Owner.Addr.String() || !c.peers.hear(now, p, false) {
 			continue
 		}
 		news = append(news, p)
@@ -97,6 +102,13 @@
 	}
 }
 
+// wellFormed reports whether an entry can be passed on: what one broken agent names
+// would else reach every agent and push real entries out of the list.
+func wellFormed(p wire.Peer) bool {
+	addr, err := netip.ParseAddrPort(p.Addr)
+	return err == nil && addr.Port() != 0 && len(p.DataCentre) <= job.MaxNameBytes
+}
+
 // tellLeaving lets the connected agents look for other entries while this one
 // still finishes what it has.
 func (c *Core) tellLeaving() {
