--- a/internal/logging/buffer_test.go
+++ b/internal/logging/buffer_test.go
@@ -27,15 +27,17 @@
 	g := NewWithT(t)
 	out := &stalled{release: make(chan struct{})}
 	b := NewBuffer(out)
-	const lines = maxBuffered + 100
+	const line = "line\n"
+	// More than the channel and one write can hold.
+	const lines = maxBuffered + writeSize/len(line) + 1000
 	for range lines {
-		_, err := io.WriteString(b, "line\n")
+		_, err := io.WriteString(b, line)
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	close(out.release)
 	b.Close()
 	got := out.got.String()
-	written := strings.Count(got, "line\n")
+	written := strings.Count(got, line)
 	g.Expect(written).To(BeNumerically(">=", maxBuffered))
 	g.Expect(written).To(BeNumerically("<", lines))
 	g.Expect(got).To(ContainSubstring("log_lines_dropped"))
