--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,7 +70,7 @@
 	a.metrics.members(a.dialers)
 	a.holder = config.NewHolder(config.Where{DataCentre: o.DataCentre, Rack: o.Rack}, a.clock, log)
 	a.fanOut = config.NewFanOut(a.holder)
-	a.metrics.config(a.holder)
+	a.metrics.Config(a.holder)
 	a.unused = httpconn.NewUnused()
 	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout, ConnState: a.unused.Note}
 	return a, nil
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -124,5 +124,5 @@
 	}
 	a.metrics.update(&status)
 	g.Header("Content-Type", "application/json; charset=utf-8")
-	metrics.WriteJSONOnce(a.metrics.registry, g.Writer)
+	metrics.WriteJSONOnce(a.metrics.Registry, g.Writer)
 }
--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -1,14 +1,12 @@
 package agent
 
 import (
-	"context"
-	"os"
 	"runtime"
 
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
-	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/daemon"
 )
 
 // Module wires the daemon for fx. A drain that an operator asked for ends the
@@ -22,24 +20,14 @@
 	)
 }
 
-// newLogger is made before the daemon, so that its end comes after the daemon's.
 func newLogger(life fx.Lifecycle, o Options) logr.Logger {
-	buffer := logging.NewBuffer(os.Stderr)
-	life.Append(fx.StopHook(buffer.Close))
-	return logging.New(buffer, Program, o.LogLevel)
+	return daemon.Logger(life, Program, o.LogLevel)
 }
 
 func run(life fx.Lifecycle, shutdown fx.Shutdowner, a *Agent) {
-	life.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			runtime.GOMAXPROCS(min(a.o.Processors, runtime.GOMAXPROCS(0)))
-			a.Start()
-			go func() {
-				<-a.EndAsked()
-				_ = shutdown.Shutdown() // fails only when the program is ending already
-			}()
-			return nil
-		},
-		OnStop: a.Stop,
-	})
+	start := func() {
+		runtime.GOMAXPROCS(min(a.o.Processors, runtime.GOMAXPROCS(0)))
+		a.Start()
+	}
+	daemon.Service{Start: start, Ended: a.EndAsked(), Stop: a.Stop}.Register(life, shutdown)
 }
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -8,9 +8,7 @@
 package agent
 
 import (
-	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/attempt"
@@ -64,41 +62,29 @@
 }
 
 func (o *Options) check(s *settings.Set) {
-	s.Check("listen", func() string { return checkAddr(o.Listen) })
+	s.Check("listen", func() string { return settings.CheckAddr(o.Listen) })
 	s.Check("worker", func() string {
-		return failIf(o.Worker == "" || len(o.Worker) > job.MaxNameBytes, "takes 1 to 64 bytes")
+		return settings.FailIf(o.Worker == "" || len(o.Worker) > job.MaxNameBytes, "takes 1 to 64 bytes")
 	})
 	s.Check("entries", func() string {
 		for _, addr := range o.entries() {
-			if wrong := checkAddr(addr); wrong != "" {
+			if wrong := settings.CheckAddr(addr); wrong != "" {
 				return wrong
 			}
 		}
-		return failIf(len(o.entries()) == 0, "takes at least one address")
+		return settings.FailIf(len(o.entries()) == 0, "takes at least one address")
 	})
 	s.Check("max-entries", func() string {
-		return failIf(o.MaxEntries < len(o.entries()), "takes at least the number of -entries")
+		return settings.FailIf(o.MaxEntries < len(o.entries()), "takes at least the number of -entries")
 	})
-	s.Check("entry-sessions", func() string { return failIf(o.EntrySessions < 1, "takes 1 or more") })
+	s.Check("entry-sessions", func() string { return settings.FailIf(o.EntrySessions < 1, "takes 1 or more") })
 	s.Check("policy", func() string {
 		policies := []attempt.Policy{attempt.Grants, attempt.Push}
-		return failIf(!slices.Contains(policies, attempt.Policy(o.Policy)), "takes grants or push")
+		return settings.FailIf(!slices.Contains(policies, attempt.Policy(o.Policy)), "takes grants or push")
 	})
-	s.Check("processors", func() string { return failIf(o.Processors < 1, "takes 1 or more") })
-	s.Check("log-level", func() string { return failIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
-	s.Check("drain-timeout", func() string { return failIf(o.DrainTimeout <= 0, "takes more than 0") })
-}
-
-func checkAddr(addr string) string {
-	_, err := netip.ParseAddrPort(addr)
-	return failIf(err != nil, "takes ip:port, got "+addr)
-}
-
-func failIf(wrong bool, text string) string {
-	if wrong {
-		return text
-	}
-	return ""
+	s.Check("processors", func() string { return settings.FailIf(o.Processors < 1, "takes 1 or more") })
+	s.Check("log-level", func() string { return settings.FailIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
+	s.Check("drain-timeout", func() string { return settings.FailIf(o.DrainTimeout <= 0, "takes more than 0") })
 }
 
 func (o *Options) entrySessions() int {
@@ -108,12 +94,4 @@
 	return o.EntrySessions
 }
 
-func (o *Options) entries() []string {
-	var addrs []string
-	for _, addr := range strings.Split(o.Entries, ",") {
-		if addr = strings.TrimSpace(addr); addr != "" {
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs
-}
+func (o *Options) entries() []string { return settings.List(o.Entries) }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -1,22 +1,19 @@
 package entry
 
 import (
-	"runtime"
 	"strconv"
-	"syscall"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/forward"
+	"github.com/camphorrack/camphorrack/internal/gauges"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
 
 // counters are what GET /metrics shows.
 type counters struct {
-	registry metrics.Registry
+	gauges.Set
 	requests metrics.Counter
 	panics   metrics.Counter
 	byClass  [6]metrics.Counter // responses by the first digit of their status
@@ -25,41 +22,14 @@
 }
 
 func newCounters(queued func() int) (*counters, error) {
-	c := &counters{registry: metrics.NewRegistry(), sessions: &session.Counters{}, forward: forward.NewCounters()}
-	c.requests = metrics.NewRegisteredCounter("http.requests", c.registry)
-	c.panics = metrics.NewRegisteredCounter("http.panics", c.registry)
+	c := &counters{sessions: &session.Counters{}, forward: forward.NewCounters()}
+	c.Set = gauges.New(c.sessions, queued)
+	c.requests = metrics.NewRegisteredCounter("http.requests", c.Registry)
+	c.panics = metrics.NewRegisteredCounter("http.panics", c.Registry)
 	for class := 2; class < len(c.byClass); class++ {
-		c.byClass[class] = metrics.NewRegisteredCounter("http.responses."+strconv.Itoa(class)+"xx", c.registry)
+		c.byClass[class] = metrics.NewRegisteredCounter("http.responses."+strconv.Itoa(class)+"xx", c.Registry)
 	}
-	c.gauge("control.queued_commands", func() int64 { return int64(queued()) })
-	c.gauge("sessions.frames_in", c.sessions.FramesIn.Load)
-	c.gauge("sessions.frames_out", c.sessions.FramesOut.Load)
-	c.gauge("sessions.bytes_in", c.sessions.BytesIn.Load)
-	c.gauge("sessions.bytes_out", c.sessions.BytesOut.Load)
-	c.gauge("sessions.heartbeats", c.sessions.Heartbeats.Load)
-	c.gauge("sessions.closed_silent", c.sessions.ClosedSilent.Load)
-	c.gauge("process.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
-	c.gauge("process.cpu_us", processorMicroseconds)
-	return c, c.forward.Register(c.registry)
-}
-
-func (c *counters) gauge(name string, read func() int64) {
-	metrics.NewRegisteredFunctionalGauge(name, c.registry, read)
-}
-
-// processorMicroseconds is the processor time that the process has used.
-func processorMicroseconds() int64 {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Microseconds()
-}
-
-// config shows which configuration is in force and how old it is.
-func (c *counters) config(h *config.Holder) {
-	c.gauge("config.version", func() int64 { return int64(h.Get().State.Version) })
-	c.gauge("config.age_ms", func() int64 { return h.Age().Milliseconds() })
+	return c, c.forward.Register(c.Registry)
 }
 
 // status counts a response.
@@ -72,13 +42,13 @@
 // fault counts what a caller was told; faults that another entry answered with and
 // that were passed on are counted there.
 func (c *counters) fault(name string) {
-	metrics.GetOrRegisterCounter("faults."+name, c.registry).Inc(1)
+	metrics.GetOrRegisterCounter("faults."+name, c.Registry).Inc(1)
 }
 
 // update copies the control state's figures.
 func (c *counters) update(s owner.Status) {
 	set := func(name string, value int64) {
-		metrics.GetOrRegisterGauge("owner."+name, c.registry).Update(value)
+		metrics.GetOrRegisterGauge("owner."+name, c.Registry).Update(value)
 	}
 	set("pending_jobs", int64(s.Pending))
 	set("waiting_tasks", int64(s.Waiting))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,7 +107,7 @@
 	}
 	e.api.config = newConfiguration(e)
 	e.api.agents.config = e.api.config
-	metrics.config(e.api.config.holder)
+	metrics.Config(e.api.config.holder)
 	e.unused = httpconn.NewUnused()
 	e.server = &http.Server{
 		ConnState: e.unused.Note,
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -1,13 +1,10 @@
 package entry
 
 import (
-	"context"
-	"os"
-
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
-	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/daemon"
 )
 
 // Module wires the daemon for fx. A drain that an operator asked for ends the
@@ -21,23 +18,10 @@
 	)
 }
 
-// newLogger is made before the daemon, so that its end comes after the daemon's.
 func newLogger(life fx.Lifecycle, o Options) logr.Logger {
-	buffer := logging.NewBuffer(os.Stderr)
-	life.Append(fx.StopHook(buffer.Close))
-	return logging.New(buffer, Program, o.LogLevel)
+	return daemon.Logger(life, Program, o.LogLevel)
 }
 
 func run(life fx.Lifecycle, shutdown fx.Shutdowner, e *Entry) {
-	life.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			e.Start()
-			go func() {
-				<-e.Drained()
-				_ = shutdown.Shutdown() // fails only when the program is ending already
-			}()
-			return nil
-		},
-		OnStop: e.Stop,
-	})
+	daemon.Service{Start: e.Start, Ended: e.Drained(), Stop: e.Stop}.Register(life, shutdown)
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -85,5 +85,5 @@
 		return
 	}
 	a.metrics.update(status)
-	writeJSON(g, http.StatusOK, a.metrics.registry)
+	writeJSON(g, http.StatusOK, a.metrics.Registry)
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -70,11 +70,11 @@
 }
 
 func (o *Options) check(s *settings.Set, key *string) {
-	s.Check("listen", func() string { return checkAddr(o.Listen) })
+	s.Check("listen", func() string { return settings.CheckAddr(o.Listen) })
 	s.Check("advertise", o.checkAdvertise)
 	s.Check("entries", func() string {
 		for _, addr := range o.entries() {
-			if wrong := checkAddr(addr); wrong != "" {
+			if wrong := settings.CheckAddr(addr); wrong != "" {
 				return wrong
 			}
 		}
@@ -82,20 +82,20 @@
 	})
 	s.Check("key", func() string {
 		o.Key = *key
-		return failIf(len(o.Key) < minKeyBytes, "takes at least 16 bytes")
+		return settings.FailIf(len(o.Key) < minKeyBytes, "takes at least 16 bytes")
 	})
 	s.Check("max-timeout", func() string {
-		return failIf(o.MaxTimeout < time.Second || o.MaxTimeout > 24*time.Hour, "takes 1s to 24h")
+		return settings.FailIf(o.MaxTimeout < time.Second || o.MaxTimeout > 24*time.Hour, "takes 1s to 24h")
 	})
 	s.Check("log", func() string { return checkLog(o.Log) })
-	s.Check("snapshot-every", func() string { return failIf(o.SnapshotEvery < time.Second, "takes 1s or more") })
-	s.Check("max-jobs", func() string { return failIf(o.MaxJobs < 1, "takes 1 or more") })
-	s.Check("log-placements", func() string { return failIf(o.LogPlacements < 0, "takes 0 or more") })
-	s.Check("log-level", func() string { return failIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
+	s.Check("snapshot-every", func() string { return settings.FailIf(o.SnapshotEvery < time.Second, "takes 1s or more") })
+	s.Check("max-jobs", func() string { return settings.FailIf(o.MaxJobs < 1, "takes 1 or more") })
+	s.Check("log-placements", func() string { return settings.FailIf(o.LogPlacements < 0, "takes 0 or more") })
+	s.Check("log-level", func() string { return settings.FailIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
 	s.Check("policy", func() string {
-		return failIf(!slices.Contains(owner.Policies, owner.Policy(o.Policy)), "takes "+policyNames())
+		return settings.FailIf(!slices.Contains(owner.Policies, owner.Policy(o.Policy)), "takes "+policyNames())
 	})
-	s.Check("drain-timeout", func() string { return failIf(o.DrainTimeout < 0, "takes 0 or more") })
+	s.Check("drain-timeout", func() string { return settings.FailIf(o.DrainTimeout < 0, "takes 0 or more") })
 }
 
 func checkLog(base string) string {
@@ -103,7 +103,7 @@
 		return ""
 	}
 	u, err := url.Parse(base)
-	return failIf(err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https", "takes a base URL")
+	return settings.FailIf(err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https", "takes a base URL")
 }
 
 // checkAdvertise refuses an address that others can't dial. Tokens carry it, so a
@@ -114,22 +114,10 @@
 		addr, from = o.Listen, "needed, since -listen names no single address; "
 	}
 	parsed, err := netip.ParseAddrPort(addr)
-	if o.Advertise == "" && checkAddr(o.Listen) != "" {
+	if o.Advertise == "" && settings.CheckAddr(o.Listen) != "" {
 		return "" // reported for -listen
 	}
-	return failIf(err != nil || parsed.Addr().IsUnspecified(), from+"takes ip:port with a single address")
-}
-
-func checkAddr(addr string) string {
-	_, err := netip.ParseAddrPort(addr)
-	return failIf(err != nil, "takes ip:port, got "+addr)
-}
-
-func failIf(wrong bool, text string) string {
-	if wrong {
-		return text
-	}
-	return ""
+	return settings.FailIf(err != nil || parsed.Addr().IsUnspecified(), from+"takes ip:port with a single address")
 }
 
 func policyNames() string {
@@ -140,15 +128,7 @@
 	return strings.Join(names, ", ")
 }
 
-func (o *Options) entries() []string {
-	var addrs []string
-	for _, addr := range strings.Split(o.Entries, ",") {
-		if addr = strings.TrimSpace(addr); addr != "" {
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs
-}
+func (o *Options) entries() []string { return settings.List(o.Entries) }
 
 func (o *Options) key() job.Key { return job.Key(o.Key) }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"strings"
 
@@ -170,3 +171,28 @@
 	fmt.Fprintln(os.Stderr, err)
 	os.Exit(2)
 }
+
+// FailIf returns what is wrong, or "", for Check.
+func FailIf(wrong bool, text string) string {
+	if wrong {
+		return text
+	}
+	return ""
+}
+
+// CheckAddr returns what is wrong with an address of the form ip:port, or "".
+func CheckAddr(addr string) string {
+	_, err := netip.ParseAddrPort(addr)
+	return FailIf(err != nil, "takes ip:port, got "+addr)
+}
+
+// List returns the parts of a comma-separated setting; empty ones are left out.
+func List(text string) []string {
+	var parts []string
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -1,9 +1,6 @@
 package target
 
 import (
-	"net/netip"
-	"strings"
-
 	"github.com/camphorrack/camphorrack/internal/settings"
 )
 
@@ -39,8 +36,8 @@
 	s.IntVar(&o.CPUMilli, "cpu-milli", 64000, "processors of the worker, in thousandths")
 	s.IntVar(&o.MemoryMB, "memory-mb", 262144, "memory of the worker")
 	s.IntVar(&o.Accelerators, "accelerators", 0, "accelerators of the worker")
-	s.Check("listen", func() string { return checkAddr(o.Listen) })
-	s.Check("agent", func() string { return checkAddr(o.Agent) })
+	s.Check("listen", func() string { return settings.CheckAddr(o.Listen) })
+	s.Check("agent", func() string { return settings.CheckAddr(o.Agent) })
 	s.Check("speed", func() string {
 		if o.Speed <= 0 || o.Declared < 0 {
 			return "speeds are above 0"
@@ -56,19 +53,7 @@
 	return o
 }
 
-func checkAddr(addr string) string {
-	if _, err := netip.ParseAddrPort(addr); err != nil {
-		return "takes ip:port, got " + addr
-	}
-	return ""
-}
-
-func (o *Options) classes() []string {
-	if o.Classes == "" {
-		return nil
-	}
-	return strings.Split(o.Classes, ",")
-}
+func (o *Options) classes() []string { return settings.List(o.Classes) }
 
 func (o *Options) declaredSpeed() float64 {
 	if o.Declared == 0 {
