Entry: an id past its deadline has failed, and is not "refused"

Ruled out: giving up "not run" there, which is certain and which callers need. Change: deadline_past carries the state failed, as a cancellation does, with not_run. Before: state refused (the new line of the test fails); after: failed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -139,6 +139,8 @@
 			Expect(r).To(haveFailure(b.code, true), "%s %.100v", b.path, b.body)
 			Expect(r.Failure.Field).To(Equal(b.field), "%s %.100v", b.path, b.body)
 		}
+		late := call(http.MethodPost, first.Addr(), "/v1/jobs", submission(newID(token, -time.Second, "x"), "p"))
+		Expect(late.State).To(Equal(job.Failed), "what another entry says of an id past its deadline")
 		far := call(http.MethodPost, first.Addr(), "/v1/jobs", submission(newID(token, time.Hour, "x"), "p"))
 		Expect(far).To(haveFailure(fault.DeadlineTooFar, false))
 		Expect(agent.startCounts()).To(BeEmpty())
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -59,6 +59,10 @@
 	switch {
 	case f.Code == fault.OwnerGone || f.Code == fault.OutcomeUnknown:
 		return job.Failed
+	case f.Code == fault.DeadlinePast:
+		// Another entry may have told a copy of the request that it failed, while the
+		// owner could not be reached. "Refused" would be a second, other ending.
+		return job.Failed
 	case f.NotRun:
 		return job.Refused
 	}
