Revert "Configuration: a new entry in an outage waits for the newest its agents hold"

The change did not do what it was for. The cause is still to be traced. What the change cost, 2.5 s with the built-in defaults after a start in an outage, is more than it could show for it.

--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -32,7 +32,6 @@
 	tail      tail
 	confirmed time.Time
 	saidStale bool
-	gather    *gathering // nil once the process has its first configuration
 	watchers  []func(*Applied)
 }
 
@@ -68,11 +67,6 @@
 func (h *Holder) Offer(s *State, source string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.gather != nil && source == "peer" {
-		h.gather.keep(s)
-		return false
-	}
-	h.gather = nil
 	current := h.applied.State
 	if s.Version < current.Version || s.Version == current.Version && s.AsOf <= current.AsOf {
 		return false
@@ -98,7 +92,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.confirmed = h.clock.Now()
-	h.gather = nil
 }
 
 // Age is how long ago this process last found its configuration to be current.
--- a/internal/config/link.go
+++ b/internal/config/link.go
@@ -56,7 +56,6 @@
 // is a *CodecError or a *FormatError: the update was not used.
 func (l *Link) Heard(mark uint64, update []byte) error {
 	l.peer, l.known = mark, true
-	l.holder.heardOf(mark)
 	var err error
 	if len(update) > 0 {
 		err = l.holder.OfferUpdate(update)
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -59,26 +59,10 @@
 	})
 	go c.fanOut.Run(ctx)
 	if c.follower != nil {
-		c.holder.Gather()
-		go c.settle(ctx)
 		go c.follower.Run(ctx)
 	}
 }
 
-// settleEvery is fine beside the seconds that gathering takes.
-const settleEvery = 100 * time.Millisecond
-
-// settle ends the gathering of what agents know.
-func (c *configuration) settle(ctx context.Context) {
-	for !c.holder.Settle() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(settleEvery):
-		}
-	}
-}
-
 func (c *configuration) end() {
 	if c.stop != nil {
 		c.stop()
