--- a/internal/config/catalogue.go
+++ b/internal/config/catalogue.go
@@ -63,7 +63,7 @@
 var Catalogue = []Definition{
 	{"admission.hard_queue_ms", "ms", admission.HardQueue.Milliseconds(), 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"queue, in time to work it off, from which an entry turns everything away", func(s *Settings) *int64 { return &s.HardQueueMs }},
-	{"admission.max_jobs", "ids", 300_000, 1, 10_000_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
+	{"admission.max_jobs", "ids", 120_000, 1, 10_000_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"submission ids that an entry holds, where its -max-jobs is not lower", func(s *Settings) *int64 { return &s.MaxJobs }},
 	{"admission.soft_queue_ms", "ms", admission.SoftQueue.Milliseconds(), 10, 600_000, []ScopeKind{ScopeDataCentre, ScopeEntry},
 		"queue from which an entry turns away teams above their share", func(s *Settings) *int64 { return &s.SoftQueueMs }},
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -25,7 +25,7 @@
 	UnknownResource Code = 109 // no such path or method
 
 	Overloaded    Code = 201 // admission turned the job away
-	QuotaExceeded Code = 202
+	QuotaExceeded Code = 202 // reserved: work above a quota waits and is not refused for it
 	NeverRunnable Code = 203 // no target could ever hold one of the tasks
 	Draining      Code = 204
 	TooManyJobs   Code = 205 // the owner's table is full
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -56,11 +56,12 @@
 
 // Defaults and bounds of an owner's memory.
 const (
-	// DefaultMaxJobs bounds the ids held. At the design size one entry takes some
-	// 350 submissions a second (docs/CAPACITY.md); with deadlines of a few seconds
-	// and answers kept for AnswerKeep that is about 30,000 ids. Ten times as many
-	// leaves room for a burst and keeps the table under 128 MB.
-	DefaultMaxJobs = 300_000
+	// DefaultMaxJobs bounds the ids held. At the design size one entry owns some 575
+	// submissions a second (docs/CAPACITY.md); with deadlines of 5 s and AnswerKeep
+	// that is about 11,500 ids. Ten times as many leaves room for a burst and, at 460
+	// bytes an id that has its answer, takes 55 MB beside MaxAnswerBytes: together
+	// within the 128 MB for control.
+	DefaultMaxJobs = 120_000
 	// AnswerKeep is how long after its deadline an id is remembered. A complete
 	// answer is not given past the deadline: another entry that could not reach this
 	// one may by then have told the caller "failed, outcome unknown". What is kept
--- a/internal/owner/expire.go
+++ b/internal/owner/expire.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/fault"
@@ -34,7 +33,8 @@
 
 // expireAgents forgets agents that have been away for long and left nothing open.
 func (c *Core) expireAgents(now time.Time) {
-	for _, a := range slices.Clone(c.roster) {
+	for i := len(c.roster) - 1; i >= 0; i-- { // backwards: removing shifts what is behind
+		a := c.roster[i]
 		if a.conn == 0 && len(a.attempts) == 0 && now.Sub(a.lastSeen) > agentKeep {
 			c.removeAgent(a)
 		}
