--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -209,15 +209,20 @@
 	for _, s := range r.servers {
 		go s.Serve()
 	}
-	for _, addr := range r.o.Neighbours {
-		r.dialers.learn(addr)
-	}
+	r.Learn(r.o.Neighbours)
 	go platformlog.Watch(ctx, r.log, r.o.Store, leased.EntriesTopic, r.hearRecord)
 	go r.renew(ctx)
 	event.Log(r.log, event.ProcessStarted, "host", r.o.Host, "data_centre", r.o.DataCentre,
 		"incarnation", r.incarnation.String(), "memory_mb", r.o.MemoryMB)
 }
 
+// Learn dials the addresses that are not dialled yet.
+func (r *Runner) Learn(addrs []string) {
+	for _, addr := range addrs {
+		r.dialers.learn(addr)
+	}
+}
+
 func (r *Runner) hearRecord(e platformlog.Entry) {
 	if len(e.Value) == 0 {
 		r.dialers.place(e.Key, "")
