--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -65,9 +65,11 @@
 	maxBatch    = 256
 	// noTargetPause is the pause between looks while no target has announced itself.
 	noTargetPause = 20 * time.Millisecond
-	// failedPause is the pause after a renewal that failed: a lease lasts a second, so
-	// several may follow.
-	failedPause = 50 * time.Millisecond
+	// failedPause is the pause after a renewal that failed, failedAgainPause after
+	// another one: the answer alone may have been lost, and a lease lasts a second; a
+	// target that is away must not be called all the time.
+	failedPause      = 2 * time.Millisecond
+	failedAgainPause = 50 * time.Millisecond
 	// exitTail is the part of the grace that is kept for the end of the process.
 	exitTail      = 400 * time.Millisecond
 	headerTimeout = 3 * time.Second
@@ -257,6 +259,7 @@
 // renew keeps the lease and reads the target's lists, one call after the other: two
 // at a time could overtake each other.
 func (r *Runner) renew(ctx context.Context) {
+	pause := failedPause
 	for ctx.Err() == nil {
 		var call runs.RenewCall
 		var known bool
@@ -275,9 +278,11 @@
 		listing, err := r.o.Target.Renew(call)
 		if err != nil {
 			r.do(func(now time.Time, s *state) { s.table.RenewFailed(now, call, r.o.Why(err)) })
-			r.pause(ctx, failedPause)
+			r.pause(ctx, pause)
+			pause = failedAgainPause
 			continue
 		}
+		pause = failedPause
 		r.do(func(now time.Time, s *state) { s.table.Renewed(now, asked, call, listing) })
 	}
 }
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -109,7 +109,7 @@
 // take longer than they should. Without the second part a target on which
 // everything stands still would keep its good speed, since nothing ends there.
 func (t *Table) speed() float64 {
-	speed := t.health.speed
+	speed := t.health.speed()
 	late, n := 0.0, 0
 	for _, r := range t.runs {
 		if r.state != running || r.order.EstimateMs <= 0 {
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -221,16 +221,16 @@
 	leaving bool // the agent itself takes no new work
 	health  rating
 
-	token       int64 // 0: not yet drawn
-	clockMs     int64 // the target's clock at clockAt
-	clockAt     time.Time
-	cursor      uint64
-	looked      bool                // the target's list was read in this life
-	foreign     map[RunID]time.Time // runs of an agent before this one, being stopped
-	reachable   bool
-	failures    int       // renewals in a row that failed
-	leaseEnd    time.Time // when the lease is surely over, by the agent's clock
-	lastListing time.Time // when the newest listing was asked for
+	token     int64 // 0: not yet drawn
+	clockMs   int64 // the target's clock at clockAt
+	clockAt   time.Time
+	cursor    uint64
+	looked    bool                // the target's list was read in this life
+	foreign   map[RunID]time.Time // runs of an agent before this one, being stopped
+	reachable bool
+	failures  int       // renewals in a row that failed
+	leaseEnd  time.Time // when the lease is surely over, by the agent's clock
+	blind     bool      // renewals have failed since the last listing
 
 	loadSentAt time.Time
 	loadDirty  bool
@@ -285,5 +285,6 @@
 	t.expire()
 	t.retryStops()
 	t.lapse()
+	t.health.idle(now, len(t.runs) == 0)
 	t.fill()
 }
--- /dev/null
+++ b/internal/runs/runs_test.go
@@ -0,0 +1,232 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// The way of an order on a calm day: it starts where there is room, ends, and frees
+// the room for the next one, which was waiting.
+func TestOrdersStartAsRoomComesUp(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		w.order(session, uint64(i+1), task("a", i), 7)
+	}
+	w.Expect(w.target.starts).To(HaveLen(2), "two tasks of 4 cores fit into 10")
+	w.answer(0, Accepted)
+	w.answer(1, Accepted)
+	w.pass(100 * time.Millisecond)
+	first := w.target.starts[0].Run
+	w.listEnds([]EndedRun{w.end(first, Done)}, w.target.starts[1].Run)
+	w.Expect(w.target.starts).To(HaveLen(3))
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndDone)))
+}
+
+// A target does not answer a start, and carries it out seconds later, when the job
+// runs elsewhere: a paper is billed twice. The agent stops the run, which makes the
+// target reject it for good, and says that it has not run only once the target has
+// confirmed the stop and then listed that the run is not there.
+func TestUnansweredStartIsFencedBeforeItIsNotRun(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, NoAnswer)
+	w.Expect(w.target.stops).To(HaveLen(1))
+	w.list()
+	w.Expect(w.outcomes(session)).To(BeEmpty(), "the stop is not confirmed")
+	w.Stopped(w.now, w.target.stops[0], NoAnswer)
+	w.pass(20 * time.Millisecond)
+	w.Expect(w.target.stops).To(HaveLen(2), "a stop without an answer is repeated")
+	w.Stopped(w.now, w.target.stops[1], Accepted)
+	w.Expect(w.outcomes(session)).To(BeEmpty(), "it may be running until the list says otherwise")
+	w.pass(time.Millisecond)
+	w.list()
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunNoAnswer))))
+}
+
+// The start was carried out although its answer was lost. The list shows the run, the
+// stop ends it, and what it had done by then is told as it was.
+func TestUnansweredStartThatRan(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, NoAnswer)
+	run := w.target.starts[0].Run
+	w.list(run)
+	w.Stopped(w.now, w.target.stops[0], Accepted)
+	w.pass(time.Millisecond)
+	w.listEnds([]EndedRun{w.end(run, Stopped)})
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+}
+
+// An entry is killed, frozen or cut off. Its callers ask other entries after 1.3 s, and
+// these know nothing of the old runs: whatever the old owner ran is stopped as soon as
+// its session is over.
+func TestRunsEndWithTheirSession(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		w.order(session, uint64(i+1), task("a", i), 7)
+	}
+	w.answer(0, Accepted)
+	w.answer(1, Accepted)
+	w.Disconnect(w.now, session)
+	w.Expect(w.target.stops).To(HaveLen(2))
+	w.Expect(w.Waiting()).To(Equal(0), "what waited never starts")
+	w.list(w.target.starts[0].Run, w.target.starts[1].Run)
+	w.Expect(w.target.starts).To(HaveLen(2))
+}
+
+// The job is sent again through another entry while the run of the old owner is still
+// being stopped on the same target. It must not start before that one is over.
+func TestSecondOwnerWaitsForTheFirstOnesRun(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	w.Disconnect(w.now, session)
+	w.Connect(w.now, 2)
+	w.order(2, 1, task("a", 0), 8)
+	w.Expect(w.target.starts).To(HaveLen(1))
+	w.Expect(w.outcomes(2)).To(HaveKeyWithValue(uint64(1), And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunStale))))
+}
+
+// The agent's host is frozen. Orders that came in before are read when it wakes, after
+// their owner has given the session up: started then, they would run beside the
+// job's second coming.
+func TestNothingStartsAfterAStandstill(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	w.now = w.now.Add(4 * time.Second)
+	w.DisconnectAll(w.now)
+	w.order(session, 2, task("a", 1), 7)
+	w.Expect(w.target.starts).To(HaveLen(1))
+	w.Expect(w.target.stops).To(HaveLen(1))
+	w.Expect(w.out.closed).To(ConsistOf(session))
+}
+
+// An agent restarts beside a target that runs on. Nobody wants those runs any more,
+// and they take room: they are stopped, and nothing starts before they are gone.
+func TestRunsOfAnEarlierAgentAreStoppedFirst(t *testing.T) {
+	w := newWorld(t)
+	w.life = Life{Name: "t-2", BornMs: 2000}
+	w.announce(1, false)
+	old := RunID{task("old", 0), 3}
+	w.list(old)
+	w.Expect(w.target.stops).To(HaveLen(1))
+	w.order(session, 1, task("a", 0), 7)
+	w.Expect(w.target.starts).To(BeEmpty())
+	w.list()
+	w.Expect(w.target.starts).To(HaveLen(1))
+}
+
+// A target crashes and comes back under its id. What ran in its first life is gone
+// with it; a word of the first life that was held up says nothing of the second.
+func TestAnotherLifeUnderTheSameName(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	first := w.life
+	w.life.BornMs = 9000
+	w.announce(1, false)
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+	w.Announce(w.now, Announcement{Life: first, Service: "s", Seq: 99, Leaving: true})
+	w.list()
+	w.order(session, 2, task("a", 1), 7)
+	w.Expect(w.target.starts).To(HaveLen(2), "the second life is not leaving")
+}
+
+// A target that leaves takes nothing new from its word on. What waits goes back at once,
+// so that it can run elsewhere, and what runs may end.
+func TestLeavingTargetTakesNothingNew(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 {
+		w.order(session, uint64(i+1), task("a", i), 7)
+	}
+	w.answer(0, Accepted)
+	w.announce(2, true)
+	w.order(session, 4, task("a", 3), 7)
+	w.Expect(w.target.starts).To(HaveLen(2))
+	w.Expect(w.target.stops).To(BeEmpty())
+	leaving := And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunLeaving))
+	w.Expect(w.outcomes(session)).To(And(HaveKeyWithValue(uint64(3), leaving), HaveKeyWithValue(uint64(4), leaving)))
+	w.announce(1, false) // an older word that came late
+	w.order(session, 5, task("a", 4), 7)
+	w.Expect(w.target.starts).To(HaveLen(2))
+}
+
+// A target is cut off. Its runs end with the lease and not before: told too early, their
+// owner would start them elsewhere while they still run.
+func TestRunsOfASilentTargetEndWithTheLease(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	w.order(session, 2, task("a", 1), 7)
+	w.answer(1, Accepted)
+	w.order(session, 3, task("a", 2), 7)
+	for range 2 {
+		call, _ := w.Renewal(w.now)
+		w.now = w.now.Add(50 * time.Millisecond)
+		w.RenewFailed(w.now, call, Silent)
+	}
+	w.Expect(w.outcomes(session)).To(HaveLen(1), "what waited goes back")
+	w.pass(800 * time.Millisecond)
+	w.Expect(w.outcomes(session)).To(HaveLen(1))
+	w.pass(300 * time.Millisecond)
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+}
+
+// One answer in twenty of a target is lost. While the agent waits for a lost one it
+// sees no end; with long waits, tasks of 60 ms seemed to take 500, and their target
+// got no work for the rest of the day. The wait is as long as the next end is away,
+// and ends that were found after a loss say nothing of the speed.
+func TestLostRenewalsDontMakeATargetSlow(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	call, _ := w.Renewal(w.now)
+	w.Expect(call.Wait).To(BeNumerically("<=", 120*time.Millisecond), "the task should take 100 ms")
+	before := w.health.speed()
+	w.now = w.now.Add(900 * time.Millisecond)
+	w.RenewFailed(w.now, call, Silent)
+	w.listEnds([]EndedRun{w.end(w.target.starts[0].Run, Done)})
+	w.Expect(w.health.speed()).To(Equal(before))
+}
+
+// A target was found slow and gets no work for it, so nothing would ever show that it
+// is well again. Without work its speed goes back to the usual, and the next tasks tell.
+func TestSlowTargetGetsAnotherChance(t *testing.T) {
+	w := newWorld(t)
+	for range 50 {
+		w.health.done(100, 2000)
+	}
+	w.Expect(w.health.speed()).To(BeNumerically("<", 0.1))
+	for range 100 {
+		w.pass(100 * time.Millisecond)
+	}
+	w.Expect(w.health.speed()).To(BeNumerically(">", 0.7))
+}
+
+// A target turns slow at once. Some ends are enough to see it, where the steady measure
+// alone takes half a minute.
+func TestSlowdownShowsWithinSomeEnds(t *testing.T) {
+	w := newWorld(t)
+	for range 100 {
+		w.health.done(100, 100)
+	}
+	for range 6 {
+		w.health.done(100, 600)
+	}
+	w.Expect(w.health.speed()).To(BeNumerically("<", 0.35))
+}
+
+// Nothing ends on a target where every task stands still. The load it reports must
+// show that, or it looks as good as before and draws more work.
+func TestStandstillShowsInTheLoad(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	w.pass(time.Second)
+	w.Expect(w.load().Speed).To(BeNumerically("<", 0.3))
+}
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -16,9 +16,15 @@
 	// stopRetry is how long a stop may go unanswered before it is sent again. A
 	// target answers one in under a millisecond.
 	stopRetry = 100 * time.Millisecond
-	// renewWait is how long a renewal waits for an end. The lease is renewed each
-	// time, so one or two renewals may fail before it ends.
+	// renewWait is the longest time that a renewal waits for an end while tasks run.
+	// The lease is renewed each time, so one or two renewals may fail before it ends.
 	renewWait = 300 * time.Millisecond
+	// endMargin is how long after the next expected end a renewal waits at most, and
+	// leastWait the shortest wait. A renewal whose answer is lost leaves the agent
+	// blind until it is given up: with a wait of 300 ms each time, one lost answer in
+	// twenty made tasks of 60 ms seem to take 500, and their targets useless.
+	endMargin = 20 * time.Millisecond
+	leastWait = 25 * time.Millisecond
 	// idleWait is the same while nothing runs and nothing has to be renewed.
 	idleWait = 1000 * time.Millisecond
 )
@@ -145,14 +151,29 @@
 		c.Wait = 0
 	case len(t.runs) == 0:
 		c.Wait = idleWait
+	default:
+		c.Wait = t.untilEnd()
 	}
 	if t.looked && len(t.runs) > 0 {
 		c.LeaseUntilMs = t.leaseUntil()
 	}
-	t.lastListing = now
 	return c, true
 }
 
+// untilEnd is how long a renewal should wait: until the next end is expected.
+func (t *Table) untilEnd() time.Duration {
+	wait := renewWait
+	speed := t.health.speed()
+	for _, r := range t.runs {
+		if r.state == queued {
+			continue
+		}
+		left := time.Duration(r.order.EstimateMs/speed*float64(time.Millisecond)) - t.now.Sub(r.calledAt)
+		wait = min(wait, max(left+endMargin, leastWait))
+	}
+	return wait.Truncate(time.Millisecond)
+}
+
 // Started takes the answer to a start.
 func (t *Table) Started(now time.Time, c StartCall, answer Answer, clockMs int64) {
 	t.now = now
@@ -278,6 +299,7 @@
 	if !t.reachable {
 		event.Log(t.log, event.TargetBack, "target", t.target.Life.Name, "failures", t.failures)
 	}
+	t.blind = t.failures > 0
 	t.reachable, t.failures = true, 0
 	t.takeEnds(l.Ended)
 	t.reconcile(asked, l.Running)
@@ -308,6 +330,9 @@
 	switch end {
 	case Done:
 		t.counts.Done++
+		if t.blind {
+			ranMs = 0 // it may have ended long ago
+		}
 		t.health.done(r.order.EstimateMs, ranMs)
 		t.settle(r, wire.EndDone)
 	case Failed:
