Keep sound targets through lost answers, and remember them over a restart

A start whose answer was lost was stopped although the list showed it at work. A runner that starts again waited up to 1.5 s for its target's next announcement.

--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -18,7 +18,7 @@
 	// firstRetry comes soon, because an entry without its runners serves nobody;
 	// lastRetry bounds how long an entry that is back stays without them.
 	firstRetry = 30 * time.Millisecond
-	lastRetry  = 500 * time.Millisecond
+	lastRetry  = 200 * time.Millisecond
 	// steadyAfter is how long a session must last for the next retry to be soon.
 	steadyAfter = 2 * time.Second
 	// strangeAfter is how long an address that no record names is tried without
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -95,8 +95,12 @@
 	dialers     *dialers
 	last        atomic.Uint64
 	servers     []*leased.Server
+	ctx         context.Context // of what ends with the daemon
 	stop        context.CancelFunc
 	kick        chan struct{} // a renewal is wanted now
+	// forgetOlder ends the writing of an older record. It belongs to the control
+	// goroutine.
+	forgetOlder context.CancelFunc
 }
 
 // New returns a daemon that is bound to its addresses but does not serve yet.
@@ -106,6 +110,7 @@
 		o: o, log: log, clock: clock.NewAnchored(), stall: clock.NewStall(leased.StallLimit),
 		incarnation: job.NewIncarnation(), kick: make(chan struct{}, 1),
 	}
+	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.metrics = newCounters(func() int { return r.loop.Waiting() })
 	r.dialers = newDialers(r)
 	r.loop = control.New(control.Options[*state]{
@@ -205,15 +210,14 @@
 
 // Start serves and dials until Stop.
 func (r *Runner) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
 	go r.loop.Run()
 	for _, s := range r.servers {
 		go s.Serve()
 	}
 	r.Learn(r.o.Neighbours)
-	go platformlog.Watch(ctx, r.log, r.o.Store, leased.EntriesTopic, r.hearRecord)
-	go r.renew(ctx)
+	go r.recall(r.ctx)
+	go platformlog.Watch(r.ctx, r.log, r.o.Store, leased.EntriesTopic, r.hearRecord)
+	go r.renew(r.ctx)
 	event.Log(r.log, event.ProcessStarted, "host", r.o.Host, "data_centre", r.o.DataCentre,
 		"incarnation", r.incarnation.String(), "memory_mb", r.o.MemoryMB)
 }
@@ -240,7 +244,11 @@
 
 // Announce takes what the target says of itself.
 func (r *Runner) Announce(a runs.Announcement) {
-	r.do(func(now time.Time, s *state) { s.table.Announce(now, a) })
+	r.do(func(now time.Time, s *state) {
+		if s.table.Announce(now, a) {
+			r.remember(a)
+		}
+	})
 	r.renewNow()
 }
 
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -229,6 +229,7 @@
 	foreign   map[RunID]time.Time // runs of an agent before this one, being stopped
 	reachable bool
 	failures  int       // renewals in a row that failed
+	heardAt   time.Time // when the target last answered anything
 	leaseEnd  time.Time // when the lease is surely over, by the agent's clock
 	blind     bool      // renewals have failed since the last listing
 
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -25,26 +25,35 @@
 	// twenty made tasks of 60 ms seem to take 500, and their targets useless.
 	endMargin = 20 * time.Millisecond
 	leastWait = 25 * time.Millisecond
+	// deafAfter is how long a target may answer nothing before it counts as away. Where
+	// one answer in twenty is lost, two renewals in a row fail every second somewhere;
+	// each time the jobs of a sound target would be given up.
+	deafAfter = 250 * time.Millisecond
+	// settleWait is the wait of a renewal while the end of a stop is awaited: its task
+	// can't go elsewhere before it is listed.
+	settleWait = 2 * time.Millisecond
 	// idleWait is the same while nothing runs and nothing has to be renewed.
 	idleWait = 1000 * time.Millisecond
 )
 
-// Announce takes what a target says of itself. An older announcement of the same
-// life changes nothing.
-func (t *Table) Announce(now time.Time, a Announcement) {
+// Announce takes what a target says of itself, and reports whether it is worth
+// remembering: another life, or one that leaves. An older announcement of the same life
+// changes nothing.
+func (t *Table) Announce(now time.Time, a Announcement) (news bool) {
 	t.now = now
 	if t.known && a.Life == t.target.Life && a.Seq <= t.target.Seq {
-		return
+		return false
 	}
 	if t.known && a.Life != t.target.Life && a.Life.BornMs < t.target.Life.BornMs {
 		event.Log(t.log, event.AnnouncementStale, "target", a.Life.Name, "born_ms", a.Life.BornMs, "known_born_ms", t.target.Life.BornMs)
-		return // a delayed word of a life before this one
+		return false // a delayed word of a life before this one
 	}
 	if !t.known || a.Life != t.target.Life {
 		t.adopt(a)
-		return
+		return true
 	}
-	if a.Leaving && !t.target.Leaving {
+	leaves := a.Leaving && !t.target.Leaving
+	if leaves {
 		event.Log(t.log, event.TargetLeaving, "target", a.Life.Name, "seq", a.Seq)
 	}
 	t.target = a
@@ -53,6 +62,19 @@
 		t.returnQueue(wire.NotRunLeaving)
 	}
 	t.loadDirty = true
+	return leaves
+}
+
+// Recall takes what an earlier agent wrote down of the target, until the target speaks
+// for itself. The target's clock is not known from it, so nothing starts before the
+// target has answered.
+func (t *Table) Recall(now time.Time, a Announcement) {
+	t.now = now
+	if t.known {
+		return
+	}
+	a.Seq, a.ClockMs = 0, 0
+	t.adopt(a)
 }
 
 // adopt begins another life of the target. What ran in the one before is gone with
@@ -63,7 +85,7 @@
 	t.endLife("another_life")
 	t.target, t.known = a, true
 	t.token, t.cursor, t.looked = 0, 0, false
-	t.reachable, t.failures = true, 0
+	t.reachable, t.failures, t.heardAt = true, 0, t.now
 	t.health = newRating()
 	t.hearClock(t.now, a.ClockMs)
 	t.token = a.ClockMs
@@ -168,6 +190,9 @@
 		if r.state == queued {
 			continue
 		}
+		if r.state == stopping {
+			return settleWait
+		}
 		left := time.Duration(r.order.EstimateMs/speed*float64(time.Millisecond)) - t.now.Sub(r.calledAt)
 		wait = min(wait, max(left+endMargin, leastWait))
 	}
@@ -182,6 +207,9 @@
 		return
 	}
 	t.hearClock(now, clockMs)
+	if answer != NoAnswer {
+		t.heardAt = now
+	}
 	if answer == Accepted || answer == NoRoom || answer == LowRun {
 		t.granted() // the lease is taken from these as well
 	}
@@ -194,6 +222,9 @@
 		}
 	case NoAnswer:
 		t.counts.Unanswered++
+		if r.everRan {
+			return // it is listed: only the answer was lost
+		}
 		event.Log(t.log, event.StartUnanswered, "job", r.id.Task.Job, "task", r.id.Task.Index, "run", r.id.Number,
 			"target", t.target.Life.Name, "after_ms", ms(now.Sub(r.calledAt)))
 		t.stop(r, wire.NotRunNoAnswer)
@@ -289,9 +320,9 @@
 		return
 	}
 	t.hearClock(now, l.ClockMs)
-	if l.BadToken {
+	if l.BadToken || c.Token == 0 {
 		t.raiseToken()
-		return
+		return // what was listed before this agent's token counts may be changed yet
 	}
 	if c.LeaseUntilMs > 0 {
 		t.granted()
@@ -299,6 +330,7 @@
 	if !t.reachable {
 		event.Log(t.log, event.TargetBack, "target", t.target.Life.Name, "failures", t.failures)
 	}
+	t.heardAt = now
 	t.blind = t.failures > 0
 	t.reachable, t.failures = true, 0
 	t.takeEnds(l.Ended)
@@ -407,11 +439,15 @@
 		return
 	}
 	t.failures++
-	if why == Refused {
-		t.endLife("nobody_listens")
+	if why == Refused || why == Elsewhere {
+		t.endLife("not_there")
+	}
+	if why == Elsewhere {
+		t.known = false // it will announce itself
+		return
 	}
-	if why == Silent && t.failures < 2 {
-		return // one lost connection says little; the next call follows at once
+	if why == Silent && now.Sub(t.heardAt) < deafAfter {
+		return // a lost answer or connection says little; the next call follows at once
 	}
 	if t.reachable {
 		event.Log(t.log, event.TargetSilent, "target", t.target.Life.Name, "reason", int(why), "failures", t.failures)
