Give up unanswered starts and dials sooner

Ruled out: processor time of the runner (starts answered within 5 ms in 93 of 100).

Change: time-outs of starts follow the mean time to an answer (9 times it, 20 to 100 ms); a connection to a dispatcher is given up after 120 ms.

--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -25,6 +25,8 @@
 	"github.com/camphorrack/camphorrack/internal/session"
 )
 
+func init() { gin.SetMode(gin.ReleaseMode) }
+
 // EntriesTopic is the keyed topic in which each dispatcher keeps the record of where
 // it is reached, under its host's name.
 const EntriesTopic = "keyed.camphorrack-entries"
@@ -44,6 +46,11 @@
 	silent    = 600 * time.Millisecond
 )
 
+// dialTimeout bounds a connection to a dispatcher, some milliseconds away. A host that
+// is just coming back loses the first packet, and TCP alone sends the next one after a
+// second: after a loss of power the runners were 0.4 s later than the entries.
+const dialTimeout = 120 * time.Millisecond
+
 // StallLimit is the pause of a process above which its sessions count as lost: the
 // other side may have given them up.
 const StallLimit = 400 * time.Millisecond
@@ -52,7 +59,8 @@
 // closely as a busy one, because a job may come at any moment.
 func SessionOptions(c *session.Counters) session.Options {
 	return session.Options{
-		Heartbeat: heartbeat, Silent: silent, IdleHeartbeat: heartbeat, IdleSilent: silent, Counters: c,
+		Heartbeat: heartbeat, Silent: silent, IdleHeartbeat: heartbeat, IdleSilent: silent,
+		DialTimeout: dialTimeout, Counters: c,
 	}
 }
 
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -148,6 +148,7 @@
 	t.loadDirty = true
 	t.o.Target.Start(StartCall{
 		Life: t.target.Life, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.leaseUntil(),
+		Timeout: t.callTimeout(),
 	})
 }
 
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -68,6 +68,7 @@
 	Run          RunID
 	Spec         string
 	LeaseUntilMs int64 // on the target's clock
+	Timeout      time.Duration
 }
 
 // StopCall is one call that stops a run, and fences it off where it isn't there.
@@ -75,6 +76,8 @@
 	Life  Life
 	Token int64
 	Run   RunID
+	// Timeout bounds the call.
+	Timeout time.Duration
 }
 
 // RenewCall renews the lease, acknowledges ends and asks for what runs.
@@ -224,6 +227,7 @@
 	token     int64 // 0: not yet drawn
 	clockMs   int64 // the target's clock at clockAt
 	clockAt   time.Time
+	answerMs  float64 // mean time to the answer of a start
 	cursor    uint64
 	looked    bool                // the target's list was read in this life
 	foreign   map[RunID]time.Time // runs of an agent before this one, being stopped
@@ -254,7 +258,7 @@
 func New(o Options) *Table {
 	return &Table{&board{
 		o: o, log: o.Log, owners: map[ConnID]*owner{}, runs: map[RunID]*run{}, tasks: map[Task]*run{},
-		foreign: map[RunID]time.Time{}, health: newRating(),
+		foreign: map[RunID]time.Time{}, health: newRating(), answerMs: usualAnswerMs,
 	}}
 }
 
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -25,6 +25,17 @@
 	// twenty made tasks of 60 ms seem to take 500, and their targets useless.
 	endMargin = 20 * time.Millisecond
 	leastWait = 25 * time.Millisecond
+	// A start or a stop is given up after timeoutFactor times the mean time to an
+	// answer, between leastTimeout and mostTimeout. A target on the same host answers
+	// within 5 ms of ninety-three starts in a hundred, and within 20 ms of all but one
+	// in five hundred; a start that was not answered is fenced off, and the earlier it
+	// is, the more often its task is still in time elsewhere. A slow host takes longer
+	// for every call.
+	usualAnswerMs = 2.5
+	timeoutFactor = 9
+	leastTimeout  = 20 * time.Millisecond
+	mostTimeout   = 100 * time.Millisecond
+	answerWeight  = 0.05
 	// deafAfter is how long a target may answer nothing before it counts as away. Where
 	// one answer in twenty is lost, two renewals in a row fail every second somewhere;
 	// each time the jobs of a sound target would be given up.
@@ -199,6 +210,12 @@
 	return wait.Truncate(time.Millisecond)
 }
 
+// callTimeout bounds a start or a stop.
+func (t *Table) callTimeout() time.Duration {
+	usual := time.Duration(t.answerMs * timeoutFactor * float64(time.Millisecond))
+	return min(max(usual, leastTimeout), mostTimeout)
+}
+
 // Started takes the answer to a start.
 func (t *Table) Started(now time.Time, c StartCall, answer Answer, clockMs int64) {
 	t.now = now
@@ -209,6 +226,7 @@
 	t.hearClock(now, clockMs)
 	if answer != NoAnswer {
 		t.heardAt = now
+		t.answerMs += answerWeight * (ms(now.Sub(r.calledAt)) - t.answerMs)
 	}
 	if answer == Accepted || answer == NoRoom || answer == LowRun {
 		t.granted() // the lease is taken from these as well
@@ -270,7 +288,7 @@
 
 func (t *Table) callStop(r *run) {
 	r.stopCalled, r.stopCalledAt = true, t.now
-	t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: r.id})
+	t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: r.id, Timeout: t.callTimeout()})
 }
 
 // Stopped takes the answer to a stop.
@@ -308,7 +326,7 @@
 	for id, at := range t.foreign {
 		if t.now.Sub(at) > stopRetry {
 			t.foreign[id] = t.now
-			t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: id})
+			t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: id, Timeout: t.callTimeout()})
 		}
 	}
 }
@@ -429,7 +447,7 @@
 	}
 	event.Log(t.log, event.ForeignRun, "job", id.Task.Job, "task", id.Task.Index, "run", id.Number, "target", t.target.Life.Name)
 	t.foreign[id] = t.now
-	t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: id})
+	t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: id, Timeout: t.callTimeout()})
 }
 
 // RenewFailed takes a renewal that brought no list.
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -60,7 +61,10 @@
 // handshake only.
 func Dial(ctx context.Context, addr string, o Options) (*ToEntryConn, error) {
 	o = o.withDefaults()
-	dialer := websocket.Dialer{HandshakeTimeout: o.Silent, WriteBufferSize: writeBufferBytes}
+	dialer := websocket.Dialer{
+		NetDialContext:   (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		HandshakeTimeout: o.Silent, WriteBufferSize: writeBufferBytes,
+	}
 	ws, response, err := dialer.DialContext(ctx, "ws://"+addr+Path, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to the entry at %s", addr)
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -39,6 +39,7 @@
 	ActiveFor     time.Duration // the two above hold so long after a frame with content
 	IdleHeartbeat time.Duration // in place of Heartbeat, later
 	IdleSilent    time.Duration // in place of Silent, later
+	DialTimeout   time.Duration // for the connection alone, without the handshake; default Silent
 	MaxFrameBytes int           // largest frame taken; default wire.MaxFrameBytes
 	MaxQueueBytes int           // estimated bytes that may wait to be written
 	Counters      *Counters     // shared among connections; may be nil
@@ -60,6 +61,9 @@
 	if o.IdleSilent == 0 {
 		o.IdleSilent = idleSilent
 	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = o.Silent
+	}
 	if o.MaxFrameBytes == 0 {
 		o.MaxFrameBytes = wire.MaxFrameBytes
 	}
