--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	roster   []*agent   // in order of their sessions
 	lost     []*attempt // of ended sessions, in the order in which they are surely over
 	draining bool
+	lastRun  uint64 // highest number of a start so far
 	random   *rand.Rand
 	counts   Counts
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -136,7 +136,7 @@
 	endFault  *fault.Fault
 	retry     time.Duration
 	waiters   []Waiter
-	lastRun   uint64
+	runOffset uint64      // added to run numbers, where a target has seen higher ones
 	next      *pendingJob // came again while attempts of this one are open
 	answer    Answer
 	keepUntil time.Time
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -138,8 +138,7 @@
 func (c *Core) order(l *liveJob, t *task, a *agent, spec earliest.Task, index int) {
 	s := &l.Steps[t.step]
 	a.nextSeq++
-	l.lastRun = max(l.lastRun+1, uint64(max(c.o.Now().UnixMilli()-runEpochMs, 1)))
-	at := &attempt{seq: a.nextSeq, run: l.lastRun, agent: a, job: l, task: t, placedAt: c.now}
+	at := &attempt{seq: a.nextSeq, run: c.nextRun(l), agent: a, job: l, task: t, placedAt: c.now}
 	t.state, t.attempt = taskPlaced, at
 	a.attempts[at.seq] = at
 	l.open++
@@ -156,6 +155,13 @@
 	a.dirty = true
 }
 
+// nextRun numbers a start. The number is higher than every earlier one of this entry,
+// also where the job came before, and, by the time of day, than those of others.
+func (c *Core) nextRun(l *liveJob) uint64 {
+	c.lastRun = max(c.lastRun+1, uint64(max(c.o.Now().UnixMilli()-runEpochMs, 1)))
+	return c.lastRun + l.runOffset
+}
+
 // patience returns how long a task may wait and be in time, and how long it may wait
 // before it comes back. A job that can't be in time any more is finished late where
 // part of its work is done, behind all that can still be in time.
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -96,7 +96,7 @@
 func (c *Core) moved(l *liveJob, t *task, out *wire.RunOutcome, a *agent) {
 	c.counts.Moved++
 	if out.Reason == wire.NotRunStale {
-		l.lastRun += staleStep
+		l.runOffset += staleStep
 	}
 	event.Log(c.log, event.TaskReplaced, "job", l.ID, "step", t.step, "task", t.index, "host", a.host, "end", int(out.End),
 		"reason", int(out.Reason), "waited_ms", out.WaitMs, "left_ms", ms(l.objective.Sub(c.now)))
