Move tasks that stand still, and stop sending work where they do

Ruled out: the entry (its other jobs went on), lost answers.

Change: a runner whose target has tasks of several jobs long past their expected end says so, gives back what waits and gets nothing for a while; an entry stops a task that takes four times its prediction (twice on such a target) and starts it elsewhere once the stop is reported, or gives the job up at once where that comes too late. A line for each (305, 614).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -183,6 +183,7 @@
 	c.overLost()
 	for id, l := range c.jobs {
 		c.look(l)
+		c.moveOverdue(l)
 		if l.answered && l.open == 0 && l.next == nil && now.After(l.keepUntil) {
 			delete(c.jobs, id)
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -243,3 +243,39 @@
 	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerUnknown)))
 	w.Expect(w.out.recalls[1]).To(HaveLen(1))
 }
+
+// A task stands still on a target that answers all calls. Its caller used to wait until
+// its own time was over, with everything else done. The task is stopped and runs
+// elsewhere; it is never started there before the stop is reported.
+func TestOverdueTaskRunsElsewhere(t *testing.T) {
+	w := newWorld(t, 2)
+	a := w.submit(w.newJob("j", 1))
+	at := ConnID(1)
+	if len(w.sent()[1]) == 0 {
+		at = 2
+	}
+	l := w.idle()
+	l.Shunned, l.Seen = true, 1
+	w.load(at, l)
+	for range 20 {
+		w.pass(20 * time.Millisecond)
+	}
+	w.Expect(w.out.recalls[at]).To(HaveLen(1))
+	w.Expect(w.orders()).To(Equal(1))
+	w.end(at, w.sent()[at][0].Seq, wire.EndStopped, 0)
+	other := 3 - at
+	w.Expect(w.sent()[other]).To(HaveLen(1))
+	w.end(other, w.sent()[other][0].Seq, wire.EndDone, 0)
+	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerComplete)))
+}
+
+// The same, too late for anything else. The caller is told at once, not when its own time
+// is over.
+func TestOverdueTaskEndsItsJob(t *testing.T) {
+	w := newWorld(t, 1)
+	a := w.submit(w.newJob("j", 1))
+	for range 40 {
+		w.pass(20 * time.Millisecond)
+	}
+	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerUnknown)))
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -113,6 +113,9 @@
 	job      *liveJob
 	task     *task
 	placedAt time.Time
+	// expected is how long it was predicted to take, waiting included.
+	expected time.Duration
+	movedAt  time.Time // when it was called back because it takes too long
 	// overAt is when the run is over at the latest, for an attempt whose session has
 	// ended.
 	overAt time.Time
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -114,7 +114,7 @@
 		}
 		c.candidates[choice.Index].Take(spec, choice.Index)
 		a := c.viewed[choice.Index]
-		c.order(l, t, a, spec, choice.Index)
+		c.order(l, t, a, spec, choice)
 		placed = append(placed, strconv.Itoa(t.step)+"."+strconv.Itoa(t.index)+"@"+a.host)
 	}
 	if len(placed) > 0 {
@@ -136,15 +136,16 @@
 	}
 }
 
-func (c *Core) order(l *liveJob, t *task, a *agent, spec earliest.Task, index int) {
+func (c *Core) order(l *liveJob, t *task, a *agent, spec earliest.Task, choice earliest.Choice) {
 	s := &l.Steps[t.step]
 	a.nextSeq++
-	at := &attempt{seq: a.nextSeq, run: c.nextRun(l), agent: a, job: l, task: t, placedAt: c.now}
+	at := &attempt{seq: a.nextSeq, run: c.nextRun(l), agent: a, job: l, task: t, placedAt: c.now,
+		expected: time.Duration(choice.EndMs * float64(time.Millisecond))}
 	t.state, t.attempt = taskPlaced, at
 	a.attempts[at.seq] = at
 	l.open++
 	c.counts.Orders++
-	a.unseen = append(a.unseen, unseen{at.seq, earliest.Task{Demand: spec.Demand, EstimateMs: spec.EstimateMs}, index})
+	a.unseen = append(a.unseen, unseen{at.seq, earliest.Task{Demand: spec.Demand, EstimateMs: spec.EstimateMs}, choice.Index})
 
 	tailMs := ms(l.tails[t.step]) / max(a.load.Speed, minSpeed)
 	slackMs, giveUpMs := c.patience(l, tailMs)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,7 @@
 	TaskReported ID = 302
 	TaskReplaced ID = 303
 	TaskHeld     ID = 304
+	TaskOverdue  ID = 305
 
 	SessionOpened   ID = 401
 	SessionSilent   ID = 402
@@ -69,6 +70,7 @@
 	StartTurnedAway   ID = 611
 	TargetBack        ID = 612
 	ForeignRun        ID = 613
+	TargetStands      ID = 614
 )
 
 // Entry describes an event for the catalogue.
@@ -101,6 +103,7 @@
 	{TaskReported, "task_reported", "a target's outcome for a task arrived"},
 	{TaskReplaced, "task_replaced", "a task that certainly did not run goes to another target"},
 	{TaskHeld, "task_held", "a task waits although a slot is free, because starting there would end later"},
+	{TaskOverdue, "task_overdue", "a task takes far longer than predicted; it is stopped and goes elsewhere, or its job is given up"},
 	{SessionOpened, "session_opened", "an agent and an entry are connected"},
 	{SessionSilent, "session_silent", "nothing was heard on a connection for too long; a new one is tried"},
 	{SessionClosed, "session_closed", "a connection ended"},
@@ -132,6 +135,7 @@
 	{StartTurnedAway, "start_turned_away", "a target answered that it does not start a task"},
 	{TargetBack, "target_back", "a target answers again"},
 	{ForeignRun, "foreign_run", "a target runs what an earlier agent started; it is stopped"},
+	{TargetStands, "target_stands", "tasks of several jobs stand still on a target; it gets no work for a while"},
 }
 
 var names = func() map[ID]string {
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/scheduler/waiting"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -124,6 +125,51 @@
 	return speed * float64(n) / late
 }
 
+const (
+	// standFactor is how many times its expected time a task takes on a target that
+	// stands still, and standMargin what it takes more.
+	standFactor = 2
+	standMargin = 40 * time.Millisecond
+	// standJobs is the number of jobs whose tasks must stand: those of one job share
+	// an estimate, and may take long together.
+	standJobs = 2
+)
+
+// standing reports whether the target stands still: most of its tasks, of several
+// jobs, are long past their expected end.
+func (t *Table) standing() bool {
+	if t.blind || t.failures > 0 {
+		return false // ends may just not have been seen
+	}
+	perEstimate := t.health.steady
+	late, all := 0, 0
+	jobs := map[string]bool{}
+	for _, r := range t.runs {
+		if r.state != running {
+			continue
+		}
+		all++
+		expected := time.Duration(standFactor*perEstimate*r.order.EstimateMs*float64(time.Millisecond)) + standMargin
+		if t.now.Sub(r.startedAt) > expected {
+			late++
+			jobs[r.id.Task.Job] = true
+		}
+	}
+	return len(jobs) >= standJobs && 2*late > all
+}
+
+// shunStanding keeps work away from a target that stands still. Each time that it does
+// so again, for longer.
+func (t *Table) shunStanding() {
+	if t.health.avoid(t.now) || !t.standing() {
+		return
+	}
+	t.health.shun(t.now)
+	event.Log(t.log, event.TargetStands, "target", t.target.Life.Name, "runs", len(t.runs), "speed", t.speed(), "for_ms", t.health.pause.Milliseconds())
+	t.returnQueue(wire.NotRunDown)
+	t.loadDirty, t.loadSentAt = true, time.Time{}
+}
+
 // overdueFactor is how many times its expected time a task may take before it
 // counts as slow: estimates are off by two fifths, and single tasks by more.
 const overdueFactor = 1.8
--- a/internal/runs/rating.go
+++ b/internal/runs/rating.go
@@ -87,6 +87,11 @@
 // turnedAway takes a start that the target did not take although it fits.
 func (r *rating) turnedAway(now time.Time) {
 	r.failed()
+	r.shun(now)
+}
+
+// shun keeps work away for a while.
+func (r *rating) shun(now time.Time) {
 	r.pause = min(max(2*r.pause, avoidFor), avoidMost)
 	r.avoidUntil = now.Add(r.pause)
 }
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -290,6 +290,7 @@
 	t.expire()
 	t.retryStops()
 	t.lapse()
+	t.shunStanding()
 	t.health.idle(now, len(t.runs) == 0)
 	t.fill()
 }
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -288,3 +288,29 @@
 	_, known = w.Renewal(w.now)
 	w.Expect(known).To(BeTrue())
 }
+
+// Tasks of several jobs stand still on a target that answers every call. Nothing fails
+// there and nothing ends; its agent says so, and gives back what waits.
+func TestTargetThatStandsStillIsShunned(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.order(session, 2, task("b", 0), 7)
+	w.order(session, 3, task("c", 0), 7)
+	w.answer(0, Accepted)
+	w.answer(1, Accepted)
+	w.pass(250 * time.Millisecond)
+	w.Expect(w.load().Shunned).To(BeTrue())
+	w.Expect(w.outcomes(session)).To(HaveKey(uint64(3)))
+}
+
+// The tasks of one job share an estimate that is far too low. That says nothing of the
+// target.
+func TestOneJobThatTakesLongIsNoStandstill(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.order(session, 2, task("a", 1), 7)
+	w.answer(0, Accepted)
+	w.answer(1, Accepted)
+	w.pass(250 * time.Millisecond)
+	w.Expect(w.load().Shunned).To(BeFalse())
+}
