Finish late what has begun, in place of an unknown outcome

Change: a job with a task that was placed where there was room counts as begun and is finished late, behind what can still be in time.

The tests that tell of waiting tasks now place them on targets without room; what they check is as before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -45,6 +45,8 @@
 // proved so; told before, a task that starts after all would make it a lie.
 func TestNotRunIsSaidAfterTheLastProof(t *testing.T) {
 	w := newWorld(t, 2)
+	w.load(1, w.full(30)) // the tasks wait
+	w.load(2, w.full(30))
 	a := w.submit(w.newJob("j", 2))
 	one, two := w.sent()[1][0], w.sent()[2][0]
 	w.end(1, one.Seq, wire.EndNotRun, wire.NotRunLate)
@@ -58,6 +60,8 @@
 // "not run": it would send a confirmation again that has been billed.
 func TestNotRunIsNotSaidOfAJobThatBegan(t *testing.T) {
 	w := newWorld(t, 2)
+	w.load(1, w.full(30)) // the tasks wait
+	w.load(2, w.full(30))
 	a := w.submit(w.newJob("j", 2))
 	w.end(1, w.sent()[1][0].Seq, wire.EndNotRun, wire.NotRunLate)
 	w.end(2, w.sent()[2][0].Seq, wire.EndStopped, 0)
@@ -67,6 +71,8 @@
 // The proof does not come: the agent hangs. The caller must not wait for it.
 func TestMissingProofMakesTheOutcomeUnknown(t *testing.T) {
 	w := newWorld(t, 2)
+	w.load(1, w.full(30)) // the tasks wait
+	w.load(2, w.full(30))
 	a := w.submit(w.newJob("j", 2))
 	w.end(1, w.sent()[1][0].Seq, wire.EndNotRun, wire.NotRunLate)
 	w.pass(2 * proofWait)
@@ -279,3 +285,26 @@
 	}
 	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerUnknown)))
 }
+
+// One task of a job comes back late while another is at work. Given up, the job would
+// have run in part for nothing and its caller, who can't be told "not run", would send it
+// again. It is finished late, behind everything that can still be in time.
+func TestJobThatBeganIsFinishedLate(t *testing.T) {
+	w := newWorld(t, 2)
+	busy := w.idle()
+	busy.WaitMs = w.full(200).WaitMs
+	w.load(1, busy)
+	w.load(2, w.full(30))
+	j := w.newJob("j", 3)
+	a := w.submit(j)
+	w.Expect(w.sent()[1]).To(HaveLen(2), "there is room for two")
+	w.now = w.now.Add(150 * time.Millisecond)
+	w.end(2, w.sent()[2][0].Seq, wire.EndNotRun, wire.NotRunLate)
+	w.Expect(a.got).To(BeEmpty())
+	w.Expect(w.orders()).To(Equal(4))
+	last := w.sent()[1][len(w.sent()[1])-1]
+	if len(w.sent()[1]) == 2 {
+		last = w.sent()[2][1]
+	}
+	w.Expect(last.SlackMs).To(BeNumerically(">", 300), "it waits behind what is in time")
+}
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -107,8 +107,20 @@
 	c.placeAgain(l, t)
 }
 
-// begun reports whether some of the job's work is done, or surely under way.
-func (l *liveJob) begun() bool { return l.mayHave }
+// begun reports whether some of the job's work is done or, as far as is known, under
+// way. Such a job is finished late rather than given up: its caller could not be told
+// that nothing ran, and would only send it again.
+func (l *liveJob) begun() bool {
+	if l.mayHave {
+		return true
+	}
+	for i := range l.tasks {
+		if at := l.tasks[i].attempt; at != nil && at.room {
+			return true
+		}
+	}
+	return false
+}
 
 func (c *Core) placeAgain(l *liveJob, t *task) {
 	t.state = taskWaiting
--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -52,6 +52,7 @@
 type Choice struct {
 	Index int // None where no candidate may take it
 	EndMs float64
+	Room  bool // there is room for it now
 }
 
 // Choose returns the candidate on which the task is expected to end earliest. Jitter,
@@ -67,7 +68,7 @@
 		end := c.EndMs(t, i)
 		cost := end + c.Failed*failedMs + waitAversion*c.startMs(t.Demand) + c.crowdMs(t) + jitter()*t.EstimateMs*jitterShare
 		if best.Index == None || cost < bestCost {
-			best, bestCost = Choice{Index: i, EndMs: end}, cost
+			best, bestCost = Choice{Index: i, EndMs: end, Room: t.Demand.Fits(c.Free)}, cost
 		}
 	}
 	return best
