--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -85,6 +85,7 @@
 	target     *wire.LeasedTarget // nil before one is known
 	load       wire.Load
 	loadAt     time.Time
+	downAt     time.Time // when its target was first said to be away
 	nextSeq    uint64
 	attempts   map[uint64]*attempt
 	unseen     []unseen // orders that load does not count in yet
@@ -181,6 +182,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.now = now
 	c.overLost()
+	c.downTargets()
 	for id, l := range c.jobs {
 		c.look(l)
 		c.moveOverdue(l)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -308,3 +308,34 @@
 	}
 	w.Expect(last.SlackMs).To(BeNumerically(">", 300), "it waits behind what is in time")
 }
+
+// A target goes away the moment after a job was placed. What had not begun there comes
+// back and runs elsewhere; the job used to be given up although nothing of it had run.
+func TestOrdersOnTheirWayToALostTargetRunElsewhere(t *testing.T) {
+	w := newWorld(t, 2)
+	a := w.submit(w.newJob("j", 1))
+	at := ConnID(1)
+	if len(w.sent()[1]) == 0 {
+		at = 2
+	}
+	down := w.idle()
+	down.Down = true
+	w.load(at, down)
+	w.Expect(a.got).To(BeEmpty())
+	w.end(at, w.sent()[at][0].Seq, wire.EndNotRun, wire.NotRunDown)
+	w.Expect(w.sent()[3-at]).To(HaveLen(1))
+	w.pass(2 * downWait)
+	w.Expect(a.got).To(BeEmpty())
+}
+
+// A task was at work on a target that went away. Its caller is told soon, not when the
+// lease of the lost run is over.
+func TestJobAtWorkOnALostTargetIsGivenUp(t *testing.T) {
+	w := newWorld(t, 1)
+	a := w.submit(w.newJob("j", 1))
+	down := w.idle()
+	down.Down = true
+	w.load(1, down)
+	w.pass(2 * downWait)
+	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerUnknown)))
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -115,7 +115,7 @@
 	placedAt time.Time
 	// expected is how long it was predicted to take, waiting included.
 	expected time.Duration
-	room     bool // the target had room for it: it has begun, as far as is known
+	room     bool      // the target had room for it: it has begun, as far as is known
 	movedAt  time.Time // when it was called back because it takes too long
 	// overAt is when the run is over at the latest, for an attempt whose session has
 	// ended.
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -68,16 +68,13 @@
 		a.target = f.Target
 	}
 	// The load comes first: what the outcomes send back must not go to a target that
-	// went away with them. The outcomes come before the rest is given up.
+	// went away with them.
 	if f.Load != nil {
 		c.hearLoad(a, f.Load)
 	}
 	for i := range f.Outcomes {
 		c.outcome(a, &f.Outcomes[i])
 	}
-	if a.load.Down {
-		c.targetDown(a)
-	}
 }
 
 func (c *Core) hearLoad(a *agent, load *wire.Load) {
@@ -85,6 +82,9 @@
 		event.Log(c.log, event.AgentRated, "host", a.host, "target", a.targetName(), "down", load.Down, "leaving", load.Leaving,
 			"speed", load.Speed, "failed_rate", load.FailedRate)
 	}
+	if load.Down && !a.load.Down {
+		a.downAt = c.now
+	}
 	a.load, a.loadAt = *load, c.now
 	seen := 0
 	for seen < len(a.unseen) && a.unseen[seen].seq <= load.Seen {
@@ -93,15 +93,25 @@
 	a.unseen = slices.Delete(a.unseen, 0, seen)
 }
 
-// targetDown gives up the jobs that have a task on a target that went away: their
-// callers may come again now, and wait for nothing otherwise.
-func (c *Core) targetDown(a *agent) {
-	for _, at := range a.attempts {
-		if at.job.answered || at.job.ending {
+// downWait is how long after its word that its target is away an agent may take to
+// send back what has not begun: the orders on their way there, a hop and back.
+const downWait = 40 * time.Millisecond
+
+// downTargets gives up the jobs that have a task at work on a target that went away.
+// What has not begun there has come back by then and runs elsewhere; what has is over
+// when its lease ends, which is too late for most callers.
+func (c *Core) downTargets() {
+	for _, a := range c.roster {
+		if !a.load.Down || c.now.Sub(a.downAt) < downWait {
 			continue
 		}
-		at.job.mayHave = true
-		c.giveUp(at.job, fault.New(fault.OutcomeUnknown, "the target that ran a task of it does not answer"))
+		for _, at := range a.attempts {
+			if at.job.answered || at.job.ending {
+				continue
+			}
+			at.job.mayHave = true
+			c.giveUp(at.job, fault.New(fault.OutcomeUnknown, "the target that ran a task of it does not answer"))
+		}
 	}
 }
 
