A fault soak of our own; one session with an entry of two addresses

The soak (internal/soak, camphorrack-soak) runs the real programs with relays on every path, and injects faults from outside by a seed: 22 kinds, in series that overlap. Callers and the ledger of all targets hold the promises against what they see: no task twice at once, "not run" that ran, answers held too long, an older configuration in force, processes that end by themselves, recovery.

An entry reached at two addresses, its own and a relay's that the entries pass on, got two sessions of one runner, and each replaced the other and ended its runs. Ruled out: the faults themselves (the sessions came and went all the time).

Change: an entry says its welcome first, and a runner that has a session with that process says no hello.

--- /dev/null
+++ b/apps/camphorrack-soak/main.go
@@ -0,0 +1,74 @@
+// Command camphorrack-soak plays seeds of the fault soak on this machine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/settings"
+	"github.com/camphorrack/camphorrack/internal/soak"
+)
+
+const program = "camphorrack-soak"
+
+func main() {
+	set := settings.New(program, os.Stdout)
+	o := soak.Options{Out: io.Discard}
+	set.StringVar(&o.Bin, "bin", "bin", "directory of camphorrack-dispatcher and camphorrack-runner")
+	logs := set.String("logs", "", "directory for the logs of seeds that fail (default: a temporary one)")
+	first := set.Uint64("seed", uint64(time.Now().Unix()), "first seed (default: a fresh one)")
+	count := set.Uint64("seeds", 1, "how many seeds to play, one after the other")
+	set.DurationVar(&o.Duration, "duration", 15*time.Second, "time with faults, a seed")
+	set.IntVar(&o.Entries, "entries", soak.DefaultEntries, "entry hosts")
+	set.IntVar(&o.Targets, "targets", soak.DefaultTargets, "targets, each with a runner")
+	set.IntVar(&o.Callers, "callers", soak.DefaultCallers, "callers")
+	keep := set.Bool("keep", false, "keep the logs of every seed")
+	verbose := set.Bool("faults", false, "print each fault as it begins")
+	set.Check("targets", func() string {
+		return settings.FailIf(o.Targets < 1 || o.Targets > 150 || o.Entries < 1 || o.Entries > 80, "takes 1 to 150, with 1 to 80 entries")
+	})
+	set.LoadOS()
+	if *verbose {
+		o.Out = os.Stdout
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if !play(ctx, o, *logs, *keep, *first, *count) {
+		os.Exit(1)
+	}
+}
+
+// play plays the seeds and reports whether every promise was kept.
+func play(ctx context.Context, o soak.Options, logs string, keep bool, first, count uint64) bool {
+	kept := true
+	for seed := first; seed < first+count && ctx.Err() == nil; seed++ {
+		dir, err := os.MkdirTemp(logs, fmt.Sprintf("%s-%d-", program, seed))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, program+":", err)
+			return false
+		}
+		o.Seed, o.Dir = seed, dir
+		result, err := soak.Run(ctx, o)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, program+":", err, "logs:", dir)
+			kept = false
+			continue
+		}
+		fmt.Println(result)
+		if len(result.Breaches) == 0 && !keep {
+			_ = os.RemoveAll(dir) // only failed seeds are looked at
+			continue
+		}
+		kept = kept && len(result.Breaches) == 0
+		for _, b := range result.Breaches {
+			fmt.Println("  ", b)
+		}
+		fmt.Println("   logs:", filepath.Clean(dir))
+	}
+	return kept
+}
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -58,6 +58,16 @@
 		return // the handshake wrote the response
 	}
 	r := &runnerSession{sessions: s, conn: conn, id: dispatch.ConnID(s.last.Add(1))}
+	// The welcome goes first: a runner that has a session with this process at another
+	// address closes this one, and says no hello that would replace the other.
+	err = r.loop.Push(func(_ time.Time, st *state) {
+		conn.Send(&wire.ToAgent{Welcome: &wire.Welcome{
+			Version: wire.Version, Incarnation: r.incarnation, Addr: r.o.InnerAddr, DataCentre: r.o.DataCentre, Entries: st.known(),
+		}})
+	})
+	if err != nil {
+		conn.Close(err)
+	}
 	r.ended(conn.Serve(r.receive))
 }
 
@@ -104,9 +114,6 @@
 	event.Log(r.log, event.SessionOpened, "conn", uint64(r.id), "host", h.Worker, "peer", r.conn.RemoteAddr())
 	return r.loop.Push(func(now time.Time, s *state) {
 		r.conns[r.id] = r.conn
-		r.conn.Send(&wire.ToAgent{Welcome: &wire.Welcome{
-			Version: wire.Version, Incarnation: r.incarnation, Addr: r.o.InnerAddr, DataCentre: r.o.DataCentre, Entries: s.known(),
-		}})
 		r.learn(s, h.Entries)
 		s.core.Connect(now, r.id, h)
 		s.conf.Up(confsync.PeerID(r.id))
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
+	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/runs"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -25,6 +28,9 @@
 	// success before it is forgotten: it was named by a neighbour or by the settings,
 	// and its host is gone for good.
 	strangeAfter = 2 * time.Minute
+	// aliasRetry is how often an address is tried that leads to an entry with which there
+	// is a session at another one.
+	aliasRetry = 2 * time.Second
 	// maxDialled bounds the addresses dialled at a time.
 	maxDialled = 256
 )
@@ -40,11 +46,40 @@
 	mu     sync.Mutex
 	dialed map[string]context.CancelFunc
 	byHost map[string]string // address by the name of the host in its record
+	held   map[job.Incarnation]runs.ConnID
+}
+
+// aliasError is an address of an entry with which there is a session at another one.
+type aliasError struct{ owner job.Incarnation }
+
+// Error implements error.
+func (e *aliasError) Error() string { return "there is a session with entry " + e.owner.String() }
+
+// hold notes the session with an entry's process. Two with the same one would replace each
+// other for ever, and each replacement ends the runs of the other.
+func (d *dialers) hold(owner job.Incarnation, id runs.ConnID) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, held := d.held[owner]; held {
+		return &aliasError{owner}
+	}
+	d.held[owner] = id
+	return nil
+}
+
+// release notes that a session has ended.
+func (d *dialers) release(owner job.Incarnation, id runs.ConnID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.held[owner] == id {
+		delete(d.held, owner)
+	}
 }
 
 func newDialers(r *Runner) *dialers {
 	ctx, stop := context.WithCancel(context.Background())
-	return &dialers{runner: r, ctx: ctx, stop: stop, dialed: map[string]context.CancelFunc{}, byHost: map[string]string{}}
+	return &dialers{runner: r, ctx: ctx, stop: stop, dialed: map[string]context.CancelFunc{}, byHost: map[string]string{},
+		held: map[job.Incarnation]runs.ConnID{}}
 }
 
 // learn dials an address that is not dialled yet.
@@ -107,7 +142,12 @@
 			event.Log(d.runner.log, event.SessionRetired, "entry", addr, "error", err.Error())
 			return
 		}
-		sleep(ctx, retry.NextBackOff())
+		wait := retry.NextBackOff()
+		var alias *aliasError
+		if errors.As(err, &alias) {
+			wait = aliasRetry
+		}
+		sleep(ctx, wait)
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -362,6 +362,7 @@
 	id     runs.ConnID
 	addr   string
 	conn   *session.ToEntryConn
+	owner  job.Incarnation
 	opened bool
 }
 
@@ -376,9 +377,6 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close(nil) })
 	defer stop()
 	s := &entrySession{Runner: r, id: runs.ConnID(r.last.Add(1)), addr: addr, conn: conn}
-	conn.Send(&wire.ToEntry{Hello: &wire.Hello{
-		Version: wire.Version, Incarnation: r.incarnation, Worker: r.o.Host, DataCentre: r.o.DataCentre, Entries: r.dialers.known(),
-	}})
 	err = conn.Serve(s.receive)
 	s.ended(err)
 	return err
@@ -413,10 +411,16 @@
 	case w.Version != wire.Version:
 		return &welcomeError{"another version of the protocol"}
 	}
-	s.opened = true
 	for _, p := range w.Entries {
 		s.dialers.learn(p.Addr)
 	}
+	if err := s.dialers.hold(w.Incarnation, s.id); err != nil {
+		return err
+	}
+	s.opened, s.owner = true, w.Incarnation
+	s.conn.Send(&wire.ToEntry{Hello: &wire.Hello{
+		Version: wire.Version, Incarnation: s.incarnation, Worker: s.o.Host, DataCentre: s.o.DataCentre, Entries: s.dialers.known(),
+	}})
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.do(func(now time.Time, st *state) {
 		st.sessions[s.id] = s
@@ -438,6 +442,7 @@
 	if !s.opened {
 		return
 	}
+	s.dialers.release(s.owner, s.id)
 	s.do(func(now time.Time, st *state) {
 		delete(st.sessions, s.id)
 		st.table.Disconnect(now, s.id)
