Random schedules over both control states; a task with a run that goes on goes nowhere

Entries' and runners' control states with targets that keep the platform's rules: lost and late orders, sessions whose ends notice at different times, kills, crashes, callers that leave and ask again.

Found while reading for it: an agent that turns an order away because another run of the task is not over got the task placed on another target, where nothing would have stopped it from running beside the first. The job is given up.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -339,3 +339,18 @@
 	w.pass(2 * downWait)
 	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerUnknown)))
 }
+
+// A job comes to a second entry while a run of its first owner is still being stopped, and
+// the agent beside that run says so. Placed on another target, the task would run twice at
+// once: a paper is billed twice.
+func TestTaskWithARunThatIsNotOverGoesNowhere(t *testing.T) {
+	w := newWorld(t, 2)
+	a := w.submit(w.newJob("j", 1))
+	at := ConnID(1)
+	if len(w.sent()[1]) == 0 {
+		at = 2
+	}
+	w.end(at, w.sent()[at][0].Seq, wire.EndNotRun, wire.NotRunBusy)
+	w.Expect(w.orders()).To(Equal(1))
+	w.Expect(a.got).To(ConsistOf(HaveField("Kind", AnswerUnknown)))
+}
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -100,6 +100,13 @@
 	}
 	event.Log(c.log, event.TaskReplaced, "job", l.ID, "step", t.step, "task", t.index, "host", a.host, "end", int(out.End),
 		"reason", int(out.Reason), "waited_ms", out.WaitMs, "left_ms", ms(l.objective.Sub(c.now)))
+	if out.Reason == wire.NotRunBusy {
+		// A run of an earlier owner goes on there. Started on another target, the task
+		// would run twice at once; the caller comes again after its pause.
+		l.mayHave = true
+		c.giveUp(l, fault.New(fault.OutcomeUnknown, "an earlier run of a task of it is not over"))
+		return
+	}
 	if out.End == wire.EndNotRun && out.Reason == wire.NotRunLate && !l.begun() {
 		c.giveUp(l, fault.New(fault.Overloaded, "it can't be done in time any more"))
 		return
--- /dev/null
+++ b/internal/leased/schedule_test.go
@@ -0,0 +1,570 @@
+package leased_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/camphorrack/camphorrack/internal/dispatch"
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/routing"
+	"github.com/camphorrack/camphorrack/internal/runs"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// The control states of entries and runners, with targets and sessions of a simulated
+// world: random schedules of lost and late orders, sessions that end at different times at
+// their two ends, killed entries and runners, targets that crash, and callers that leave
+// and ask again. What targets saw decides whether an answer was true.
+
+const (
+	step       = 5 * time.Millisecond
+	resend     = 1300 * time.Millisecond
+	silentMost = 750 * time.Millisecond // until an end notices that the other is gone
+	entryCount = 2
+	hostCount  = 3
+	lease      = time.Second
+)
+
+// simTarget is a target that keeps the platform's rules.
+type simTarget struct {
+	w       *simWorld
+	n       int
+	life    runs.Life
+	born    time.Time
+	token   int64
+	until   time.Time
+	running map[runs.RunID]time.Time // and when it ends
+	failing map[runs.RunID]bool
+	fenced  map[runs.Task]uint64
+	ended   []runs.EndedRun
+	ends    uint64
+}
+
+func (s *simTarget) clock() int64 { return s.w.now.Sub(s.born).Milliseconds() + 5000 }
+
+func (s *simTarget) reborn() {
+	for id := range s.running {
+		s.w.over(id, s.n)
+	}
+	s.life = runs.Life{Name: fmt.Sprintf("t%d", s.n), BornMs: s.w.now.UnixMilli()}
+	s.born, s.token, s.until = s.w.now, 0, time.Time{}
+	s.running, s.failing = map[runs.RunID]time.Time{}, map[runs.RunID]bool{}
+	s.fenced, s.ended, s.ends = map[runs.Task]uint64{}, nil, 0
+}
+
+func (s *simTarget) take(untilMs int64) {
+	until := s.w.now.Add(min(time.Duration(untilMs-s.clock())*time.Millisecond, lease))
+	if until.After(s.until) {
+		s.until = until
+	}
+}
+
+func (s *simTarget) start(c runs.StartCall) runs.Answer {
+	switch {
+	case c.Life != s.life:
+		return runs.OtherLife
+	case c.Token < s.token:
+		return runs.BadToken
+	}
+	s.token = c.Token
+	if _, there := s.running[c.Run]; there {
+		return runs.Accepted
+	}
+	s.take(c.LeaseUntilMs)
+	switch {
+	case c.Run.Number <= s.fenced[c.Run.Task]:
+		return runs.LowRun
+	case c.LeaseUntilMs <= s.clock():
+		return runs.LateLease
+	}
+	took := 20 + s.w.draw(400)
+	if s.w.draw(4) == 0 {
+		took += s.w.draw(6000) // it stands still: long past the resend
+	}
+	s.running[c.Run] = s.w.now.Add(time.Duration(took) * time.Millisecond)
+	s.failing[c.Run] = s.w.draw(15) == 0
+	s.w.began(c.Run, s.n)
+	return runs.Accepted
+}
+
+func (s *simTarget) stop(c runs.StopCall) runs.Answer {
+	switch {
+	case c.Life != s.life:
+		return runs.OtherLife
+	case c.Token < s.token:
+		return runs.BadToken
+	}
+	s.token = c.Token
+	s.fenced[c.Run.Task] = max(s.fenced[c.Run.Task], c.Run.Number)
+	if _, there := s.running[c.Run]; there {
+		s.finish(c.Run, runs.Stopped)
+	}
+	return runs.Accepted
+}
+
+func (s *simTarget) finish(id runs.RunID, how runs.End) {
+	delete(s.running, id)
+	s.fenced[id.Task] = max(s.fenced[id.Task], id.Number)
+	s.ends++
+	s.ended = append(s.ended, runs.EndedRun{Number: s.ends, Run: id, End: how})
+	s.w.over(id, s.n)
+	if how == runs.Done {
+		s.w.done[id.Task]++
+	}
+}
+
+func (s *simTarget) pass() {
+	for id, at := range s.running {
+		switch {
+		case !s.w.now.Before(s.until):
+			s.finish(id, runs.Stopped)
+		case !s.w.now.Before(at) && s.failing[id]:
+			s.finish(id, runs.Failed)
+		case !s.w.now.Before(at):
+			s.finish(id, runs.Done)
+		}
+	}
+}
+
+// simHost is a runner's table beside its target.
+type simHost struct {
+	w      *simWorld
+	n      int
+	table  *runs.Table
+	target *simTarget
+	seq    uint64
+	deafAt time.Time // until then its calls are lost
+}
+
+// Start implements runs.Target.
+func (h *simHost) Start(c runs.StartCall) {
+	table := h.table
+	answer := func(a runs.Answer) {
+		h.w.at(step, func() {
+			if h.table == table {
+				table.Started(h.w.now, c, a, h.target.clock())
+			}
+		})
+	}
+	switch h.w.draw(12) {
+	case 0: // carried out late
+		h.w.at(time.Duration(2000+h.w.draw(3000))*time.Millisecond, func() { h.target.start(c) })
+		h.w.at(40*time.Millisecond, func() { answer(runs.NoAnswer) })
+	case 1: // the answer is lost
+		h.target.start(c)
+		h.w.at(40*time.Millisecond, func() { answer(runs.NoAnswer) })
+	default:
+		answer(h.target.start(c))
+	}
+}
+
+// Stop implements runs.Target.
+func (h *simHost) Stop(c runs.StopCall) {
+	table := h.table
+	answer := func(a runs.Answer) {
+		h.w.at(step, func() {
+			if h.table == table {
+				table.Stopped(h.w.now, c, a)
+			}
+		})
+	}
+	if h.w.draw(10) == 0 {
+		h.w.at(40*time.Millisecond, func() { answer(runs.NoAnswer) })
+		return
+	}
+	answer(h.target.stop(c))
+}
+
+// renew makes one renewal.
+func (h *simHost) renew() {
+	c, known := h.table.Renewal(h.w.now)
+	if !known {
+		return
+	}
+	asked, table := h.w.now, h.table
+	if h.w.draw(12) == 0 {
+		h.w.at(60*time.Millisecond, func() {
+			if h.table == table {
+				table.RenewFailed(h.w.now, c, runs.Silent)
+			}
+		})
+		return
+	}
+	s := h.target
+	if c.Life != s.life {
+		table.RenewFailed(h.w.now, c, runs.Elsewhere)
+		return
+	}
+	if c.Token < s.token {
+		table.Renewed(h.w.now, asked, c, runs.Listing{ClockMs: s.clock(), BornMs: s.life.BornMs, BadToken: true})
+		return
+	}
+	s.token = c.Token
+	if c.LeaseUntilMs > 0 {
+		s.take(c.LeaseUntilMs)
+	}
+	for len(s.ended) > 0 && s.ended[0].Number <= c.AckCursor {
+		s.ended = s.ended[1:]
+	}
+	l := runs.Listing{ClockMs: s.clock(), BornMs: s.life.BornMs, Ended: append([]runs.EndedRun(nil), s.ended...)}
+	for id := range s.running {
+		l.Running = append(l.Running, id)
+	}
+	h.w.at(step, func() {
+		if h.table == table {
+			table.Renewed(h.w.now, asked, c, l)
+		}
+	})
+}
+
+func (h *simHost) announce() {
+	h.seq++
+	h.table.Announce(h.w.now, runs.Announcement{
+		Life: h.target.life, Service: "s", Capacity: job.Demand{CPUMilli: 4000, MemoryMB: 1000}, ClockMs: h.target.clock(), Seq: h.seq,
+	})
+}
+
+// simSession is a session between an entry and a host; each end may be gone for itself.
+type simSession struct {
+	id              uint64
+	entry, host     int
+	entryUp, hostUp bool
+	lossy           bool // cut: nothing gets through any more
+}
+
+// simWorld is everything.
+type simWorld struct {
+	t        *testing.T
+	seed     uint64
+	random   *rand.Rand
+	trace    map[string][]string
+	now      time.Time
+	later    map[time.Duration][]func() // by time since the start
+	passed   time.Duration
+	entries  []*dispatch.Core
+	hosts    []*simHost
+	sessions map[uint64]*simSession
+	lastID   uint64
+	active   map[runs.Task]map[int]uint64 // runs by target
+	starts   map[string]int               // by job
+	done     map[runs.Task]int
+	jobs     []*simJob
+}
+
+// simJob is one job and its caller.
+type simJob struct {
+	id       string
+	tasks    int
+	open     bool // the caller waits
+	entry    int
+	attempt  int
+	refused  bool // all attempts so far were answered "not run"
+	complete bool
+	over     bool
+}
+
+func (w *simWorld) draw(n int) int { return w.random.IntN(n) }
+
+// note keeps what happened to a job, for the report of a failure.
+func (w *simWorld) note(job, format string, args ...any) {
+	w.trace[job] = append(w.trace[job], fmt.Sprintf("%8s ", w.passed)+fmt.Sprintf(format, args...))
+}
+
+func (w *simWorld) fail(job, format string, args ...any) {
+	w.t.Fatalf("seed %d: %s\n%s", w.seed, fmt.Sprintf(format, args...), strings.Join(append(w.trace[job], w.trace[""]...), "\n"))
+}
+
+func (w *simWorld) at(after time.Duration, do func()) {
+	due := w.passed + max(after, step)
+	due -= due % step
+	w.later[due] = append(w.later[due], do)
+}
+
+func (w *simWorld) began(id runs.RunID, target int) {
+	w.starts[id.Task.Job]++
+	w.note(id.Task.Job, "task %d run %d begins on %d", id.Task.Index, id.Number, target)
+	if w.active[id.Task] == nil {
+		w.active[id.Task] = map[int]uint64{}
+	}
+	w.active[id.Task][target] = id.Number
+	if len(w.active[id.Task]) > 1 {
+		w.fail(id.Task.Job, "task %v runs twice at once: %v", id.Task, w.active[id.Task])
+	}
+	for _, j := range w.jobs {
+		if j.id == id.Task.Job && j.over && j.refused {
+			w.fail(j.id, "task %v starts after its job was refused", id.Task)
+		}
+	}
+}
+
+func (w *simWorld) over(id runs.RunID, target int) {
+	if w.active[id.Task][target] == id.Number {
+		delete(w.active[id.Task], target)
+		w.note(id.Task.Job, "task %d run %d is over on %d", id.Task.Index, id.Number, target)
+	}
+}
+
+// entryOutbox and hostOutbox carry frames; what is sent into a cut is lost.
+type entryOutbox struct {
+	w     *simWorld
+	entry int
+}
+
+func (o entryOutbox) Send(id dispatch.ConnID, f *wire.ToAgent) {
+	s := o.w.sessions[uint64(id)]
+	o.w.at(step, func() {
+		if s.hostUp && !s.lossy {
+			o.w.hosts[s.host].table.Receive(o.w.now, runs.ConnID(s.id), f.Leased)
+		}
+	})
+}
+func (o entryOutbox) Close(id dispatch.ConnID) { o.w.cut(o.w.sessions[uint64(id)], 0, 0) }
+
+type hostOutbox struct{ w *simWorld }
+
+func (o hostOutbox) Send(id runs.ConnID, f *wire.ToEntry) {
+	s := o.w.sessions[uint64(id)]
+	o.w.at(step, func() {
+		if s.entryUp && !s.lossy {
+			o.w.entries[s.entry].Receive(o.w.now, dispatch.ConnID(s.id), f.Leased)
+		}
+	})
+}
+func (o hostOutbox) Close(id runs.ConnID) { o.w.cut(o.w.sessions[uint64(id)], 0, 0) }
+
+func (w *simWorld) connect(entry, host int) {
+	w.lastID++
+	s := &simSession{id: w.lastID, entry: entry, host: host, entryUp: true, hostUp: true}
+	w.sessions[s.id] = s
+	w.entries[entry].Connect(w.now, dispatch.ConnID(s.id), &wire.Hello{Worker: fmt.Sprint(host)})
+	w.hosts[host].table.Connect(w.now, runs.ConnID(s.id))
+}
+
+// cut ends a session; each end notices after a time of its own, and a new session follows.
+func (w *simWorld) cut(s *simSession, entryAfter, hostAfter time.Duration) {
+	if s.lossy {
+		return
+	}
+	s.lossy = true
+	w.note("", "session of entry %d and host %d is cut; noticed after %s and %s", s.entry, s.host, entryAfter, hostAfter)
+	w.at(entryAfter, func() {
+		if s.entryUp {
+			s.entryUp = false
+			w.entries[s.entry].Disconnect(w.now, dispatch.ConnID(s.id))
+		}
+	})
+	w.at(hostAfter, func() {
+		if s.hostUp {
+			s.hostUp = false
+			w.hosts[s.host].table.Disconnect(w.now, runs.ConnID(s.id))
+		}
+	})
+	w.at(max(entryAfter, hostAfter)+50*time.Millisecond, func() { w.connect(s.entry, s.host) })
+}
+
+func (w *simWorld) newEntry(n int) *dispatch.Core {
+	return dispatch.New(dispatch.Options{Log: logr.Discard(), Outbox: entryOutbox{w, n}, LeaseLimit: lease, RemoteFactor: 1.5,
+		Now: func() time.Time { return w.now.Add(time.Duration(n) * time.Millisecond) }, Seed: uint64(n)})
+}
+
+func (w *simWorld) newTable(h *simHost) {
+	h.table = runs.New(runs.Options{Log: logr.Discard(), Target: h, Outbox: hostOutbox{w}, LeaseLimit: lease})
+	h.announce()
+}
+
+var simQueue = &routing.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Latency: 900 * time.Millisecond}
+
+// submit hands a job in, as its caller does.
+func (w *simWorld) submit(j *simJob, entry int) {
+	j.open, j.entry = true, entry
+	j.attempt++
+	attempt := j.attempt
+	w.note(j.id, "handed in at entry %d", entry)
+	w.entries[entry].Submit(w.now, &dispatch.Job{ID: j.id, Queue: simQueue, Deadline: w.now.Add(time.Duration(1500+w.draw(4000)) * time.Millisecond),
+		Steps: []dispatch.Step{{Count: j.tasks, Demand: job.Demand{CPUMilli: 1000}, Estimate: 150 * time.Millisecond}}},
+		func(a dispatch.Answer) {
+			if j.attempt == attempt && j.open {
+				w.answered(j, a)
+			}
+		})
+}
+
+func (w *simWorld) answered(j *simJob, a dispatch.Answer) {
+	j.open = false
+	w.note(j.id, "answer %d %v", a.Kind, a.Fault)
+	switch a.Kind {
+	case dispatch.AnswerComplete:
+		for i := range j.tasks {
+			if w.done[runs.Task{Job: j.id, Index: i}] == 0 {
+				w.fail(j.id, "job %s is complete, and task %d was never done", j.id, i)
+			}
+		}
+		j.complete, j.over, j.refused = true, true, false
+	case dispatch.AnswerFailed:
+		j.over, j.refused = true, false
+	case dispatch.AnswerNotRun:
+		j.over = true
+		if j.refused && w.starts[j.id] > 0 {
+			w.fail(j.id, "job %s was refused, and %d tasks of it were started", j.id, w.starts[j.id])
+		}
+	default:
+		w.lost(j)
+	}
+}
+
+// lost lets the caller ask again, at any entry, after its pause.
+func (w *simWorld) lost(j *simJob) {
+	j.open, j.refused = false, false
+	if j.attempt >= 3 {
+		j.over = true
+		return
+	}
+	entry := w.draw(entryCount)
+	w.at(resend, func() { w.submit(j, entry) })
+}
+
+// trouble does one thing that goes wrong.
+func (w *simWorld) trouble() {
+	switch w.draw(6) {
+	case 0: // a session is cut
+		for _, s := range w.sessions {
+			if !s.lossy && w.draw(4) == 0 {
+				w.cut(s, time.Duration(w.draw(int(silentMost/time.Millisecond)))*time.Millisecond, time.Duration(w.draw(int(silentMost/time.Millisecond)))*time.Millisecond)
+				return
+			}
+		}
+	case 1: // an entry is killed: its connections end at once
+		n := w.draw(entryCount)
+		for _, s := range w.sessions {
+			if s.entry == n && s.entryUp {
+				s.entryUp = false
+				w.cut(s, 0, step)
+			}
+		}
+		w.entries[n] = w.newEntry(n)
+		for _, j := range w.jobs {
+			if j.open && j.entry == n {
+				w.lost(j)
+			}
+		}
+	case 2: // a runner is killed and starts again beside its target
+		h := w.hosts[w.draw(hostCount)]
+		for _, s := range w.sessions {
+			if s.host == h.n && s.hostUp {
+				s.hostUp = false
+				w.cut(s, step, 0)
+			}
+		}
+		w.newTable(h)
+		w.note("", "runner %d starts again", h.n)
+	case 3: // a target crashes and comes back under its name
+		h := w.hosts[w.draw(hostCount)]
+		h.target.reborn()
+		w.at(time.Duration(w.draw(500))*time.Millisecond, h.announce)
+	default: // a caller leaves
+		for _, j := range w.jobs {
+			if j.open {
+				w.note(j.id, "its caller leaves")
+				j.open = false // its answer is not heard any more
+				w.entries[j.entry].Abandon(w.now, j.id)
+				w.lost(j)
+				return
+			}
+		}
+	}
+}
+
+func (w *simWorld) pass() {
+	w.passed += step
+	w.now = w.now.Add(step)
+	due := w.later[w.passed]
+	delete(w.later, w.passed)
+	for _, do := range due {
+		do()
+	}
+	for _, h := range w.hosts {
+		h.target.pass()
+		h.table.Tick(w.now)
+		if w.passed%(6*step) == time.Duration(h.n)*step {
+			h.renew()
+		}
+		h.table.Flush(w.now)
+	}
+	for _, e := range w.entries {
+		e.Tick(w.now)
+		e.Flush()
+	}
+}
+
+// schedules is how many are played; SCHEDULES in the environment plays another number.
+const schedules = 60
+
+// Sessions end, processes are killed, targets crash, orders are lost and late, callers leave
+// and ask again, at any moment and together. No task runs twice at a time, "not run" is
+// never said of what ran, "complete" only of what is done, and every job gets an answer.
+func TestSchedules(t *testing.T) {
+	n := uint64(schedules)
+	if more, err := strconv.ParseUint(os.Getenv("SCHEDULES"), 10, 64); err == nil {
+		n = more
+	}
+	for seed := range n {
+		play(t, seed)
+	}
+}
+
+func play(t *testing.T, seed uint64) {
+	w := &simWorld{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 3)), trace: map[string][]string{},
+		now: time.Unix(1_800_000_000, 0), later: map[time.Duration][]func(){}, sessions: map[uint64]*simSession{},
+		active: map[runs.Task]map[int]uint64{}, starts: map[string]int{}, done: map[runs.Task]int{}}
+	w.build()
+	for n := range 150 {
+		if w.draw(3) == 0 {
+			j := &simJob{id: fmt.Sprint("j", n), tasks: 1 + w.draw(4), refused: true}
+			w.jobs = append(w.jobs, j)
+			w.submit(j, w.draw(entryCount))
+		}
+		if w.draw(6) == 0 {
+			w.trouble()
+		}
+		for range 1 + w.draw(6) {
+			w.pass()
+		}
+	}
+	for range 4000 {
+		w.pass()
+	}
+	for _, j := range w.jobs {
+		if !j.over {
+			w.fail(j.id, "job %s has no answer", j.id)
+		}
+	}
+}
+
+// build starts everything.
+func (w *simWorld) build() {
+	for n := range entryCount {
+		w.entries = append(w.entries, w.newEntry(n))
+	}
+	for n := range hostCount {
+		h := &simHost{w: w, n: n}
+		h.target = &simTarget{w: w, n: n}
+		h.target.reborn()
+		w.newTable(h)
+		w.hosts = append(w.hosts, h)
+	}
+	for e := range entryCount {
+		for h := range hostCount {
+			w.connect(e, h)
+		}
+	}
+	for range 20 {
+		w.pass()
+	}
+}
--- a/internal/logging/buffer_test.go
+++ b/internal/logging/buffer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -42,3 +43,22 @@
 	g.Expect(written).To(BeNumerically("<", lines))
 	g.Expect(got).To(ContainSubstring("log_lines_dropped"))
 }
+
+// A flood of refusals writes a line each, for minutes. Without a bound the lines take the
+// processor from the decisions, and whatever collects them falls behind.
+func TestVolumeIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := &Buffer{budget: burstLines, filled: now}
+	written := 0
+	for range 60 {
+		for range 10 * linesPerSecond {
+			if b.allow(now) {
+				written++
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	g.Expect(written).To(BeNumerically("<=", burstLines+60*linesPerSecond))
+	g.Expect(written).To(BeNumerically(">=", burstLines+58*linesPerSecond))
+}
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -107,7 +107,7 @@
 	case !r.order.Demand.Fits(t.target.Capacity):
 		return wire.NotRunUnfit
 	case t.tasks[r.id.Task] != nil:
-		return wire.NotRunStale // a run of it is not over yet, perhaps of another owner
+		return wire.NotRunBusy // perhaps of another owner
 	}
 	return wire.NotRunNone
 }
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -88,7 +88,7 @@
 	w.Connect(w.now, 2)
 	w.order(2, 1, task("a", 0), 8)
 	w.Expect(w.target.starts).To(HaveLen(1))
-	w.Expect(w.outcomes(2)).To(HaveKeyWithValue(uint64(1), And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunStale))))
+	w.Expect(w.outcomes(2)).To(HaveKeyWithValue(uint64(1), And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunBusy))))
 }
 
 // The agent's host is frozen. Orders that came in before are read when it wakes, after
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -53,6 +53,7 @@
 	NotRunStale    NotRunReason = 6 // its run number is below an earlier one
 	NotRunUnfit    NotRunReason = 7 // larger than the target
 	NotRunNoAnswer NotRunReason = 8 // the start was not answered, and is fenced off
+	NotRunBusy     NotRunReason = 9 // another run of the task is not over at the agent
 )
 
 // RunOutcome reports the end of an order.
