One copy of waiting, of milliseconds, of notes and of counters

clock.Sleep and clock.Millis replace five and four copies; a configuration note that follows an unsent one is merged in wire; dispatcher and runner share their counters' frame in internal/leased. No change of behaviour: the tests of the packages and the path tests passed.

--- a/internal/agent/dialers.go
+++ b/internal/agent/dialers.go
@@ -8,6 +8,8 @@
 
 	"github.com/cenkalti/backoff/v4"
 	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/clock"
 )
 
 const (
@@ -97,7 +99,7 @@
 			d.forget(m)
 			return
 		}
-		sleep(ctx, wait.NextBackOff())
+		clock.Sleep(ctx, wait.NextBackOff())
 	}
 }
 
@@ -106,7 +108,7 @@
 func (d *dialers) idleUntilAlone(ctx context.Context, addr string) bool {
 	next := time.Now().Add(probeWait())
 	for ctx.Err() == nil {
-		sleep(ctx, aliasRetry)
+		clock.Sleep(ctx, aliasRetry)
 		if d.agent.sessionsOpen() == 0 {
 			return true
 		}
@@ -118,15 +120,6 @@
 	return false
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func newBackoff() *backoff.ExponentialBackOff {
 	return backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(firstRetry),
--- a/internal/bench/callers.go
+++ b/internal/bench/callers.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
 )
@@ -79,7 +80,7 @@
 		if _, err := c.clients[0].Token(ctx); err != nil {
 			return errors.Wrap(err, "probe")
 		}
-		times[i] = ms(time.Since(begun))
+		times[i] = clock.Millis(time.Since(begun))
 	}
 	c.networkMs = percentile(times, 0.5)
 	return nil
@@ -214,5 +215,3 @@
 	case <-timer.C:
 	}
 }
-
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -5,6 +5,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
@@ -54,7 +55,7 @@
 	result := newResult()
 	result.runs = 1
 	result.networkMs = c.networkMs
-	result.windowMs = (r.scenario.Until - r.scenario.From) * ms(o.Duration)
+	result.windowMs = (r.scenario.Until - r.scenario.From) * clock.Millis(o.Duration)
 	result.errs = c.errs
 	for _, s := range c.sent {
 		result.add(r.scenario, s, c.networkMs)
@@ -83,7 +84,7 @@
 	}
 	r.complete++
 	ideal := s.work.longestMs/fastest + networkMs
-	ratio := min(int64(ms(s.response)/ideal*thousandth), mostRatio)
+	ratio := min(int64(clock.Millis(s.response)/ideal*thousandth), mostRatio)
 	// The value lies within the histogram's bounds, so it can't fail.
 	_ = r.ratios.RecordValue(ratio)
 	_ = r.team(s.work.submission.Team).RecordValue(ratio)
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
@@ -116,7 +117,7 @@
 // let in: somewhat more than the time its caller wants it by, and at most until it
 // stops waiting.
 func (c *Core) admitMs(l *liveJob) float64 {
-	return min(admitFactor*ms(l.objective.Sub(c.now)), ms(l.Deadline.Sub(c.now)))
+	return min(admitFactor*clock.Millis(l.objective.Sub(c.now)), clock.Millis(l.Deadline.Sub(c.now)))
 }
 
 // predict plays the placement of the job's first tasks, and adds the chain behind
@@ -135,7 +136,7 @@
 		}
 		c.candidates[choice.Index].Take(spec, choice.Index)
 		behind := l.tails[t.step] - l.Steps[t.step].Estimate
-		endMs = max(endMs, choice.EndMs+ms(behind))
+		endMs = max(endMs, choice.EndMs+clock.Millis(behind))
 	}
 	return endMs, nil
 }
@@ -146,8 +147,8 @@
 func (c *Core) refuse(l *liveJob, f *fault.Fault, predictedMs float64) {
 	c.counts.Refused++
 	event.Log(c.log, event.JobRefused, "job", l.ID, "queue", l.Queue.Name, "config", l.Version, "code", int(f.Code), "reason", f.Name,
-		"detail", f.Detail, "predicted_ms", predictedMs, "objective_ms", ms(l.objective.Sub(c.now)),
-		"caller_waits_ms", ms(l.Deadline.Sub(c.now)), "targets", len(c.viewed), "oldest_load_ms", c.oldestLoadMs(), "retry_after_ms", f.RetryAfterMs)
+		"detail", f.Detail, "predicted_ms", predictedMs, "objective_ms", clock.Millis(l.objective.Sub(c.now)),
+		"caller_waits_ms", clock.Millis(l.Deadline.Sub(c.now)), "targets", len(c.viewed), "oldest_load_ms", c.oldestLoadMs(), "retry_after_ms", f.RetryAfterMs)
 	answer := Answer{Kind: AnswerNotRun, Fault: f, RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond}
 	for _, w := range l.waiters {
 		w(answer)
@@ -158,7 +159,7 @@
 func (c *Core) oldestLoadMs() float64 {
 	oldest := 0.0
 	for _, a := range c.viewed {
-		oldest = max(oldest, ms(c.now.Sub(a.loadAt)))
+		oldest = max(oldest, clock.Millis(c.now.Sub(a.loadAt)))
 	}
 	return oldest
 }
@@ -179,7 +180,7 @@
 		return
 	}
 	c.counts.Abandoned++
-	event.Log(c.log, event.JobAbandoned, "job", l.ID, "after_ms", ms(now.Sub(l.arrived)), "open", l.open)
+	event.Log(c.log, event.JobAbandoned, "job", l.ID, "after_ms", clock.Millis(now.Sub(l.arrived)), "open", l.open)
 	c.finish(l, Answer{Kind: AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")})
 }
 
@@ -195,5 +196,3 @@
 	}
 	return true
 }
-
-func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/dispatch/overdue.go
+++ b/internal/dispatch/overdue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 )
@@ -45,8 +46,8 @@
 			return
 		}
 		event.Log(c.log, event.TaskOverdue, "job", l.ID, "step", at.task.step, "task", at.task.index, "host", at.agent.host,
-			"target", at.agent.targetName(), "after_ms", ms(c.now.Sub(at.placedAt)), "expected_ms", ms(at.expected),
-			"shunned", at.agent.load.Shunned, "speed", at.agent.load.Speed, "load_age_ms", ms(c.now.Sub(at.agent.loadAt)))
+			"target", at.agent.targetName(), "after_ms", clock.Millis(c.now.Sub(at.placedAt)), "expected_ms", clock.Millis(at.expected),
+			"shunned", at.agent.load.Shunned, "speed", at.agent.load.Speed, "load_age_ms", clock.Millis(c.now.Sub(at.agent.loadAt)))
 		if !c.worthPlacing(l, at.task) {
 			l.mayHave = true // it was sent, and is not proved not to have begun
 			c.giveUp(l, fault.New(fault.DeadlineExceeded, "a task of it stands still, and it can't be done in time elsewhere"))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
@@ -49,7 +50,7 @@
 	if a.dataCentre == c.o.DataCentre {
 		hop = localHopMs
 	}
-	slack := ms(l.objective.Sub(c.now)) - ms(l.tails[0])
+	slack := clock.Millis(l.objective.Sub(c.now)) - clock.Millis(l.tails[0])
 	cand := earliest.Candidate{
 		Free: a.load.Free, Total: a.target.Capacity, WaitMs: a.load.WaitMs[horizon(slack)],
 		Speed: max(a.load.Speed, minSpeed), HopMs: hop, Failed: a.load.FailedRate,
@@ -76,7 +77,7 @@
 func (c *Core) spec(l *liveJob, t *task) earliest.Task {
 	s := &l.Steps[t.step]
 	spec := earliest.Task{
-		Demand: s.Demand, EstimateMs: ms(s.Estimate), MostPerTarget: s.MostPerTarget, RemoteFactor: c.o.RemoteFactor,
+		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate), MostPerTarget: s.MostPerTarget, RemoteFactor: c.o.RemoteFactor,
 	}
 	if s.Label != "" || len(t.failedAt) > 0 {
 		spec.Fits = func(i int) bool {
@@ -119,7 +120,7 @@
 	}
 	if len(placed) > 0 {
 		event.Log(c.log, event.TaskPlaced, "job", l.ID, "queue", l.Queue.Name, "tasks", strings.Join(placed, " "),
-			"left_ms", ms(l.objective.Sub(c.now)), "oldest_load_ms", c.oldestLoadMs())
+			"left_ms", clock.Millis(l.objective.Sub(c.now)), "oldest_load_ms", c.oldestLoadMs())
 	}
 }
 
@@ -147,11 +148,11 @@
 	c.counts.Orders++
 	a.unseen = append(a.unseen, unseen{at.seq, earliest.Task{Demand: spec.Demand, EstimateMs: spec.EstimateMs}, choice.Index})
 
-	tailMs := ms(l.tails[t.step]) / max(a.load.Speed, minSpeed)
+	tailMs := clock.Millis(l.tails[t.step]) / max(a.load.Speed, minSpeed)
 	slackMs, giveUpMs := c.patience(l, tailMs)
 	a.out.Orders = append(a.out.Orders, wire.Order{
 		Seq: at.seq, Job: l.ID, Step: t.step, Index: t.index, Run: at.run, Spec: l.Spec,
-		Demand: s.Demand, EstimateMs: ms(s.Estimate),
+		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate),
 		SlackMs: int64(slackMs), GiveUpMs: int64(giveUpMs), LimitMs: l.Deadline.Sub(c.now).Milliseconds(),
 	})
 	a.dirty = true
@@ -168,10 +169,10 @@
 // before it comes back. A job that can't be in time any more is finished late where
 // part of its work is done, behind all that can still be in time.
 func (c *Core) patience(l *liveJob, tailMs float64) (slackMs, giveUpMs float64) {
-	callerMs := ms(l.Deadline.Sub(c.now)) - tailMs
-	slackMs = ms(l.objective.Sub(c.now)) - tailMs
+	callerMs := clock.Millis(l.Deadline.Sub(c.now)) - tailMs
+	slackMs = clock.Millis(l.objective.Sub(c.now)) - tailMs
 	if slackMs < -usualSlackMs {
-		slackMs = ms(l.late.Sub(c.now)) - tailMs
+		slackMs = clock.Millis(l.late.Sub(c.now)) - tailMs
 	}
 	return slackMs, max(0, min(slackMs+usualSlackMs, callerMs))
 }
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -121,11 +121,5 @@
 	if a == nil {
 		return
 	}
-	if held := a.out.Config; held != nil { // a later note never says less
-		note.Want = note.Want || held.Want
-		if note.Body == nil && held.Version == note.Version {
-			note.Body = held.Body
-		}
-	}
-	a.out.Config, a.dirty = &note, true
+	a.out.Config, a.dirty = note.After(a.out.Config), true
 }
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -99,7 +100,7 @@
 		l.runOffset += staleStep
 	}
 	event.Log(c.log, event.TaskReplaced, "job", l.ID, "step", t.step, "task", t.index, "host", a.host, "end", int(out.End),
-		"reason", int(out.Reason), "waited_ms", out.WaitMs, "left_ms", ms(l.objective.Sub(c.now)))
+		"reason", int(out.Reason), "waited_ms", out.WaitMs, "left_ms", clock.Millis(l.objective.Sub(c.now)))
 	if out.Reason == wire.NotRunBusy {
 		// A run of an earlier owner goes on there. Started on another target, the task
 		// would run twice at once; the caller comes again after its pause.
@@ -188,7 +189,7 @@
 }
 
 func (c *Core) logAnswer(l *liveJob, answer Answer) {
-	took := ms(c.now.Sub(l.arrived))
+	took := clock.Millis(c.now.Sub(l.arrived))
 	late := c.now.After(l.objective)
 	if answer.Kind == AnswerComplete {
 		c.counts.Complete++
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -7,22 +7,18 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/camphorrack/camphorrack/internal/dispatch"
-	"github.com/camphorrack/camphorrack/internal/gauges"
 	"github.com/camphorrack/camphorrack/internal/leased"
-	"github.com/camphorrack/camphorrack/internal/session"
 )
 
 // counters are what the metrics page shows.
 type counters struct {
-	gauges.Set
-	sessions *session.Counters
+	leased.Counters
 	answerUs metrics.Histogram
 }
 
 func newCounters(queued func() int) *counters {
-	c := &counters{sessions: &session.Counters{}}
-	c.Set = gauges.New(c.sessions, queued)
-	c.answerUs = leased.NewHistogram("http.answer_us", c.Registry)
+	c := &counters{Counters: leased.NewCounters(queued)}
+	c.answerUs = c.Histogram("http.answer_us")
 	return c
 }
 
@@ -34,21 +30,18 @@
 
 // update copies the control state's figures.
 func (c *counters) update(core *dispatch.Core) {
-	set := func(name string, value uint64) {
-		metrics.GetOrRegisterGauge("dispatch."+name, c.Registry).Update(int64(value))
-	}
 	n := core.Counts()
-	set("agents_usable", uint64(core.Usable()))
-	set("jobs_live", uint64(core.Live()))
-	set("jobs_accepted", n.Accepted)
-	set("jobs_refused", n.Refused)
-	set("jobs_complete", n.Complete)
-	set("jobs_failed", n.Failed)
-	set("jobs_unknown", n.Unknown)
-	set("jobs_abandoned", n.Abandoned)
-	set("jobs_repeated", n.Repeated)
-	set("orders", n.Orders)
-	set("recalls", n.Recalls)
-	set("orders_not_run", n.NotRun)
-	set("orders_moved", n.Moved)
+	c.Copy("dispatch.agents_usable", uint64(core.Usable()))
+	c.Copy("dispatch.jobs_live", uint64(core.Live()))
+	c.Copy("dispatch.jobs_accepted", n.Accepted)
+	c.Copy("dispatch.jobs_refused", n.Refused)
+	c.Copy("dispatch.jobs_complete", n.Complete)
+	c.Copy("dispatch.jobs_failed", n.Failed)
+	c.Copy("dispatch.jobs_unknown", n.Unknown)
+	c.Copy("dispatch.jobs_abandoned", n.Abandoned)
+	c.Copy("dispatch.jobs_repeated", n.Repeated)
+	c.Copy("dispatch.orders", n.Orders)
+	c.Copy("dispatch.recalls", n.Recalls)
+	c.Copy("dispatch.orders_not_run", n.NotRun)
+	c.Copy("dispatch.orders_moved", n.Moved)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -242,14 +242,14 @@
 	began := time.Now()
 	d.leaving.Store(true)
 	event.Log(d.log, event.DrainStarted, "grace_ms", d.o.Grace.Milliseconds())
-	d.sleep(ctx, time.Until(began.Add(d.o.Grace-drainTail)))
+	clock.Sleep(ctx, time.Until(began.Add(d.o.Grace-drainTail)))
 	_ = d.loop.Push(func(_ time.Time, s *state) { s.core.Drain() }) // an error means that it has ended
 	until := began.Add(d.o.Grace - exitTail)
 	for live := 1; live > 0 && time.Now().Before(until) && ctx.Err() == nil; {
 		if err := d.loop.Do(lookPatience, func(_ time.Time, s *state) { live = s.core.Live() }); err != nil {
 			break
 		}
-		d.sleep(ctx, tickEvery)
+		clock.Sleep(ctx, tickEvery)
 	}
 	closing, cancel := context.WithTimeout(ctx, exitTail/2)
 	defer cancel()
@@ -261,15 +261,6 @@
 	return nil
 }
 
-func (d *Dispatcher) sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Routes returns the configuration in force, or nil.
 func (d *Dispatcher) Routes() *routing.Table { return d.routes.Load() }
 
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -33,7 +33,7 @@
 }
 
 func newSessions(d *Dispatcher) *sessions {
-	return &sessions{Dispatcher: d, options: leased.SessionOptions(d.metrics.sessions), conns: map[dispatch.ConnID]*session.ToAgentConn{}}
+	return &sessions{Dispatcher: d, options: leased.SessionOptions(d.metrics.Sessions), conns: map[dispatch.ConnID]*session.ToAgentConn{}}
 }
 
 // Send implements dispatch.Outbox. A frame for a connection that has just ended is
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/gauges"
 	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
@@ -161,10 +162,29 @@
 	}
 }
 
-// histogramSamples is the size of a histogram's sample: enough for a 99th percentile.
-const histogramSamples = 1028
+// Counters are the metrics of a daemon: those that all share, and gauges that are copied
+// from its control state.
+type Counters struct {
+	gauges.Set
+	Sessions *session.Counters
+}
+
+// NewCounters returns the counters of a daemon; queued tells how many commands wait.
+func NewCounters(queued func() int) Counters {
+	c := Counters{Sessions: &session.Counters{}}
+	c.Set = gauges.New(c.Sessions, queued)
+	return c
+}
 
-// NewHistogram registers a histogram that favours the last five minutes.
-func NewHistogram(name string, r metrics.Registry) metrics.Histogram {
-	return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(histogramSamples, 0.015))
+// Copy sets a gauge to a figure of the control state.
+func (c Counters) Copy(name string, value uint64) {
+	metrics.GetOrRegisterGauge(name, c.Registry).Update(int64(value))
 }
+
+// Histogram registers a histogram that favours the last five minutes.
+func (c Counters) Histogram(name string) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, c.Registry, metrics.NewExpDecaySample(histogramSamples, 0.015))
+}
+
+// histogramSamples is the size of a histogram's sample: enough for a 99th percentile.
+const histogramSamples = 1028
--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -140,7 +140,6 @@
 	table  *runs.Table
 	target *simTarget
 	seq    uint64
-	deafAt time.Time // until then its calls are lost
 }
 
 // Start implements runs.Target.
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
@@ -126,8 +127,8 @@
 	}
 	c.limiter.SetSlots(slots / owners)
 	c.limiter.SetOwners(owners)
-	c.limiter.SetContended(c.queuedMs > perMs*ms(contendedAfter))
-	c.placing.NoHold = c.queuedMs > perMs*ms(holdBelow)
+	c.limiter.SetContended(c.queuedMs > perMs*clock.Millis(contendedAfter))
+	c.placing.NoHold = c.queuedMs > perMs*clock.Millis(holdBelow)
 }
 
 // shed ends waiting jobs that can't be done in time any more, so that their
--- a/internal/owner/choose.go
+++ b/internal/owner/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/scheduler/health"
 	"github.com/camphorrack/camphorrack/internal/scheduler/placement"
 	"github.com/camphorrack/camphorrack/internal/scheduler/queueing"
@@ -60,7 +61,7 @@
 	if oldest == nil || measured <= 0 {
 		return measured
 	}
-	return health.StragglerSpeed(measured, ms(now.Sub(oldest.sentAt)), oldest.estimateMs/measured)
+	return health.StragglerSpeed(measured, clock.Millis(now.Sub(oldest.sentAt)), oldest.estimateMs/measured)
 }
 
 func (c *Core) taskView(now time.Time, l *liveJob, task int, slackMs float64) placement.Task {
@@ -86,7 +87,7 @@
 			last = at.endsAt
 		}
 	}
-	return ms(last.Sub(now))
+	return clock.Millis(last.Sub(now))
 }
 
 // racks returns the racks in which tasks of the job run.
@@ -99,5 +100,3 @@
 	}
 	return racks
 }
-
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/platformlog/keyed.go
+++ b/internal/platformlog/keyed.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 )
 
@@ -65,7 +66,7 @@
 		if err != nil {
 			w.lost(err)
 			reread = true // an offset of before an outage may mean nothing after it
-			pause(ctx, retry.NextBackOff())
+			clock.Sleep(ctx, retry.NextBackOff())
 			continue
 		}
 		w.found()
@@ -112,7 +113,7 @@
 			return
 		}
 		w.lost(err)
-		pause(ctx, retry.NextBackOff())
+		clock.Sleep(ctx, retry.NextBackOff())
 	}
 }
 
@@ -122,12 +123,3 @@
 		backoff.WithInitialInterval(firstRetry), backoff.WithMaxInterval(lastRetry), backoff.WithMaxElapsedTime(0),
 	)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v4"
 	"github.com/cockroachdb/errors"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/runs"
@@ -147,7 +148,7 @@
 		if errors.As(err, &alias) {
 			wait = aliasRetry
 		}
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 }
 
@@ -162,15 +163,6 @@
 	return true
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // known returns the addresses that are dialled.
 func (d *dialers) known() []wire.Peer {
 	d.mu.Lock()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -370,7 +370,7 @@
 func (r *Runner) connect(ctx context.Context, addr string) error {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := session.Dial(dialing, addr, leased.SessionOptions(r.metrics.sessions))
+	conn, err := session.Dial(dialing, addr, leased.SessionOptions(r.metrics.Sessions))
 	if err != nil {
 		return err
 	}
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/scheduler/waiting"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -53,13 +54,7 @@
 	if o == nil {
 		return
 	}
-	if o.config != nil { // a later note never says less: keep the body and the wish
-		note.Want = note.Want || o.config.Want
-		if note.Body == nil && o.config.Version == note.Version {
-			note.Body = o.config.Body
-		}
-	}
-	o.config = &note
+	o.config = note.After(o.config)
 }
 
 // LoadDue reports whether a report of the load waits for its time.
@@ -91,12 +86,12 @@
 			continue
 		}
 		usual, count = usual+r.order.Demand.CPUMilli, count+1
-		left := r.order.EstimateMs/speed - ms(t.now.Sub(r.calledAt))
+		left := r.order.EstimateMs/speed - clock.Millis(t.now.Sub(r.calledAt))
 		t.occupants = append(t.occupants, waiting.Occupant{CPUMilli: r.order.Demand.CPUMilli, LeftMs: left})
 	}
 	for _, r := range t.queue {
 		t.waits = append(t.waits, waiting.Queued{
-			CPUMilli: r.order.Demand.CPUMilli, RunMs: r.order.EstimateMs / speed, SlackMs: ms(r.startBy.Sub(t.now)),
+			CPUMilli: r.order.Demand.CPUMilli, RunMs: r.order.EstimateMs / speed, SlackMs: clock.Millis(r.startBy.Sub(t.now)),
 		})
 	}
 	probe := t.target.Capacity.CPUMilli / usualShare
@@ -117,7 +112,7 @@
 			continue
 		}
 		n++
-		late += max(1, ms(t.now.Sub(r.startedAt))*speed/(r.order.EstimateMs*overdueFactor))
+		late += max(1, clock.Millis(t.now.Sub(r.startedAt))*speed/(r.order.EstimateMs*overdueFactor))
 	}
 	if n == 0 {
 		return speed
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -207,14 +208,14 @@
 func (t *Table) settleNotRun(r *run, reason wire.NotRunReason) {
 	t.counts.NotRun++
 	t.drop(r)
-	t.tell(r, wire.RunOutcome{Seq: r.order.Seq, End: wire.EndNotRun, Reason: reason, WaitMs: ms(t.now.Sub(r.came))})
+	t.tell(r, wire.RunOutcome{Seq: r.order.Seq, End: wire.EndNotRun, Reason: reason, WaitMs: clock.Millis(t.now.Sub(r.came))})
 }
 
 func (t *Table) settle(r *run, end wire.RunEnd) {
 	t.forget(r)
-	out := wire.RunOutcome{Seq: r.order.Seq, End: end, WaitMs: ms(r.calledAt.Sub(r.came))}
+	out := wire.RunOutcome{Seq: r.order.Seq, End: end, WaitMs: clock.Millis(r.calledAt.Sub(r.came))}
 	if !r.startedAt.IsZero() {
-		out.RunMs = ms(t.now.Sub(r.startedAt))
+		out.RunMs = clock.Millis(t.now.Sub(r.startedAt))
 	}
 	t.tell(r, out)
 }
@@ -229,5 +230,3 @@
 		"run", r.id.Number, "target", t.target.Life.Name, "end", int(out.End), "reason", int(out.Reason),
 		"est", r.order.EstimateMs, "wait_ms", out.WaitMs, "run_ms", out.RunMs)
 }
-
-func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -228,7 +229,7 @@
 	t.hearClock(now, clockMs)
 	if answer != NoAnswer {
 		t.heardAt = now
-		t.answerMs += answerWeight * (ms(now.Sub(r.calledAt)) - t.answerMs)
+		t.answerMs += answerWeight * (clock.Millis(now.Sub(r.calledAt)) - t.answerMs)
 	}
 	if answer == Accepted || answer == NoRoom || answer == LowRun {
 		t.granted() // the lease is taken from these as well
@@ -246,7 +247,7 @@
 			return // it is listed: only the answer was lost
 		}
 		event.Log(t.log, event.StartUnanswered, "job", r.id.Task.Job, "task", r.id.Task.Index, "run", r.id.Number,
-			"target", t.target.Life.Name, "after_ms", ms(now.Sub(r.calledAt)))
+			"target", t.target.Life.Name, "after_ms", clock.Millis(now.Sub(r.calledAt)))
 		t.stop(r, wire.NotRunNoAnswer)
 	default:
 		t.turnedAway(r, answer)
@@ -378,7 +379,7 @@
 		r.startedAt = r.calledAt
 	}
 	r.everRan = true
-	ranMs := ms(t.now.Sub(r.startedAt))
+	ranMs := clock.Millis(t.now.Sub(r.startedAt))
 	switch end {
 	case Done:
 		t.counts.Done++
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/platform/standin"
 )
 
@@ -29,7 +30,7 @@
 	random := r.random(uint64(1000 + caller))
 	for n := 0; ctx.Err() == nil; n++ {
 		r.job(ctx, random, fmt.Sprintf("%08x%08x", caller+1, n))
-		sleep(ctx, time.Duration(random.IntN(100))*time.Millisecond)
+		clock.Sleep(ctx, time.Duration(random.IntN(100))*time.Millisecond)
 	}
 }
 
@@ -58,7 +59,7 @@
 		if !again {
 			break
 		}
-		sleep(ctx, resendPause)
+		clock.Sleep(ctx, resendPause)
 	}
 	if refused {
 		r.fleet.Ledger.Refused(id)
@@ -105,7 +106,7 @@
 func (r *run) watchConfiguration(ctx context.Context, entry int) {
 	seen, process := 0, r.fleet.Entries[entry].Ended()
 	for ctx.Err() == nil {
-		sleep(ctx, 50*time.Millisecond)
+		clock.Sleep(ctx, 50*time.Millisecond)
 		now := r.fleet.Entries[entry].Ended()
 		if now != process {
 			seen, process = 0, now
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/standin/relay"
 	"github.com/camphorrack/camphorrack/platform/standin"
 )
@@ -68,10 +69,10 @@
 			if undo == nil {
 				return
 			}
-			sleep(ctx, lasting)
+			clock.Sleep(ctx, lasting)
 			undo()
 		})
-		sleep(ctx, between(x, leastGap, mostGap))
+		clock.Sleep(ctx, between(x, leastGap, mostGap))
 	}
 	all.Wait()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/platform/standin"
 )
 
@@ -94,7 +95,7 @@
 	}
 	r.underFaults(ctx)
 	r.heal()
-	sleep(ctx, healQuiet)
+	clock.Sleep(ctx, healQuiet)
 	if err := r.settle(ctx); err != nil {
 		r.breach("recovery", "", err.Error())
 	} else {
@@ -114,7 +115,7 @@
 			if time.Now().After(until) || ctx.Err() != nil {
 				return errors.Newf("entry %d is not ready", i)
 			}
-			sleep(ctx, 20*time.Millisecond)
+			clock.Sleep(ctx, 20*time.Millisecond)
 		}
 	}
 	return nil
@@ -149,7 +150,7 @@
 }
 
 func (r *run) serve(ctx context.Context, entry int, id string) (reply standin.Reply) {
-	for until := time.Now().Add(settleWait); time.Now().Before(until); sleep(ctx, 300*time.Millisecond) {
+	for until := time.Now().Add(settleWait); time.Now().Before(until); clock.Sleep(ctx, 300*time.Millisecond) {
 		reply = r.fleet.Call(ctx, "POST", r.fleet.URL(entry, "/q0/"+id), standin.JobBody(3, 30, false), 10*time.Second)
 		if reply.Status == 200 {
 			return reply
@@ -167,7 +168,7 @@
 				r.breach("configuration", "", fmt.Sprintf("entry %d does not follow version %d", e, r.version))
 				break
 			}
-			sleep(ctx, 100*time.Millisecond)
+			clock.Sleep(ctx, 100*time.Millisecond)
 		}
 	}
 }
@@ -191,12 +192,3 @@
 
 // random returns a generator of its own for a part of the run.
 func (r *run) random(part uint64) *rand.Rand { return rand.New(rand.NewPCG(r.Seed, part)) }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -98,6 +98,18 @@
 	Body    []byte `cbor:"3,keyasint,omitempty"` // of Version, where it was asked for
 }
 
+// After returns the note to send in place of an earlier one that was not sent yet and of
+// this one, which never says less.
+func (n ConfigNote) After(held *ConfigNote) *ConfigNote {
+	if held != nil {
+		n.Want = n.Want || held.Want
+		if n.Body == nil && held.Version == n.Version {
+			n.Body = held.Body
+		}
+	}
+	return &n
+}
+
 // LeasedToEntry is the part of ToEntry that is about a leased target.
 type LeasedToEntry struct {
 	Target   *LeasedTarget `cbor:"1,keyasint,omitempty"`
