Keep the platform's name for keyed topics inside platform/

The prefix that makes a topic keep its newest values stood in two packages outside. The store's client adds it; the soak asks the fleet to forget.

--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -30,7 +30,7 @@
 
 // EntriesTopic is the keyed topic in which each dispatcher keeps the record of where
 // it is reached, under its host's name.
-const EntriesTopic = "keyed.camphorrack-entries"
+const EntriesTopic = "camphorrack-entries"
 
 // MetricsPath is where the metrics are served.
 const MetricsPath = "/metrics"
--- a/internal/runner/memory.go
+++ b/internal/runner/memory.go
@@ -37,7 +37,7 @@
 func memoryTopic(host string) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(host)) // never fails
-	return "keyed.camphorrack-targets-" + strconv.Itoa(int(h.Sum32()%memoryTopics))
+	return "camphorrack-targets-" + strconv.Itoa(int(h.Sum32()%memoryTopics))
 }
 
 // remember writes the record of a target whose life or readiness has changed.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -317,9 +317,9 @@
 }
 
 func storeForgets(r *run, x *rand.Rand, _ time.Duration) func() {
-	r.fleet.Store.Forget("keyed.op")
+	r.fleet.ForgetConfigurations()
 	if x.IntN(2) == 0 {
-		r.fleet.Store.Forget("keyed.camphorrack-entries")
+		r.fleet.ForgetRecords()
 	}
 	return nil
 }
