--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -141,8 +141,8 @@
 		t.known = false // it will announce itself
 		return
 	}
-	if why == Silent && now.Sub(t.heardAt) < deafAfter {
-		return // a lost answer or connection says little; the next call follows at once
+	if why != Refused && now.Sub(t.heardAt) < deafAfter {
+		return // one lost or refused call says little; the next follows at once
 	}
 	if t.reachable {
 		event.Log(t.log, event.TargetSilent, "target", t.target.Life.Name, "reason", int(why), "failures", t.failures)
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -325,3 +325,23 @@
 	}
 	w.Expect(w.loadPeriod()).To(Equal(4 * loadEvery))
 }
+
+// A target refuses four calls in five and serves the fifth. Each refusal used to make it
+// count as away, and after 40 ms its jobs were given up although their tasks went on.
+func TestSomeRefusedCallsAreNoOutage(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, Accepted)
+	for range 4 {
+		call, _ := w.Renewal(w.now)
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.RenewFailed(w.now, call, Overloaded)
+	}
+	w.Expect(w.load().Down).To(BeFalse())
+	for range 6 {
+		call, _ := w.Renewal(w.now)
+		w.now = w.now.Add(50 * time.Millisecond)
+		w.RenewFailed(w.now, call, Overloaded)
+	}
+	w.Expect(w.load().Down).To(BeTrue())
+}
