Tell deadlines by the clock of the decisions

Ruled out: load, reset connections (no refusals around them).

Change: a job carries how long its caller waits; the dispatcher adds that to its own clock.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -27,7 +27,8 @@
 	Version  uint64 // of the configuration that the queue is from
 	Spec     string // passed on to the target
 	Steps    []Step
-	Deadline time.Time // when the caller stops waiting
+	Patience time.Duration // how long the caller waits, from its request on
+	Deadline time.Time     // when that is over, by the clock of the control state
 }
 
 // State is how a job stands.
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -25,6 +25,7 @@
 // Answer takes a job and returns its one answer. When the caller leaves first, the
 // job is ended.
 func (d *Dispatcher) Answer(ctx context.Context, j *dispatch.Job) dispatch.Answer {
+	d.setDeadline(j)
 	answers := make(chan dispatch.Answer, 1)
 	err := d.loop.Post(submitPatience, func(now time.Time, s *state) {
 		if hungUp(ctx) {
@@ -51,6 +52,11 @@
 	}
 }
 
+// setDeadline tells the job's deadline by the clock that decisions are made by. The host's
+// time of day may jump: with a deadline told by it, a jump of three seconds back made
+// every job seem to be past its time until the clock was right again.
+func (d *Dispatcher) setDeadline(j *dispatch.Job) { j.Deadline = d.clock.Now().Add(j.Patience) }
+
 // ask runs a question on the control goroutine; one that finds no room is answered
 // like one about a job that is not known.
 func (d *Dispatcher) ask(question func(now time.Time, c *dispatch.Core)) {
