--- /dev/null
+++ b/internal/leased/simtarget_test.go
@@ -0,0 +1,109 @@
+package leased_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/runs"
+)
+
+// simTarget is a target that keeps the platform's rules.
+type simTarget struct {
+	w       *simWorld
+	n       int
+	life    runs.Life
+	born    time.Time
+	token   int64
+	until   time.Time
+	running map[runs.RunID]time.Time // and when it ends
+	failing map[runs.RunID]bool
+	fenced  map[runs.Task]uint64
+	ended   []runs.EndedRun
+	ends    uint64
+}
+
+func (s *simTarget) clock() int64 { return s.w.now.Sub(s.born).Milliseconds() + 5000 }
+
+func (s *simTarget) reborn() {
+	for id := range s.running {
+		s.w.over(id, s.n)
+	}
+	s.life = runs.Life{Name: fmt.Sprintf("t%d", s.n), BornMs: s.w.now.UnixMilli()}
+	s.born, s.token, s.until = s.w.now, 0, time.Time{}
+	s.running, s.failing = map[runs.RunID]time.Time{}, map[runs.RunID]bool{}
+	s.fenced, s.ended, s.ends = map[runs.Task]uint64{}, nil, 0
+}
+
+func (s *simTarget) take(untilMs int64) {
+	until := s.w.now.Add(min(time.Duration(untilMs-s.clock())*time.Millisecond, lease))
+	if until.After(s.until) {
+		s.until = until
+	}
+}
+
+func (s *simTarget) start(c runs.StartCall) runs.Answer {
+	switch {
+	case c.Life != s.life:
+		return runs.OtherLife
+	case c.Token < s.token:
+		return runs.BadToken
+	}
+	s.token = c.Token
+	if _, there := s.running[c.Run]; there {
+		return runs.Accepted
+	}
+	s.take(c.LeaseUntilMs)
+	switch {
+	case c.Run.Number <= s.fenced[c.Run.Task]:
+		return runs.LowRun
+	case c.LeaseUntilMs <= s.clock():
+		return runs.LateLease
+	}
+	took := 20 + s.w.draw(400)
+	if s.w.draw(4) == 0 {
+		took += s.w.draw(6000) // it stands still: long past the resend
+	}
+	s.running[c.Run] = s.w.now.Add(time.Duration(took) * time.Millisecond)
+	s.failing[c.Run] = s.w.draw(15) == 0
+	s.w.began(c.Run, s.n)
+	return runs.Accepted
+}
+
+func (s *simTarget) stop(c runs.StopCall) runs.Answer {
+	switch {
+	case c.Life != s.life:
+		return runs.OtherLife
+	case c.Token < s.token:
+		return runs.BadToken
+	}
+	s.token = c.Token
+	s.fenced[c.Run.Task] = max(s.fenced[c.Run.Task], c.Run.Number)
+	if _, there := s.running[c.Run]; there {
+		s.finish(c.Run, runs.Stopped)
+	}
+	return runs.Accepted
+}
+
+func (s *simTarget) finish(id runs.RunID, how runs.End) {
+	delete(s.running, id)
+	s.fenced[id.Task] = max(s.fenced[id.Task], id.Number)
+	s.ends++
+	s.ended = append(s.ended, runs.EndedRun{Number: s.ends, Run: id, End: how})
+	s.w.over(id, s.n)
+	if how == runs.Done {
+		s.w.done[id.Task]++
+	}
+}
+
+func (s *simTarget) pass() {
+	for id, at := range s.running {
+		switch {
+		case !s.w.now.Before(s.until):
+			s.finish(id, runs.Stopped)
+		case !s.w.now.Before(at) && s.failing[id]:
+			s.finish(id, runs.Failed)
+		case !s.w.now.Before(at):
+			s.finish(id, runs.Done)
+		}
+	}
+}
