A starting entry takes the newest configuration of the entries that it names

Cause: an entry that is restarted while the log can't be read heard of the configuration from agents alone, who learn of a change up to 6 s after the entries. The other entries had the newest and were not asked.

Change: the answer to an introduction carries what the introducer's configuration lacks, and a starting entry introduces itself once, for at most 300 ms, before it serves. The mark goes in the query, which entries of an older release pass over.

Test: 'start with the newest configuration that another entry has' failed with version 0 for 1 before; passes.

--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -139,4 +139,29 @@
 			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(after.Version))
 		}
 	})
+
+	// The log can't be read when an entry is replaced, and no agent has heard of the
+	// newest change yet. A task of a target that an operator had just drained would be
+	// placed there again: callers would see the limit come and go.
+	It("start with the newest configuration that another entry has", func(ctx context.Context) {
+		f := localfleet.New(localfleet.Options{Bin: buildDaemons(), Key: "a key that only this test knows"})
+		DeferCleanup(f.Close)
+		log, err := f.StartLog(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		logURL := "http://" + log.Addr
+		first, err := f.StartEntry(ctx, "entry-1", "", nil, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := f.StartEntry(ctx, "entry-2", "", []string{first.Addr}, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		published, err := config.NewPublisher(platformlog.NewHTTP(logURL, 0), 0).Publish(ctx, setQuota(0, "a", 7))
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []*localfleet.Process{first, second} {
+			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(published.Version))
+		}
+		control(logURL, logservice.Down)
+		second.Kill()
+		second, err = f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(versionAt(second)()).To(Equal(published.Version), "in the first answer")
+	})
 })
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// lacking returns, encoded, what an entry at the given mark lacks; nothing where it
+// is up to date or did not say, as entries of an older release.
+func (c *configuration) lacking(mark string) []byte {
+	theirs, err := strconv.ParseUint(mark, 10, 64)
+	if err != nil || theirs >= c.holder.Mark() {
+		return nil
+	}
+	update, err := c.holder.Update(theirs)
+	if err != nil {
+		return nil // a state that can't be encoded is one the peer can't have either
+	}
+	return update
+}
+
 // Waiting for a version that an operator's tool asks for.
 const (
 	refreshTimeout = 2 * time.Second
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,6 +125,7 @@
 // Start serves until Stop.
 func (e *Entry) Start() {
 	go e.control.Run()
+	e.introduceFirst()
 	e.api.config.start(e.control)
 	for _, addr := range e.o.entries() {
 		go e.introduce(addr)
--- a/internal/entry/introduce.go
+++ b/internal/entry/introduce.go
@@ -4,12 +4,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/camphorrack/camphorrack/internal/config"
+	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -23,6 +29,14 @@
 	introduceEvery   = time.Minute
 	introduceRetry   = 2 * time.Second
 	introduceTimeout = time.Second
+	// startTimeout is how long a starting entry waits for the others' configuration
+	// before it serves. They answer in some milliseconds; one that is frozen or gone
+	// must not hold up its successor.
+	startTimeout = 300 * time.Millisecond
+	// maxPeerAnswer bounds the answer to an introduction: a state in base64.
+	maxPeerAnswer = 2 * config.MaxStateBytes
+	// queryConfig carries the mark of the introducer's configuration.
+	queryConfig = "config"
 	// introduction stands in the place of a submission's unique part.
 	introduction = "introduction"
 )
@@ -34,13 +48,33 @@
 	DataCentre string `json:"data_centre"`
 }
 
+// peerAnswer is the answer to an introduction.
+type peerAnswer struct {
+	// Config is what the introducer's configuration lacks; empty: nothing.
+	Config []byte `json:"config,omitempty"`
+}
+
+// introduceFirst makes this entry known to those in its settings before it serves,
+// and takes the newest configuration that they have. While the log can't be read,
+// agents alone would bring it, who hear of a change up to FanOutSpread after the
+// entries: a restarted entry would enforce an older one than its predecessor did.
+func (e *Entry) introduceFirst() {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for _, addr := range e.o.entries() {
+		asked.Go(func() { e.introduceOnce(ctx, addr) })
+	}
+	asked.Wait()
+}
+
 // introduce makes this entry known to those in its settings until it drains. They
 // tell their agents. Without this, a new entry that no agent was given the address
 // of would own submissions and have no targets for them.
 func (e *Entry) introduce(addr string) {
 	for !e.draining.Load() {
 		wait := introduceEvery/2 + rand.N(introduceEvery)
-		if !e.introduceOnce(addr) {
+		if !e.introduceOnce(context.Background(), addr) {
 			wait = introduceRetry/2 + rand.N(introduceRetry)
 		}
 		select {
@@ -51,28 +85,52 @@
 	}
 }
 
-func (e *Entry) introduceOnce(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), introduceTimeout)
+// introduceOnce reports whether the other entry took the introduction.
+func (e *Entry) introduceOnce(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
 	defer cancel()
-	id, err := job.NewID(e.api.token, e.clock.Now().Add(introduceEvery), introduction, e.o.key())
+	request, err := e.introduction(ctx, addr)
 	if err != nil {
 		return false
 	}
-	body, err := json.Marshal(peerBody{ID: id.String(), DataCentre: e.o.DataCentre})
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
+		return false // tried again soon
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end, or given up
+	if response.StatusCode != http.StatusOK {
 		return false
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+pathPeer, bytes.NewReader(body))
+	var answer peerAnswer
+	err = json.NewDecoder(io.LimitReader(response.Body, maxPeerAnswer)).Decode(&answer)
+	if err == nil && len(answer.Config) > 0 {
+		err = e.api.config.holder.OfferUpdate(answer.Config)
+	}
 	if err != nil {
-		return false
+		event.Log(e.log, event.BadFrame, "peer", addr, "reason", "answer to an introduction", "error", err.Error())
 	}
-	request.Close = true // the next one is a minute away
-	response, err := http.DefaultClient.Do(request)
+	return true
+}
+
+func (e *Entry) introduction(ctx context.Context, addr string) (*http.Request, error) {
+	id, err := job.NewID(e.api.token, e.clock.Now().Add(introduceEvery), introduction, e.o.key())
 	if err != nil {
-		return false // tried again soon
+		return nil, err
 	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	body, err := json.Marshal(peerBody{ID: id.String(), DataCentre: e.o.DataCentre})
+	if err != nil {
+		return nil, err
+	}
+	// In the query, which entries of an older release pass over; they refuse bodies
+	// with fields that they don't know.
+	query := url.Values{queryConfig: {strconv.FormatUint(e.api.config.holder.Mark(), 10)}}
+	target := "http://" + addr + pathPeer + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Close = true // the next one is a minute away
+	return request, nil
 }
 
 // takePeer serves POST /internal/peer.
@@ -85,7 +143,7 @@
 		writeFault(g, "", err)
 		return
 	}
-	writeJSON(g, http.StatusOK, struct{}{})
+	writeJSON(g, http.StatusOK, peerAnswer{Config: a.config.lacking(g.Query(queryConfig))})
 }
 
 // decodePeer reads an introduction and checks its signature. The error is a *fault.Fault.
