One client of the platform's store, behind internal/platformlog

The log's own wire form served camphorrack's configuration alone and was a second client with a second stand-in. The store's client (platform/store) now implements platformlog.Log beside platformlog.Keyed; programs hand it to the entry and to camphorctl as a platformlog.Opener.

--- a/apps/camphorctl/main.go
+++ b/apps/camphorctl/main.go
@@ -11,11 +11,13 @@
 	"go.uber.org/fx"
 
 	"github.com/camphorrack/camphorrack/command"
+	"github.com/camphorrack/camphorrack/internal/platformlog"
+	"github.com/camphorrack/camphorrack/platform/store"
 )
 
 func main() {
 	var runner *command.Runner
-	app := fx.New(fx.NopLogger, command.Module, fx.Populate(&runner))
+	app := fx.New(fx.NopLogger, fx.Supply(platformlog.Opener(store.Open)), command.Module, fx.Populate(&runner))
 	if err := app.Err(); err != nil {
 		fmt.Fprintln(os.Stderr, "camphorctl:", err)
 		os.Exit(command.ExitFailed)
--- a/apps/camphorrack-standin-log/main.go
+++ b/apps/camphorrack-standin-log/main.go
@@ -5,7 +5,7 @@
 import (
 	"go.uber.org/fx"
 
-	"github.com/camphorrack/camphorrack/internal/standin/logservice"
+	"github.com/camphorrack/camphorrack/platform/standin"
 )
 
-func main() { fx.New(logservice.Module).Run() }
+func main() { fx.New(standin.StoreModule).Run() }
--- a/command/command.go
+++ b/command/command.go
@@ -32,10 +32,10 @@
 	Getenv func(string) (string, bool)
 }
 
-// Module provides the Runner with every subcommand.
+// Module provides the Runner with every subcommand; it needs a platformlog.Opener.
 var Module = fx.Module("command",
 	provide(newCancel),
-	provide(newConfig),
+	fx.Provide(asCommand(newConfig)),
 	provide(newDrain),
 	provide(newInfo),
 	provide(newStatus),
@@ -45,8 +45,10 @@
 	fx.Provide(newRunner),
 )
 
-func provide[C Command](constructor func() C) fx.Option {
-	return fx.Provide(fx.Annotate(constructor, fx.As(new(Command)), fx.ResultTags(`group:"commands"`)))
+func provide[C Command](constructor func() C) fx.Option { return fx.Provide(asCommand(constructor)) }
+
+func asCommand(constructor any) any {
+	return fx.Annotate(constructor, fx.As(new(Command)), fx.ResultTags(`group:"commands"`))
 }
 
 // Runner dispatches to the subcommands by name.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -17,6 +17,8 @@
 	"github.com/camphorrack/camphorrack/internal/client"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/platformlog"
+	"github.com/camphorrack/camphorrack/platform/store"
 )
 
 func TestCommand(t *testing.T) {
@@ -33,7 +35,7 @@
 
 func newCtl() *ctl {
 	c := &ctl{}
-	app := fx.New(fx.NopLogger, Module, fx.Populate(&c.runner))
+	app := fx.New(fx.NopLogger, fx.Supply(platformlog.Opener(store.Open)), Module, fx.Populate(&c.runner))
 	Expect(app.Err()).NotTo(HaveOccurred())
 	return c
 }
--- a/command/config.go
+++ b/command/config.go
@@ -18,9 +18,11 @@
 
 // configCommand is "camphorctl config": it works on the platform's log directly,
 // so it needs no entry to be alive.
-type configCommand struct{}
+type configCommand struct {
+	open platformlog.Opener
+}
 
-func newConfig() configCommand { return configCommand{} }
+func newConfig(open platformlog.Opener) configCommand { return configCommand{open} }
 
 // Name implements Command.
 func (configCommand) Name() string { return "config" }
@@ -71,7 +73,7 @@
 		if len(words) < len(action) || !slices.Equal(words[:len(action)], action) {
 			continue
 		}
-		return a.run(ctx, f, config.NewPublisher(platformlog.NewHTTP(*f.log, 0), *f.wait), words[len(action):])
+		return a.run(ctx, f, config.NewPublisher(c.open(*f.log), *f.wait), words[len(action):])
 	}
 	return f.fail(wrongUsage("want one of " + configWords()))
 }
--- a/command/config_test.go
+++ b/command/config_test.go
@@ -11,19 +11,19 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/camphorrack/camphorrack/internal/config"
-	"github.com/camphorrack/camphorrack/internal/standin/logservice"
+	"github.com/camphorrack/camphorrack/platform/standin"
 )
 
 var _ = Describe("camphorctl config", func() {
 	var log string
 
 	BeforeEach(func() {
-		server := httptest.NewServer(logservice.New(logservice.Options{Retention: time.Hour}).Handler())
+		server := httptest.NewServer(standin.NewStore(standin.StoreOptions{Retention: time.Hour}).Controlled())
 		DeferCleanup(server.Close)
 		log = server.URL
 	})
 
-	mode := func(m logservice.Mode) {
+	mode := func(m standin.StoreMode) {
 		res, err := http.Post(log+"/control", "application/json", strings.NewReader(`{"mode":"`+string(m)+`"}`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Body.Close()).To(Succeed())
@@ -70,17 +70,17 @@
 		Expect(code).To(Equal(ExitConflict))
 		Expect(message).To(ContainSubstring(`version 1 by "ops"`))
 
-		mode(logservice.Late)
+		mode(standin.StoreLate)
 		code, _, message = run("set", "quota.default=7")
 		Expect(code).To(Equal(ExitUndecided))
 		_, ask, found := strings.Cut(strings.TrimSpace(message), "camphorctl config ")
 		Expect(found).To(BeTrue(), message)
 		code, _, _ = run(strings.Fields(ask)...)
 		Expect(code).To(Equal(ExitUndecided), "not landed yet")
-		mode(logservice.Down)
+		mode(standin.StoreBusy)
 		code, _, _ = run("set", "quota.default=8")
 		Expect(code).To(Equal(ExitNotTaken))
-		mode(logservice.Normal)
+		mode(standin.StoreServes)
 		code, out, _ := run(strings.Fields(ask)...)
 		Expect(code).To(Equal(ExitDone))
 		Expect(out).To(ContainSubstring("accepted: it made version 2"))
--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -17,8 +17,8 @@
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/localfleet"
-	"github.com/camphorrack/camphorrack/internal/platformlog"
-	"github.com/camphorrack/camphorrack/internal/standin/logservice"
+	"github.com/camphorrack/camphorrack/platform/standin"
+	"github.com/camphorrack/camphorrack/platform/store"
 )
 
 // buildDaemons builds the programs that the test runs as processes.
@@ -29,8 +29,8 @@
 	return bin
 }
 
-func control(logURL string, mode logservice.Mode) {
-	body, err := json.Marshal(logservice.Control{Mode: mode})
+func control(logURL string, mode standin.StoreMode) {
+	body, err := json.Marshal(standin.StoreControl{Mode: mode})
 	Expect(err).NotTo(HaveOccurred())
 	res, err := http.Post(logURL+"/control", "application/json", bytes.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
@@ -38,13 +38,13 @@
 	Expect(res.StatusCode).To(Equal(http.StatusOK))
 }
 
-func boundsOf(logURL string) logservice.StreamBounds {
+func boundsOf(logURL string) standin.TopicBounds {
 	res, err := http.Get(logURL + "/status")
 	Expect(err).NotTo(HaveOccurred())
 	defer res.Body.Close()
-	var status logservice.Status
+	var status standin.StoreStatus
 	Expect(json.NewDecoder(res.Body).Decode(&status)).To(Succeed())
-	return status.Streams[config.Stream]
+	return status.Topics[config.Stream]
 }
 
 func stateAt(p *localfleet.Process) *config.State {
@@ -96,7 +96,7 @@
 		_, err = f.StartTarget(ctx, localfleet.TargetOptions{Name: "t1", Agent: agent.Addr, Slots: 2, Speed: 1})
 		Expect(err).NotTo(HaveOccurred())
 
-		ops := config.NewPublisher(platformlog.NewHTTP(logURL, 0), 0)
+		ops := config.NewPublisher(store.New(logURL), 0)
 		before, err := ops.Publish(ctx, setQuota(0, "a", 7))
 		Expect(err).NotTo(HaveOccurred())
 		c, err := client.New(client.Options{Entries: []string{second.Addr}, CallTimeout: patience})
@@ -111,11 +111,11 @@
 		// A record that no living process has read is lost with the log. Here the
 		// entry that lives on has read all of them.
 		Eventually(func() bool {
-			control(logURL, logservice.Down)
+			control(logURL, standin.StoreBusy)
 			if stateAt(second).AsOf == boundsOf(logURL).End {
 				return true
 			}
-			control(logURL, logservice.Normal)
+			control(logURL, standin.StoreServes)
 			return false
 		}).WithPolling(time.Second).WithTimeout(patience).Should(BeTrue())
 		_, err = ops.Publish(ctx, setQuota(before.Version, "a", 8))
@@ -129,7 +129,7 @@
 		Expect(submit(ctx, first.Addr)).To(Equal(job.Complete), "work goes on")
 		Expect(submit(ctx, second.Addr)).To(Equal(job.Complete), "work goes on")
 
-		control(logURL, logservice.Normal)
+		control(logURL, standin.StoreServes)
 		var after *config.State
 		Eventually(func() error {
 			after, err = ops.Publish(ctx, setQuota(before.Version, "a", 9))
@@ -153,12 +153,12 @@
 		Expect(err).NotTo(HaveOccurred())
 		second, err := f.StartEntry(ctx, "entry-2", "", []string{first.Addr}, "-log", logURL)
 		Expect(err).NotTo(HaveOccurred())
-		published, err := config.NewPublisher(platformlog.NewHTTP(logURL, 0), 0).Publish(ctx, setQuota(0, "a", 7))
+		published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(0, "a", 7))
 		Expect(err).NotTo(HaveOccurred())
 		for _, p := range []*localfleet.Process{first, second} {
 			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(published.Version))
 		}
-		control(logURL, logservice.Down)
+		control(logURL, standin.StoreBusy)
 		second.Kill()
 		second, err = f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/demo/chaos.go
+++ b/internal/demo/chaos.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/localfleet"
-	"github.com/camphorrack/camphorrack/internal/standin/logservice"
 	"github.com/camphorrack/camphorrack/internal/standin/target"
+	"github.com/camphorrack/camphorrack/platform/standin"
 )
 
 // How often things go wrong in a chaos run, and for how long. A freeze lasts from
@@ -59,11 +59,11 @@
 
 // logInjections befall the platform's log.
 var logInjections = []injection{
-	{"log down", misbehave(logservice.Control{Mode: logservice.Down})},
-	{"log slow", misbehave(logservice.Control{Mode: logservice.Slow, DelayMs: 500})},
-	{"log loses answers", misbehave(logservice.Control{Mode: logservice.LoseAnswers})},
-	{"log unreadable", misbehave(logservice.Control{Mode: logservice.ReadDown})},
-	{"log late", misbehave(logservice.Control{Mode: logservice.Late})},
+	{"log down", misbehave(standin.StoreControl{Mode: standin.StoreBusy})},
+	{"log slow", misbehave(standin.StoreControl{DelayMs: 500})},
+	{"log loses answers", misbehave(standin.StoreControl{Mode: standin.StoreLostAppends})},
+	{"log unreadable", misbehave(standin.StoreControl{Mode: standin.StoreUnreadable})},
+	{"log late", misbehave(standin.StoreControl{Mode: standin.StoreLate})},
 }
 
 // chaos injects failures into a running fleet at random, some
@@ -202,9 +202,9 @@
 }
 
 // misbehave makes the log misbehave for a while.
-func misbehave(m logservice.Control) func(*chaos, int) error {
+func misbehave(m standin.StoreControl) func(*chaos, int) error {
 	return func(c *chaos, _ int) error {
-		return c.forAWhile(c.run.deployment.logURL()+"/control", m, logservice.Control{Mode: logservice.Normal})
+		return c.forAWhile(c.run.deployment.logURL()+"/control", m, standin.StoreControl{Mode: standin.StoreServes})
 	}
 }
 
--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -13,7 +13,7 @@
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/localfleet"
-	"github.com/camphorrack/camphorrack/internal/platformlog"
+	"github.com/camphorrack/camphorrack/platform/store"
 )
 
 const (
@@ -59,7 +59,7 @@
 }
 
 func newOperators(d *deployment) *operators {
-	log := platformlog.NewHTTP(d.logURL(), 0)
+	log := store.New(d.logURL())
 	return &operators{
 		deployment: d, publisher: config.NewPublisher(log, 0), seen: map[*localfleet.Process]uint64{}, inForce: map[string]uint64{},
 	}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -12,7 +12,6 @@
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/config/follower"
 	"github.com/camphorrack/camphorrack/internal/fault"
-	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -31,7 +30,7 @@
 	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut(nil)}
 	if e.o.Log != "" {
 		c.follower = follower.New(follower.Options{
-			Log: platformlog.NewHTTP(e.o.Log, 0), Holder: c.holder, Clock: e.clock, Logger: e.log,
+			Log: e.o.OpenLog(e.o.Log), Holder: c.holder, Clock: e.clock, Logger: e.log,
 			Rand: c.random(), SnapshotEvery: e.o.SnapshotEvery,
 		})
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -17,6 +17,7 @@
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/owner"
+	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/settings"
 )
 
@@ -33,8 +34,9 @@
 	DataCentre    string
 	Entries       string // addresses of other entries, comma separated
 	Key           string
-	Log           string        // base URL of the platform's log; empty: configuration comes from agents alone
-	SnapshotEvery time.Duration // of the configuration; at most half of the log's retention
+	Log           string             // base URL of the platform's log; empty: configuration comes from agents alone
+	OpenLog       platformlog.Opener // needed with Log
+	SnapshotEvery time.Duration      // of the configuration; at most half of the log's retention
 	MaxTimeout    time.Duration
 	MaxJobs       int
 	LogPlacements int
--- a/internal/platformlog/platformlog.go
+++ b/internal/platformlog/platformlog.go
@@ -30,3 +30,6 @@
 	// is a *DownError, a *TruncatedError, a *AheadError or a *RefusedError.
 	Read(ctx context.Context, stream string, from uint64, max int) (records []Record, next uint64, err error)
 }
+
+// Opener returns a client of the log at a base URL, such as "http://10.0.0.7:7000".
+type Opener func(base string) Log
