Follow the operator's limits of headers, header time and idle time

Only the body's limit was followed; the rest were constants of net/http's server, which can't be changed while it serves. Each change of the limits now begins a new http.Server for the connections to come; open ones keep theirs, since closing them would break requests on their way.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -60,8 +61,8 @@
 	submitPatience = 30 * time.Millisecond
 	// lookPatience is the same for questions about jobs.
 	lookPatience = 500 * time.Millisecond
-	// Limits of callers' requests until the configuration is known, as operators set
-	// them.
+	// Limits of callers' requests until the configuration is known, and of all other
+	// connections: as operators usually set them.
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
@@ -137,9 +138,20 @@
 	}
 	event.Log(d.log, event.ConfigApplied, "version", version, "routes", table.Len(), "was", d.version())
 	d.routes.Store(table)
+	d.callers.SetLimits(connLimits(table.Limits))
 	return nil
 }
 
+// connLimits returns the limits of callers' connections; what the operator left open
+// takes the usual value.
+func connLimits(l routing.Limits) leased.ConnLimits {
+	return leased.ConnLimits{
+		HeaderBytes:   cmp.Or(l.HeaderBytes, maxHeaderBytes),
+		HeaderTimeout: cmp.Or(l.HeaderTimeout, headerTimeout),
+		IdleTimeout:   cmp.Or(l.IdleTimeout, idleTimeout),
+	}
+}
+
 func (d *Dispatcher) version() uint64 {
 	if table := d.routes.Load(); table != nil {
 		return table.Version
@@ -175,10 +187,7 @@
 		if l.addr == "" {
 			continue
 		}
-		server, err := leased.Listen(d.log, l.what, l.addr, &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ConnContext: withConn,
-		})
+		server, err := leased.Listen(d.log, l.what, l.addr, l.handler, connLimits(routing.Limits{}), withConn)
 		if err != nil {
 			return err
 		}
@@ -193,7 +202,7 @@
 
 func (d *Dispatcher) closeServers() {
 	for _, s := range d.servers {
-		_ = s.HTTP().Close() // the process ends, or never served
+		s.Close()
 	}
 }
 
@@ -250,7 +259,7 @@
 	}
 	closing, cancel := context.WithTimeout(ctx, exitTail/2)
 	defer cancel()
-	err := d.callers.HTTP().Shutdown(closing)
+	err := d.callers.Shutdown(closing)
 	d.stop()
 	d.closeServers()
 	d.loop.End()
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -8,21 +8,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
-	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/gauges"
-	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
 
@@ -96,38 +91,6 @@
 // killed. What is received and not read counts too, so a third is left.
 func LimitMemory(limitMB int) { debug.SetMemoryLimit(int64(limitMB) << 20 * 2 / 3) }
 
-// Server is an HTTP server on one address.
-type Server struct {
-	log      logr.Logger
-	what     string
-	listener net.Listener
-	http     *http.Server
-}
-
-// Listen binds an address; Serve begins to serve it.
-func Listen(log logr.Logger, what, addr string, server *http.Server) (*Server, error) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s on %s", what, addr)
-	}
-	// What the library would print as plain text is for debugging only.
-	server.ErrorLog = slog.NewLogLogger(logr.ToSlogHandler(log.V(logging.LevelDebug)), slog.LevelInfo)
-	return &Server{log: log, what: what, listener: listener, http: server}, nil
-}
-
-// Addr returns the bound address.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
-
-// Serve serves until the server is shut down.
-func (s *Server) Serve() {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		event.Log(s.log, event.ProcessStopping, "serves", s.what, "error", err.Error())
-	}
-}
-
-// HTTP returns the server behind it.
-func (s *Server) HTTP() *http.Server { return s.http }
-
 // Metrics returns the handler of the metrics page: a name and a value a line, and for
 // histograms a line for each of some quantiles.
 func Metrics(r metrics.Registry) gin.HandlerFunc {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -191,7 +191,7 @@
 		if l.addr == "" {
 			continue
 		}
-		server, err := leased.Listen(r.log, l.what, l.addr, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout})
+		server, err := leased.Listen(r.log, l.what, l.addr, l.handler, leased.ConnLimits{HeaderTimeout: headerTimeout}, nil)
 		if err != nil {
 			return err
 		}
@@ -202,7 +202,7 @@
 
 func (r *Runner) closeServers() {
 	for _, s := range r.servers {
-		_ = s.HTTP().Close() // the process ends, or never served
+		s.Close()
 	}
 }
 
