Look at unsettled jobs alone

Cause: each request, and each tick, walked all jobs that an entry keeps, ten seconds of answers for copies of requests among them.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,7 +64,7 @@
 	o        Options
 	log      logr.Logger
 	now      time.Time
-	jobs     map[string]*liveJob
+	jobs     table
 	agents   map[ConnID]*agent
 	roster   []*agent   // in order of their sessions
 	lost     []*attempt // of ended sessions, in the order in which they are surely over
@@ -106,7 +106,7 @@
 // New returns an empty core.
 func New(o Options) *Core {
 	return &Core{&board{
-		o: o, log: o.Log, jobs: map[string]*liveJob{}, agents: map[ConnID]*agent{},
+		o: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{},
 		random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}}
 }
@@ -126,22 +126,14 @@
 }
 
 // Live returns how many jobs have no answer yet.
-func (c *Core) Live() int {
-	n := 0
-	for _, l := range c.jobs {
-		if !l.answered {
-			n++
-		}
-	}
-	return n
-}
+func (c *Core) Live() int { return c.jobs.live }
 
 // Drain makes the core refuse new jobs; what is accepted goes on.
 func (c *Core) Drain() { c.draining = true }
 
 // State returns how a job that this process knows stands; false: it knows none.
 func (c *Core) State(id string) (State, bool) {
-	l := c.jobs[id]
+	l := c.jobs.byID[id]
 	switch {
 	case l == nil:
 		return 0, false
@@ -158,7 +150,7 @@
 // Pending returns how many jobs of a queue have no sign of having started.
 func (c *Core) Pending(queue string) int {
 	n := 0
-	for _, l := range c.jobs {
+	for l := range c.jobs.unsettled {
 		if !l.answered && l.Queue.Name == queue && l.undone == len(l.tasks) {
 			n++
 		}
@@ -183,11 +175,12 @@
 	c.now = now
 	c.overLost()
 	c.downTargets()
-	for id, l := range c.jobs {
+	for l := range c.jobs.unsettled {
 		c.look(l)
 		c.moveOverdue(l)
-		if l.answered && l.open == 0 && l.next == nil && now.After(l.keepUntil) {
-			delete(c.jobs, id)
+		if l.answered && l.open == 0 && l.next == nil {
+			c.jobs.settle(l)
 		}
 	}
+	c.jobs.expire(now)
 }
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -32,7 +32,7 @@
 // Submit takes a job. The waiter gets its one answer, perhaps before Submit returns.
 func (c *Core) Submit(now time.Time, j *Job, w Waiter) {
 	c.now = now
-	if l := c.jobs[j.ID]; l != nil {
+	if l := c.jobs.byID[j.ID]; l != nil {
 		c.again(l, j, w)
 		return
 	}
@@ -51,7 +51,7 @@
 	case l.answered && (l.answer.Kind == AnswerComplete || l.answer.Kind == AnswerFailed):
 		w(l.answer)
 	case l.open == 0:
-		delete(c.jobs, j.ID)
+		c.jobs.forget(l)
 		c.begin(j, w)
 	case l.next != nil:
 		w(Answer{Kind: AnswerUnknown, Fault: fault.New(fault.OutcomeUnknown, "another copy of the request is waiting")})
@@ -83,7 +83,7 @@
 		c.refuse(l, f, predicted)
 		return
 	}
-	c.jobs[j.ID] = l
+	c.jobs.add(l)
 	c.counts.Accepted++
 	event.Log(c.log, event.JobAccepted, "job", j.ID, "queue", j.Queue.Name, "config", j.Version, "tasks", len(l.tasks),
 		"chain_ms", chain.Milliseconds(), "objective_ms", objective.Milliseconds(), "caller_waits_ms", j.Deadline.Sub(c.now).Milliseconds())
@@ -168,7 +168,7 @@
 // soon, and what runs of it must be over by then.
 func (c *Core) Abandon(now time.Time, id string) {
 	c.now = now
-	l := c.jobs[id]
+	l := c.jobs.byID[id]
 	if l == nil {
 		return
 	}
@@ -187,7 +187,7 @@
 // Cancel ends a job on its caller's word; false: it is not known here.
 func (c *Core) Cancel(now time.Time, id string) bool {
 	c.now = now
-	l := c.jobs[id]
+	l := c.jobs.byID[id]
 	if l == nil {
 		return false
 	}
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -163,7 +163,7 @@
 	if l.answered && l.open == 0 && l.next != nil {
 		next := l.next
 		l.next = nil
-		delete(c.jobs, l.ID)
+		c.jobs.forget(l)
 		c.begin(next.job, next.waiter)
 	}
 }
@@ -179,6 +179,7 @@
 // finish gives the job its one answer and calls back what is still open.
 func (c *Core) finish(l *liveJob, answer Answer) {
 	l.answered, l.answer, l.keepUntil = true, answer, c.now.Add(answerKeep)
+	c.jobs.answered()
 	c.recallAll(l)
 	c.logAnswer(l, answer)
 	waiters := l.waiters
