Tell other entries at once of a change that the log brings

Change: an entry that the log brings a change introduces itself to two others at once, and one that hears of a newer mark asks for it. Two, because one that lives is enough, and all would be messages by the square of the entries.

Test: 'tell another entry of a change as soon as the log brings it' timed out after 60 s before; passes.

--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -10,12 +10,19 @@
 	"github.com/camphorrack/camphorrack/internal/event"
 )
 
+// Sources of a configuration.
+const (
+	SourceLog     = "log"
+	SourcePeer    = "peer"
+	SourceBuiltIn = "built-in"
+)
+
 // Applied is what is in force on a process.
 type Applied struct {
 	State    *State
 	Settings Settings // resolved for this process
 	At       time.Time
-	Source   string // where it was heard: "log", "peer" or "built-in"
+	Source   string // where it was heard
 }
 
 // Holder is the configuration in force on one process. It takes rising versions
@@ -38,7 +45,7 @@
 // NewHolder returns a holder of the built-in defaults, for the process at where.
 func NewHolder(where Where, c clock.Clock, log logr.Logger) *Holder {
 	h := &Holder{where: where, clock: c, log: log, confirmed: c.Now()}
-	h.applied = &Applied{State: &State{}, Settings: (&State{}).Resolve(where), At: c.Now(), Source: "built-in"}
+	h.applied = &Applied{State: &State{}, Settings: (&State{}).Resolve(where), At: c.Now(), Source: SourceBuiltIn}
 	return h
 }
 
@@ -146,7 +153,7 @@
 		h.tail.extend(u.From, u.records(), u.Next)
 		h.mu.Unlock()
 	}
-	h.Offer(s, "peer")
+	h.Offer(s, SourcePeer)
 	return nil
 }
 
@@ -156,5 +163,5 @@
 	h.mu.Lock()
 	h.tail.extend(b.From, b.Records, s.AsOf)
 	h.mu.Unlock()
-	return h.Offer(s, "log")
+	return h.Offer(s, SourceLog)
 }
--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -140,6 +140,26 @@
 		}
 	})
 
+	// One entry reads a change just before the log goes down, and is killed. The others
+	// had not read it: were it not told to one of them at once, its successor would
+	// enforce the limit that an operator had just changed.
+	It("tell another entry of a change as soon as the log brings it", func(ctx context.Context) {
+		f := localfleet.New(localfleet.Options{Bin: buildDaemons(), Key: "a key that only this test knows"})
+		DeferCleanup(f.Close)
+		log, err := f.StartLog(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		logURL := "http://" + log.Addr
+		without, err := f.StartEntry(ctx, "entry-1", "", nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.StartEntry(ctx, "entry-2", "", []string{without.Addr}, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		for base := range uint64(2) {
+			published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(base, "a", 7))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(versionAt(without)).WithTimeout(patience).Should(Equal(published.Version))
+		}
+	})
+
 	// The log can't be read when an entry is replaced, and no agent has heard of the
 	// newest change yet. A task of a target that an operator had just drained would be
 	// placed there again: callers would see the limit come and go.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -39,7 +39,8 @@
 	unclaimed *unclaimed
 	metrics   *counters
 	draining  *atomic.Bool
-	drain     func() // starts a graceful shutdown
+	drain     func()             // starts a graceful shutdown
+	ask       func(entry string) // takes what another entry's configuration has more
 }
 
 func init() { gin.SetMode(gin.ReleaseMode) }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -21,13 +21,14 @@
 	holder   *config.Holder
 	fanOut   *config.FanOut
 	follower *follower.Follower // nil without a log: then agents alone bring it
+	news     chan struct{}      // the log has brought a change
 	stop     context.CancelFunc
 }
 
 func newConfiguration(e *Entry) *configuration {
 	self := e.api.owner
 	where := config.Where{DataCentre: e.o.DataCentre, Entry: self.Addr.String()}
-	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut(nil)}
+	c := &configuration{holder: config.NewHolder(where, e.clock, e.log), fanOut: config.NewFanOut(nil), news: make(chan struct{}, 1)}
 	if e.o.Log != "" {
 		c.follower = follower.New(follower.Options{
 			Log: e.o.OpenLog(e.o.Log), Holder: c.holder, Clock: e.clock, Logger: e.log,
@@ -50,6 +51,9 @@
 		if a.State.Version == 0 {
 			return // the built-in defaults are what the process starts with
 		}
+		if a.Source == config.SourceLog {
+			c.noteNews()
+		}
 		// In a goroutine: the channel of commands may be full for a while. The
 		// command takes what is newest then, so an older one can't come last.
 		go func() {
@@ -82,6 +86,19 @@
 	}
 }
 
+func (c *configuration) noteNews() {
+	select {
+	case c.news <- struct{}{}:
+	default: // somebody is about to be told of what is newest
+	}
+}
+
+// behind reports whether an entry at the given mark has a newer configuration.
+func (c *configuration) behind(mark string) bool {
+	theirs, err := strconv.ParseUint(mark, 10, 64)
+	return err == nil && theirs > c.holder.Mark()
+}
+
 // lacking returns, encoded, what an entry at the given mark lacks; nothing where it
 // is up to date or did not say, as entries of an older release.
 func (c *configuration) lacking(mark string) []byte {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,7 @@
 		dataCentre: e.o.DataCentre, maxTimeout: e.o.MaxTimeout, control: e.control,
 		forwarder: forward.New(forward.Options{Log: e.log, Clock: e.clock, Counters: metrics.forward}),
 		unclaimed: newUnclaimed(), metrics: metrics, draining: &e.draining, drain: e.beginDrain,
+		ask: func(addr string) { e.introduceOnce(context.Background(), addr) },
 		agents: &agents{
 			log: e.log, control: e.control, outbox: out,
 			options: session.Options{Counters: metrics.sessions},
@@ -130,6 +131,7 @@
 	for _, addr := range e.o.entries() {
 		go e.introduce(addr)
 	}
+	go e.spreadNews()
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
--- a/internal/entry/introduce.go
+++ b/internal/entry/introduce.go
@@ -29,6 +29,10 @@
 	introduceEvery   = time.Minute
 	introduceRetry   = 2 * time.Second
 	introduceTimeout = time.Second
+	// newsPeers is how many other entries are told of a change that the log brings. One
+	// that lives is enough to tell the successor of an entry that is killed next; all of
+	// them would be messages that rise with the square of the entries.
+	newsPeers = 2
 	// startTimeout is how long a starting entry waits for the others' configuration
 	// before it serves. They answer in some milliseconds; one that is frozen or gone
 	// must not hold up its successor.
@@ -133,9 +137,31 @@
 	return request, nil
 }
 
-// takePeer serves POST /internal/peer.
+// spreadNews tells some other entries at once of each change that the log brings. They
+// poll the log seconds apart: were the log to go down now and this entry to be killed,
+// nobody else would know what it had in force.
+func (e *Entry) spreadNews() {
+	for {
+		select {
+		case <-e.api.config.news:
+		case <-e.drainedCh:
+			return
+		}
+		addrs := e.o.entries()
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+		for _, addr := range addrs[:min(len(addrs), newsPeers)] {
+			go e.introduceOnce(context.Background(), addr) // one that fails leaves its agents to be told
+		}
+	}
+}
+
+// takePeer serves POST /internal/peer. An introducer whose configuration is newer is
+// asked for it in turn.
 func (a *api) takePeer(g *gin.Context) {
 	peer, err := a.decodePeer(g.Request)
+	if err == nil && a.config.behind(g.Query(queryConfig)) {
+		go a.ask(peer.Addr)
+	}
 	if err == nil {
 		err = a.control.do(func(now time.Time, c core) { c.Learn(now, []wire.Peer{peer}) })
 	}
