Call a start again that was not answered, before it is fenced off

Ruled out: waiting for the list to show the run; the list is lost as often.

Change: the same start is called again, twice at most; the target starts a run once and rejects one that has ended. A rejection of a repeated start proves nothing about the first one, which is then fenced off as before; 'too low' means that it has run, and the list tells how.

Tests: TestUnansweredStartIsRepeated, TestRepeatedStart* failed first.

--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -91,6 +91,14 @@
 // accepted answers the n-th start.
 func (w *world) answer(n int, a Answer) { w.Started(w.now, w.target.starts[n], a, 60_000) }
 
+// neverAnswered leaves the first start and its repetitions without an answer.
+func (w *world) neverAnswered() {
+	for n := range 1 + mostRepeats {
+		w.Expect(w.target.stops).To(BeEmpty())
+		w.answer(n, NoAnswer)
+	}
+}
+
 // outcomes returns what the session was told, by order.
 func (w *world) outcomes(conn ConnID) map[uint64]wire.RunOutcome {
 	w.Flush(w.now)
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -57,8 +57,8 @@
 	switch end {
 	case Done:
 		t.counts.Done++
-		if t.blind {
-			ranMs = 0 // it may have ended long ago
+		if t.blind || r.repeats > 0 {
+			ranMs = 0 // it may have ended long ago, or begun before the call that was answered
 		}
 		t.health.done(r.order.EstimateMs, ranMs)
 		t.settle(r, wire.EndDone)
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -143,10 +143,15 @@
 func (t *Table) free() job.Demand { return t.target.Capacity.Minus(t.inUse) }
 
 func (t *Table) start(r *run) {
-	r.state, r.calledAt = starting, t.now
+	r.state = starting
 	t.inUse = t.inUse.Plus(r.order.Demand)
 	t.counts.Starts++
 	t.loadDirty = true
+	t.callStart(r)
+}
+
+func (t *Table) callStart(r *run) {
+	r.calledAt = t.now
 	t.o.Target.Start(StartCall{
 		Life: t.target.Life, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.leaseUntil(),
 		Timeout: t.callTimeout(),
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -188,6 +188,7 @@
 	startBy, giveUp, limit time.Time
 	calledAt               time.Time // when the target was called to start it
 	startedAt              time.Time // when it said that it has
+	repeats                int       // of a start that was not answered
 	everRan                bool      // it was accepted, or listed as running
 	wanted                 bool      // the owner still wants it to go on
 	reason                 wire.NotRunReason
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -33,7 +33,7 @@
 func TestUnansweredStartIsFencedBeforeItIsNotRun(t *testing.T) {
 	w := newWorld(t)
 	w.order(session, 1, task("a", 0), 7)
-	w.answer(0, NoAnswer)
+	w.neverAnswered()
 	w.Expect(w.target.stops).To(HaveLen(1))
 	w.list()
 	w.Expect(w.outcomes(session)).To(BeEmpty(), "the stop is not confirmed")
@@ -47,12 +47,69 @@
 	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunNoAnswer))))
 }
 
+// A target loses one answer in five. A start whose answer is lost was carried out: were
+// it stopped and its task started elsewhere, the work would be done twice and the answer
+// be late. The same start again tells, since a run that is there is not started twice.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, NoAnswer)
+	w.Expect(w.target.stops).To(BeEmpty())
+	w.Expect(w.target.starts).To(HaveLen(2))
+	w.Expect(w.target.starts[1].Run).To(Equal(w.target.starts[0].Run))
+	w.answer(1, Accepted)
+	w.pass(100 * time.Millisecond)
+	w.listEnds([]EndedRun{w.end(w.target.starts[0].Run, Done)})
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndDone)))
+	w.Expect(w.target.stops).To(BeEmpty())
+}
+
+// A short task runs and ends while its start is unanswered, so the repeated start is
+// rejected as too low. Told "not run", its job would be done once more.
+func TestRepeatedStartOfARunThatHasEnded(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, NoAnswer)
+	w.answer(1, LowRun)
+	w.Expect(w.outcomes(session)).To(BeEmpty())
+	w.pass(time.Millisecond)
+	w.listEnds([]EndedRun{w.end(w.target.starts[0].Run, Done)})
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndDone)))
+}
+
+// The first start is held up on its way, and the repeated one finds no room or a target
+// that is not well. The first may still come seconds later, when the task runs elsewhere.
+func TestRepeatedStartThatIsTurnedAwayIsFenced(t *testing.T) {
+	for _, answer := range []Answer{NoRoom, TurnedAway, LateLease, BadToken} {
+		w := newWorld(t)
+		w.order(session, 1, task("a", 0), 7)
+		w.answer(0, NoAnswer)
+		w.answer(1, answer)
+		w.Expect(w.outcomes(session)).To(BeEmpty(), "answer %d", answer)
+		w.Expect(w.target.stops).To(HaveLen(1), "answer %d", answer)
+		w.Stopped(w.now, w.target.stops[0], Accepted)
+		w.pass(time.Millisecond)
+		w.list()
+		w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndNotRun)), "answer %d", answer)
+	}
+}
+
+// The first start is not answered because the target crashes, and the repeated one finds
+// another life. What the first may have started is gone, but it may have run.
+func TestRepeatedStartMeetsAnotherLife(t *testing.T) {
+	w := newWorld(t)
+	w.order(session, 1, task("a", 0), 7)
+	w.answer(0, NoAnswer)
+	w.answer(1, OtherLife)
+	w.Expect(w.outcomes(session)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+}
+
 // The start was carried out although its answer was lost. The list shows the run, the
 // stop ends it, and what it had done by then is told as it was.
 func TestUnansweredStartThatRan(t *testing.T) {
 	w := newWorld(t)
 	w.order(session, 1, task("a", 0), 7)
-	w.answer(0, NoAnswer)
+	w.neverAnswered()
 	run := w.target.starts[0].Run
 	w.list(run)
 	w.Stopped(w.now, w.target.stops[0], Accepted)
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -37,6 +37,11 @@
 	leastTimeout  = 20 * time.Millisecond
 	mostTimeout   = 100 * time.Millisecond
 	answerWeight  = 0.05
+	// mostRepeats is how often a start without an answer is called again. Where one
+	// answer in five is lost, three calls leave one start in a hundred in doubt. A target
+	// that has stopped answering costs two time-outs more before the start is fenced off,
+	// and no task can go elsewhere before that target has answered the stop.
+	mostRepeats = 2
 	// deafAfter is how long a target may answer nothing before it counts as away. Where
 	// one answer in twenty is lost, two renewals in a row fail every second somewhere;
 	// each time the jobs of a sound target would be given up.
@@ -140,20 +145,33 @@
 			r.state = running
 		}
 	case NoAnswer:
-		t.counts.Unanswered++
-		if r.everRan {
-			return // it is listed: only the answer was lost
-		}
-		event.Log(t.log, event.StartUnanswered, "job", r.id.Task.Job, "task", r.id.Task.Index, "run", r.id.Number,
-			"target", t.target.Life.Name, "after_ms", clock.Millis(now.Sub(r.calledAt)))
-		t.stop(r, wire.NotRunNoAnswer)
+		t.unanswered(r)
 	default:
 		t.turnedAway(r, answer)
 	}
 	t.fill()
 }
 
-// turnedAway takes an answer that proves that nothing was started.
+// unanswered takes a start without an answer. It may have been carried out, so it is
+// called again: the target starts a run once, whatever number of calls reach it, and
+// then the task goes on. Stopped in its place and started elsewhere, the tasks of a target
+// that loses answers were done twice and were late.
+func (t *Table) unanswered(r *run) {
+	t.counts.Unanswered++
+	if r.everRan || r.state != starting {
+		return // it is listed, and only the answer was lost; or it is being stopped
+	}
+	event.Log(t.log, event.StartUnanswered, "job", r.id.Task.Job, "task", r.id.Task.Index, "run", r.id.Number,
+		"target", t.target.Life.Name, "after_ms", clock.Millis(t.now.Sub(r.calledAt)), "repeats", r.repeats)
+	if r.repeats >= mostRepeats {
+		t.stop(r, wire.NotRunNoAnswer)
+		return
+	}
+	r.repeats++
+	t.callStart(r)
+}
+
+// turnedAway takes an answer that proves that this call has started nothing.
 func (t *Table) turnedAway(r *run, answer Answer) {
 	reason := wire.NotRunTurned
 	switch answer {
@@ -164,8 +182,29 @@
 	case TurnedAway:
 		t.health.turnedAway(t.now)
 	}
+	if r.repeats > 0 {
+		t.repeatTurnedAway(r, answer)
+		return
+	}
 	event.Log(t.log, event.StartTurnedAway, "job", r.id.Task.Job, "task", r.id.Task.Index, "run", r.id.Number,
 		"target", t.target.Life.Name, "answer", int(answer))
 	t.counts.NotRun++
 	t.settleAs(r, wire.RunOutcome{Seq: r.order.Seq, End: wire.EndNotRun, Reason: reason})
 }
+
+// repeatTurnedAway takes the same answer to a repeated start. It says nothing of the call
+// before, which may have been carried out, or may still be.
+func (t *Table) repeatTurnedAway(r *run, answer Answer) {
+	switch answer {
+	case LowRun:
+		// It has run and ended, and the next list tells how.
+		r.everRan, r.startedAt = true, t.now
+		if r.state == starting {
+			r.state = running
+		}
+	case OtherLife:
+		t.end(r)
+	default:
+		t.stop(r, wire.NotRunNoAnswer)
+	}
+}
