--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -12,22 +12,15 @@
 // Module wires the daemon for fx. A drain that an operator asked for ends the
 // program like a signal does.
 func Module(o *Options) fx.Option {
-	return fx.Options(
-		fx.Supply(*o),
-		fx.Provide(newLogger, New),
-		fx.StopTimeout(o.DrainTimeout+2*closeTimeout),
-		fx.Invoke(run),
-	)
-}
-
-func newLogger(life fx.Lifecycle, o Options) logr.Logger {
-	return daemon.Logger(life, Program, o.LogLevel)
-}
-
-func run(life fx.Lifecycle, shutdown fx.Shutdowner, a *Agent) {
-	start := func() {
-		runtime.GOMAXPROCS(min(a.o.Processors, runtime.GOMAXPROCS(0)))
-		a.Start()
-	}
-	daemon.Service{Start: start, Ended: a.EndAsked(), Stop: a.Stop}.Register(life, shutdown)
+	return daemon.Program[*Agent]{
+		Name: Program, LogLevel: o.LogLevel, StopTimeout: o.DrainTimeout + 2*closeTimeout,
+		New: func(log logr.Logger) (*Agent, error) { return New(*o, log) },
+		Service: func(a *Agent) daemon.Service {
+			start := func() {
+				runtime.GOMAXPROCS(min(o.Processors, runtime.GOMAXPROCS(0)))
+				a.Start()
+			}
+			return daemon.Service{Start: start, Ended: a.EndAsked(), Stop: a.Stop}
+		},
+	}.Module()
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -10,18 +10,11 @@
 // Module wires the daemon for fx. A drain that an operator asked for ends the
 // program like a signal does.
 func Module(o *Options) fx.Option {
-	return fx.Options(
-		fx.Supply(*o),
-		fx.Provide(newLogger, New),
-		fx.StopTimeout(o.drainTimeout()+2*closeTimeout),
-		fx.Invoke(run),
-	)
-}
-
-func newLogger(life fx.Lifecycle, o Options) logr.Logger {
-	return daemon.Logger(life, Program, o.LogLevel)
-}
-
-func run(life fx.Lifecycle, shutdown fx.Shutdowner, e *Entry) {
-	daemon.Service{Start: e.Start, Ended: e.Drained(), Stop: e.Stop}.Register(life, shutdown)
+	return daemon.Program[*Entry]{
+		Name: Program, LogLevel: o.LogLevel, StopTimeout: o.drainTimeout() + 2*closeTimeout,
+		New: func(log logr.Logger) (*Entry, error) { return New(*o, log) },
+		Service: func(e *Entry) daemon.Service {
+			return daemon.Service{Start: e.Start, Ended: e.Drained(), Stop: e.Stop}
+		},
+	}.Module()
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -131,7 +131,7 @@
 	{AttemptRefused, "attempt_refused", "an agent refused a start; the task did not run there"},
 	{RunsStopped, "runs_stopped", "runs were stopped, or ended with their target, and no owner waits for them"},
 	{AnnouncementStale, "announcement_stale", "a delayed announcement of an earlier life of the target was ignored"},
-	{StartUnanswered, "start_unanswered", "a target did not answer a start; the run is fenced off by a stop"},
+	{StartUnanswered, "start_unanswered", "a target did not answer a start; it is called again, and then fenced off by a stop"},
 	{StartTurnedAway, "start_turned_away", "a target answered that it does not start a task"},
 	{TargetBack, "target_back", "a target answers again"},
 	{ForeignRun, "foreign_run", "a target runs what an earlier agent started; it is stopped"},
--- a/internal/runner/module.go
+++ b/internal/runner/module.go
@@ -9,16 +9,11 @@
 
 // Module wires the daemon for fx.
 func Module(o Options) fx.Option {
-	return fx.Options(
-		fx.Supply(o),
-		fx.Provide(newLogger, New),
-		fx.StopTimeout(o.Grace),
-		fx.Invoke(run),
-	)
-}
-
-func newLogger(life fx.Lifecycle) logr.Logger { return daemon.Logger(life, Program, 0) }
-
-func run(life fx.Lifecycle, shutdown fx.Shutdowner, r *Runner) {
-	daemon.Service{Start: r.Start, Ended: nil, Stop: r.Stop}.Register(life, shutdown)
+	return daemon.Program[*Runner]{
+		Name: Program, StopTimeout: o.Grace,
+		New: func(log logr.Logger) (*Runner, error) { return New(o, log) },
+		Service: func(r *Runner) daemon.Service {
+			return daemon.Service{Start: r.Start, Stop: r.Stop}
+		},
+	}.Module()
 }
