A server that can't take a connection goes on

Cause: the server with limits that change gave its listener up at the first failure to accept, such as for want of file descriptors, where net/http's own loop goes on. Found in reading the change.

Test: TestServerOutlivesFailuresToAccept failed before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -19,6 +19,7 @@
 	LinesDropped    ID = 106
 	ProcessStalled  ID = 107
 	SettingsRead    ID = 108
+	AcceptFailed    ID = 109
 
 	JobAccepted  ID = 201
 	JobRefused   ID = 202
@@ -90,6 +91,7 @@
 	{LinesDropped, "log_lines_dropped", "whatever reads the log stalled, and lines were dropped rather than the daemon stopped"},
 	{ProcessStalled, "process_stalled", "the process stood still; its sessions are ended"},
 	{SettingsRead, "settings_read", "the settings file was read again"},
+	{AcceptFailed, "accept_failed", "a new connection could not be taken, such as for want of file descriptors; tried again"},
 	{JobAccepted, "job_accepted", "a submission was let in"},
 	{JobRefused, "job_refused", "a submission was turned away and did not run"},
 	{JobComplete, "job_complete", "every task succeeded and the answer is whole"},
--- a/internal/leased/server.go
+++ b/internal/leased/server.go
@@ -15,6 +15,11 @@
 	"github.com/camphorrack/camphorrack/internal/logging"
 )
 
+// acceptPause is how long a server waits after a connection that it could not take. The
+// usual cause is a process without free file descriptors; others end within this time, and
+// each failure leaves a log line.
+const acceptPause = 50 * time.Millisecond
+
 // ConnLimits bound what a client's connection may take up; 0 is no limit of time, and
 // net/http's of bytes.
 type ConnLimits struct {
@@ -74,9 +79,15 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s on %s", what, addr)
 	}
+	return ServeOn(log, what, listener, handler, limits, connContext), nil
+}
+
+// ServeOn is Listen on a listener that is open already.
+func ServeOn(log logr.Logger, what string, listener net.Listener, handler http.Handler, limits ConnLimits,
+	connContext func(context.Context, net.Conn) context.Context) *Server {
 	s := &Server{log: log, what: what, listener: listener, handler: handler, connContext: connContext, limits: limits}
 	s.begin()
-	return s, nil
+	return s
 }
 
 // Addr returns the bound address.
@@ -122,8 +133,9 @@
 			return
 		}
 		if err != nil {
-			event.Log(s.log, event.ProcessStopping, "serves", s.what, "error", err.Error())
-			return
+			event.Log(s.log, event.AcceptFailed, "serves", s.what, "error", err.Error())
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.hand(c)
 	}
--- a/internal/leased/server_test.go
+++ b/internal/leased/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -69,3 +70,35 @@
 		g.Expect(err).To(MatchError("EOF"))
 	}
 }
+
+// failingListener can't take its first connections, as where a process has no free file
+// descriptors.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (f *failingListener) Accept() (net.Conn, error) {
+	if f.failures > 0 {
+		f.failures--
+		return nil, errors.New("too many open files")
+	}
+	return f.Listener.Accept()
+}
+
+// A burst of callers takes all file descriptors for a moment. An entry that gave up its
+// listener then would run on, look well, and take nobody any more.
+func TestServerOutlivesFailuresToAccept(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	s := leased.ServeOn(logr.Discard(), "a test", &failingListener{listener, 2}, ok, leased.ConnLimits{}, nil)
+	go s.Serve()
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = c.Close() })
+	g.Expect(c.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	g.Expect(ask(g, c, 1)).To(Equal(http.StatusNoContent))
+}
