--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -40,7 +40,7 @@
 	metrics   *counters
 	draining  *atomic.Bool
 	drain     func()             // starts a graceful shutdown
-	ask       func(entry string) // takes what another entry's configuration has more
+	pull      func(entry string) // takes what another entry has of the configuration and this one lacks
 }
 
 func init() { gin.SetMode(gin.ReleaseMode) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,7 +100,7 @@
 		dataCentre: e.o.DataCentre, maxTimeout: e.o.MaxTimeout, control: e.control,
 		forwarder: forward.New(forward.Options{Log: e.log, Clock: e.clock, Counters: metrics.forward}),
 		unclaimed: newUnclaimed(), metrics: metrics, draining: &e.draining, drain: e.beginDrain,
-		ask: func(addr string) { e.introduceOnce(context.Background(), addr) },
+		pull: func(addr string) { e.introduceOnce(context.Background(), addr) },
 		agents: &agents{
 			log: e.log, control: e.control, outbox: out,
 			options: session.Options{Counters: metrics.sessions},
--- a/internal/entry/introduce.go
+++ b/internal/entry/introduce.go
@@ -160,7 +160,7 @@
 func (a *api) takePeer(g *gin.Context) {
 	peer, err := a.decodePeer(g.Request)
 	if err == nil && a.config.behind(g.Query(queryConfig)) {
-		go a.ask(peer.Addr)
+		go a.pull(peer.Addr)
 	}
 	if err == nil {
 		err = a.control.do(func(now time.Time, c core) { c.Learn(now, []wire.Peer{peer}) })
--- a/internal/platformlog/platformlog.go
+++ b/internal/platformlog/platformlog.go
@@ -1,5 +1,7 @@
-// Package platformlog is the client side of the platform's append-only log
-// service: streams of records with rising offsets, kept for a limited time.
+// Package platformlog is what the rest of the code knows of the platform's store: Log,
+// streams of records with rising offsets that are kept for a limited time, and Keyed,
+// topics that keep the newest value of each key. The client behind both is
+// platform/store.
 package platformlog
 
 import "context"
