--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -148,7 +148,7 @@
 // refuse answers a job that was never let in.
 func (c *Core) refuse(l *liveJob, f *fault.Fault, predictedMs float64) {
 	c.counts.Refused++
-	event.Log(c.log, event.JobRefused, "job", l.ID, "queue", l.Queue.Name, "config", l.Version, "code", int(f.Code), "reason", f.Name,
+	event.Log(c.log, event.JobRefused, "job", l.ID, "queue", l.Queue.Name, "config", l.Version, "estimate_trust", c.line(l.Queue.Name).Trust(), "code", int(f.Code), "reason", f.Name,
 		"detail", f.Detail, "predicted_ms", predictedMs, "objective_ms", clock.Millis(l.objective.Sub(c.now)),
 		"caller_waits_ms", clock.Millis(l.Deadline.Sub(c.now)), "targets", len(c.viewed), "oldest_load_ms", c.oldestLoadMs(), "retry_after_ms", f.RetryAfterMs)
 	answer := Answer{Kind: AnswerNotRun, Fault: f, RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -94,7 +94,7 @@
 	routes      atomic.Pointer[routing.Table]
 	usable      atomic.Int64
 	leaving     atomic.Bool
-	servers     []*leased.Server
+	servers     leased.Servers
 	callers     *leased.Server
 	stop        context.CancelFunc
 }
@@ -112,7 +112,7 @@
 		Tick: d.tick, Pace: func(*state) time.Duration { return tickEvery }, Flush: func(s *state) { s.core.Flush() },
 	})
 	if err := d.listen(); err != nil {
-		d.closeServers()
+		d.servers.Close()
 		return nil, err
 	}
 	return d, nil
@@ -177,46 +177,26 @@
 	inner.GET(session.Path, d.sessions.serve)
 	page := gin.New()
 	page.GET(leased.MetricsPath, leased.Metrics(d.log, d.metrics.Registry, d.refreshMetrics))
-	for _, l := range []struct {
-		what, addr string
-		handler    http.Handler
-	}{
-		{"runners", d.o.InnerAddr, inner},
-		{"the balancer", d.o.ReadyAddr, d.o.Ready(d.ready)},
-		{"metrics", d.o.MetricsAddr, page},
-		{"targets", d.o.TargetsAddr, http.HandlerFunc(turnAway)},
-		{"callers", d.o.CallerAddr, d.o.Callers(d)},
-	} {
-		if l.addr == "" {
-			continue
-		}
-		server, err := leased.Listen(d.log, l.what, l.addr, l.handler, connLimits(routing.Limits{}), withConn)
-		if err != nil {
-			return err
-		}
-		d.servers = append(d.servers, server)
-		d.callers = server // the last one
-	}
-	return nil
+	callers, err := d.servers.Listen(d.log, connLimits(routing.Limits{}), withConn,
+		leased.Service{What: "runners", Addr: d.o.InnerAddr, Handler: inner},
+		leased.Service{What: "the balancer", Addr: d.o.ReadyAddr, Handler: d.o.Ready(d.ready)},
+		leased.Service{What: "metrics", Addr: d.o.MetricsAddr, Handler: page},
+		leased.Service{What: "targets", Addr: d.o.TargetsAddr, Handler: http.HandlerFunc(turnAway)},
+		leased.Service{What: "callers", Addr: d.o.CallerAddr, Handler: d.o.Callers(d)},
+	)
+	d.callers = callers
+	return err
 }
 
 // turnAway answers a target that comes here: the runner on its own host serves it.
 func turnAway(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
 
-func (d *Dispatcher) closeServers() {
-	for _, s := range d.servers {
-		s.Close()
-	}
-}
-
 // Start serves until Stop.
 func (d *Dispatcher) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	go d.loop.Run()
-	for _, s := range d.servers {
-		go s.Serve()
-	}
+	d.servers.Serve()
 	go d.followConfig(ctx)
 	record := leased.Record{Addr: d.o.InnerAddr, DataCentre: d.o.DataCentre}
 	go platformlog.Keep(ctx, d.log, d.o.Store, leased.EntriesTopic, d.o.Host, record.Encode())
@@ -264,7 +244,7 @@
 	defer cancel()
 	err := d.callers.Shutdown(closing)
 	d.stop()
-	d.closeServers()
+	d.servers.Close()
 	d.loop.End()
 	event.Log(d.log, event.ProcessStopped, "clean", err == nil, "after_ms", time.Since(began).Milliseconds())
 	return nil
--- a/internal/leased/server.go
+++ b/internal/leased/server.go
@@ -72,6 +72,51 @@
 // Addr implements net.Listener.
 func (g *generation) Addr() net.Addr { return g.addr }
 
+// Servers are the servers of one daemon.
+type Servers struct {
+	all []*Server
+}
+
+// Service is one address of a daemon. An empty Addr is not served.
+type Service struct {
+	What    string // for the log and errors
+	Addr    string
+	Handler http.Handler
+}
+
+// Listen binds each service's address and returns the last server, nil where there is
+// none. After an error, Close frees what was bound.
+func (s *Servers) Listen(log logr.Logger, limits ConnLimits, connContext func(context.Context, net.Conn) context.Context,
+	services ...Service) (*Server, error) {
+	var last *Server
+	for _, service := range services {
+		if service.Addr == "" {
+			continue
+		}
+		server, err := Listen(log, service.What, service.Addr, service.Handler, limits, connContext)
+		if err != nil {
+			return nil, err
+		}
+		s.all = append(s.all, server)
+		last = server
+	}
+	return last, nil
+}
+
+// Serve serves all of them until Close.
+func (s *Servers) Serve() {
+	for _, server := range s.all {
+		go server.Serve()
+	}
+}
+
+// Close ends all of them at once.
+func (s *Servers) Close() {
+	for _, server := range s.all {
+		server.Close()
+	}
+}
+
 // Listen binds an address; Serve begins to serve it. connContext may be nil.
 func Listen(log logr.Logger, what, addr string, handler http.Handler, limits ConnLimits,
 	connContext func(context.Context, net.Conn) context.Context) (*Server, error) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -92,7 +92,7 @@
 	metrics     *counters
 	dialers     *dialers
 	last        atomic.Uint64
-	servers     []*leased.Server
+	servers     leased.Servers
 	ctx         context.Context // of what ends with the daemon
 	stop        context.CancelFunc
 	kick        chan struct{} // a renewal is wanted now
@@ -116,7 +116,7 @@
 		Tick: r.tick, Pace: pace, Flush: func(s *state) { s.table.Flush(r.clock.Now()) },
 	})
 	if err := r.listen(); err != nil {
-		r.closeServers()
+		r.servers.Close()
 		return nil, err
 	}
 	return r, nil
@@ -187,34 +187,17 @@
 func (r *Runner) listen() error {
 	page := gin.New()
 	page.GET(leased.MetricsPath, leased.Metrics(r.log, r.metrics.Registry, r.refreshMetrics))
-	for _, l := range []struct {
-		what, addr string
-		handler    http.Handler
-	}{{"the target", r.o.TargetsAddr, r.o.Targets(r)}, {"metrics", r.o.MetricsAddr, page}} {
-		if l.addr == "" {
-			continue
-		}
-		server, err := leased.Listen(r.log, l.what, l.addr, l.handler, leased.ConnLimits{HeaderTimeout: headerTimeout}, nil)
-		if err != nil {
-			return err
-		}
-		r.servers = append(r.servers, server)
-	}
-	return nil
-}
-
-func (r *Runner) closeServers() {
-	for _, s := range r.servers {
-		s.Close()
-	}
+	_, err := r.servers.Listen(r.log, leased.ConnLimits{HeaderTimeout: headerTimeout}, nil,
+		leased.Service{What: "the target", Addr: r.o.TargetsAddr, Handler: r.o.Targets(r)},
+		leased.Service{What: "metrics", Addr: r.o.MetricsAddr, Handler: page},
+	)
+	return err
 }
 
 // Start serves and dials until Stop.
 func (r *Runner) Start() {
 	go r.loop.Run()
-	for _, s := range r.servers {
-		go s.Serve()
-	}
+	r.servers.Serve()
 	r.Learn(r.o.Neighbours)
 	go r.recall(r.ctx)
 	go platformlog.Watch(r.ctx, r.log, r.o.Store, leased.EntriesTopic, r.hearRecord)
@@ -274,7 +257,7 @@
 	time.Sleep(closeTimeout) // for the last outcomes to go out
 	r.stop()
 	r.dialers.end()
-	r.closeServers()
+	r.servers.Close()
 	r.loop.End()
 	event.Log(r.log, event.ProcessStopped, "clean", left == 0, "left", left, "after_ms", time.Since(began).Milliseconds())
 	return nil
--- /dev/null
+++ b/scripts/ablate.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Switches off one mechanism at a time, each on a copy of the last commit, and plays the
+# fixed days of a deployment with it.
+#
+#   scripts/ablate.sh BENCH SITE OUT [NAME...]
+#
+# Without names every mechanism of the table below. OUT/whole has the days with all
+# mechanisms; each line that is printed is the difference to it. The journal entries of the
+# plays are in OUT/journal.
+set -euo pipefail
+bench=$1 site=$2 out=$3
+shift 3
+scripts=$(cd "$(dirname "$0")" && pwd)
+
+# name | file | edit that switches it off
+table() {
+	cat <<'TABLE'
+corrected-estimates|internal/dispatch/intake.go|s/j = c.calibrated(asSent)/_ = c.calibrated/
+wait-factor|internal/scheduler/earliest/earliest.go|s/waitFactor   = 1.4/waitFactor = 1.0/;s/waitMarginMs = 8/waitMarginMs = 0/
+wait-aversion|internal/scheduler/earliest/earliest.go|s/waitAversion = 1.5/waitAversion = 0/
+crowding|internal/scheduler/earliest/earliest.go|s/crowdingMs    = 60/crowdingMs = 0/;s/crowdingShare = 0.15/crowdingShare = 0/
+jitter|internal/scheduler/earliest/earliest.go|s/jitterShare = 0.06/jitterShare = 0/
+failure-rate|internal/scheduler/earliest/earliest.go|s/failedMs = 2000/failedMs = 0/
+recent-speed|internal/runs/rating.go|s/changedFactor = 1.6/changedFactor = 1e9/
+steady-speed|internal/runs/rating.go|s/changedFactor = 1.6/changedFactor = 0/
+overdue-speed|internal/runs/load.go|s/const overdueFactor = 1.8/const overdueFactor = 1e9/
+return-when-idle|internal/runs/rating.go|s/idleReturn = 0.6/idleReturn = 0/
+avoidance|internal/runs/rating.go|s/return now.Before(r.avoidUntil)/return false \&\& now.Before(r.avoidUntil)/
+least-slack-first|internal/runs/orders.go|s/return a.startBy.Compare(b.startBy)/return a.came.Compare(b.came)/
+giving-back-late|internal/dispatch/place.go|s/min(slackMs+usualSlackMs, callerMs)/callerMs/
+admission|internal/dispatch/intake.go|s/admitFactor = 1.1/admitFactor = 100/
+moving-overdue|internal/dispatch/overdue.go|s/overdueFactor = 4$/overdueFactor = 1000/;s/shunnedFactor = 2$/shunnedFactor = 1000/
+repeated-starts|internal/runs/target.go|s/mostRepeats = 2/mostRepeats = 0/
+records-of-targets|internal/runner/runner.go|s/	go r.recall(r.ctx)//
+data-centre|internal/dispatch/place.go|s/localHopMs, remoteHopMs = 3, 6/localHopMs, remoteHopMs = 3, 3/
+frames-at-once|internal/runs/load.go|s/loadEvery = 15/loadEvery = 60/
+TABLE
+}
+
+names() {
+	if [ $# -gt 0 ]; then
+		printf '%s\n' "$@"
+	else
+		echo whole
+		table | cut -d'|' -f1
+	fi
+}
+
+# One copy serves all, so that only what an edit touches is built again.
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git clone -q "$scripts/.." "$copy/tree"
+
+switch_off() {
+	local file edit
+	IFS='|' read -r _ file edit < <(table | grep "^$1|")
+	sed -i "$edit" "$copy/tree/$file"
+	! git -C "$copy/tree" diff --quiet
+}
+
+play() {
+	local name=$1
+	git -C "$copy/tree" checkout -q --force HEAD
+	if [ "$name" != whole ] && ! switch_off "$name"; then
+		echo "$name: the edit changes nothing" >&2
+		return 1
+	fi
+	(cd "$copy/tree" && "$scripts/days.sh" "$bench" "$site" "$out/$name" "ablation: without $name" >/dev/null)
+	echo "$name: $(python3 "$scripts/days.py" "$out/$name" "$out/whole" | tail -1)"
+}
+
+mkdir -p "$out"
+for name in $(names "$@"); do
+	play "$name"
+done
+cp -r "$copy/tree/journal" "$out/journal"
