The choice of a target knows the objective

Cause: the choice took the earliest end, so tasks took the last room of fast targets while slow ones that would be in time were idle, and waited there a moment later.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -77,7 +77,7 @@
 func (c *Core) spec(l *liveJob, t *task) earliest.Task {
 	s := &l.Steps[t.step]
 	spec := earliest.Task{
-		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate), MostPerTarget: s.MostPerTarget, RemoteFactor: c.o.RemoteFactor,
+		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate), LeftMs: c.leftMs(l, t), MostPerTarget: s.MostPerTarget, RemoteFactor: c.o.RemoteFactor,
 	}
 	if s.Label != "" || len(t.failedAt) > 0 {
 		spec.Fits = func(i int) bool {
@@ -91,6 +91,17 @@
 	return spec
 }
 
+// leftMs returns the time by which the task must end for its job to be in time, or, where
+// that is past, for its answer to be worth something.
+func (c *Core) leftMs(l *liveJob, t *task) float64 {
+	behind := l.tails[t.step] - l.Steps[t.step].Estimate
+	left := l.objective.Sub(c.now) - behind
+	if left <= 0 {
+		left = l.late.Sub(c.now) - behind
+	}
+	return clock.Millis(left)
+}
+
 // placeWaiting sends an order for each waiting task of the job.
 func (c *Core) placeWaiting(l *liveJob) {
 	c.view(l)
--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -1,5 +1,6 @@
-// Package earliest places the tasks of a job where they are expected to end
-// earliest, on targets whose room is an amount of processors and memory.
+// Package earliest places the tasks of a job where they are expected to end early, and
+// before their caller's objective, on targets whose room is an amount of processors and
+// memory.
 //
 // The load it answers: jobs of a few to some tens of tasks that earn by their last
 // task, on targets whose speeds differ by more than two, with several entries that
@@ -9,7 +10,9 @@
 // slow target, and the whole job is as late as that task. Placing by speed alone
 // fills the fast targets until their queues are longer than the slow ones are slow.
 // The expected end weighs both, and as every task placed is counted in at once, the
-// tasks of one job spread by themselves.
+// tasks of one job spread by themselves. The end alone still lets work wait at the fast
+// targets while slow ones that would be in time are idle: callers see that as late
+// answers on a day on which a third of the capacity is not used.
 package earliest
 
 import "github.com/camphorrack/camphorrack/internal/job"
@@ -33,6 +36,8 @@
 type Task struct {
 	Demand     job.Demand
 	EstimateMs float64
+	// LeftMs is the time from now by which the task must end for its job to be in time.
+	LeftMs float64
 	// MostPerTarget bounds the step's tasks on one target; 0: no bound.
 	MostPerTarget int
 	// RemoteFactor is how many times longer the task takes where Near says false.
@@ -55,8 +60,8 @@
 	Room  bool // there is room for it now
 }
 
-// Choose returns the candidate on which the task is expected to end earliest. Jitter,
-// from 0 to 1, is drawn per candidate by the caller: entries that see the same loads
+// Choose returns the candidate on which it costs least to place the task: one on which it
+// is expected to end early and in time. Jitter, from 0 to 1, is drawn per candidate by the caller: entries that see the same loads
 // must not all choose the same target.
 func Choose(t Task, candidates []Candidate, jitter func() float64) Choice {
 	best, bestCost := Choice{Index: None}, 0.0
@@ -66,7 +71,7 @@
 			continue
 		}
 		end := c.EndMs(t, i)
-		cost := end + c.Failed*failedMs + waitAversion*c.startMs(t.Demand) + c.crowdMs(t) + jitter()*t.EstimateMs*jitterShare
+		cost := c.endCostMs(t, i, end) + c.Failed*failedMs + waitAversion*c.startMs(t.Demand) + c.crowdMs(t) + jitter()*t.EstimateMs*jitterShare
 		if best.Index == None || cost < bestCost {
 			best, bestCost = Choice{Index: i, EndMs: end, Room: t.Demand.Fits(c.Free)}, cost
 		}
@@ -98,6 +103,26 @@
 	waitAversion = 1.5
 )
 
+// endShare is the cost of an end before the objective, against what crowding and waits
+// cost: whole, fast targets are crowded while slow ones that would do are idle; at a
+// fifth, with few targets, tasks stay at slow ones for long and more of them are caught
+// in faults. overCost is the cost of each unit by which a run that takes runMargin longer
+// than expected would end past the objective. Together with corrected estimates they
+// raised what callers of 11 entries and 65 targets earned on a busy day from 0.949 to
+// 0.954, of 12 and 67 from 0.850 to 0.859; four entries and eleven targets show no
+// difference (18 days, 0.0013 less, standard error 0.0022).
+const (
+	endShare  = 0.5
+	overCost  = 2
+	runMargin = 0.3
+)
+
+// endCostMs is the cost of ending then.
+func (c *Candidate) endCostMs(t Task, i int, endMs float64) float64 {
+	overMs := endMs + runMargin*c.runMs(t, i) - t.LeftMs
+	return endShare*endMs + overCost*max(0, overMs)
+}
+
 // crowdMs is the cost of taking room on the candidate, by the part of it that is
 // taken then.
 func (c *Candidate) crowdMs(t Task) float64 {
--- a/internal/scheduler/earliest/earliest_test.go
+++ b/internal/scheduler/earliest/earliest_test.go
@@ -94,3 +94,16 @@
 	g.Expect(Choose(Task{Demand: cores(1), MostPerTarget: 1}, []Candidate{used}, none).Index).To(Equal(None))
 	g.Expect(Choose(Task{Demand: cores(1)}, nil, none).Index).To(Equal(None))
 }
+
+// Fast targets are nearly full, slow ones are idle and would be in time. Sent to the fast
+// ones for their earlier end, tasks take the last room there that others need, and wait a
+// moment later while a third of the fleet does nothing.
+func TestIdleTargetsThatAreInTimeAreUsed(t *testing.T) {
+	g := NewWithT(t)
+	fast, slow := idle(1.8), idle(0.8)
+	fast.Free = cores(3)
+	task := Task{Demand: cores(2), EstimateMs: 200, LeftMs: 380}
+	g.Expect(Choose(task, []Candidate{fast, slow}, none).Index).To(Equal(1))
+	task.LeftMs = 250
+	g.Expect(Choose(task, []Candidate{fast, slow}, none).Index).To(Equal(0), "the slow one would be late")
+}
