Placement without jitter

Change: the draw, its constant and the seed of the control state go. The tests of placement lose the argument and nothing else.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,7 +20,6 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,8 +49,7 @@
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
 	// Now tells the time of day, for run numbers.
-	Now  func() time.Time
-	Seed uint64
+	Now func() time.Time
 }
 
 // Counts add up what the core did.
@@ -71,7 +69,6 @@
 	lost     []*attempt // of ended sessions, in the order in which they are surely over
 	draining bool
 	lastRun  uint64 // highest number of a start so far
-	random   *rand.Rand
 	counts   Counts
 	lines    map[string]*calibration.Line // what estimates are worth, by queue
 
@@ -109,7 +106,6 @@
 func New(o Options) *Core {
 	return &Core{&board{
 		o: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, lines: map[string]*calibration.Line{},
-		random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}}
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		spec := c.spec(l, t)
-		choice := earliest.Choose(spec, c.candidates, noJitter)
+		choice := earliest.Choose(spec, c.candidates)
 		if choice.Index == earliest.None {
 			f := fault.Refused(fault.NeverRunnable, "no target that is known can hold a task of it", retryAfter)
 			return 0, f
@@ -144,8 +144,6 @@
 	return endMs, nil
 }
 
-func noJitter() float64 { return 0 }
-
 // refuse answers a job that was never let in.
 func (c *Core) refuse(l *liveJob, f *fault.Fault, predictedMs float64) {
 	c.counts.Refused++
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -113,12 +113,12 @@
 			continue
 		}
 		spec := c.spec(l, t)
-		choice := earliest.Choose(spec, c.candidates, c.random.Float64)
+		choice := earliest.Choose(spec, c.candidates)
 		if choice.Index == earliest.None && len(t.failedAt) > 0 {
 			// Every other target is away: one on which it failed is better than none.
 			t.failedAt = nil
 			spec = c.spec(l, t)
-			choice = earliest.Choose(spec, c.candidates, c.random.Float64)
+			choice = earliest.Choose(spec, c.candidates)
 		}
 		if choice.Index == earliest.None {
 			c.giveUp(l, fault.New(fault.Overloaded, "no target can take a task of it now"))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -122,7 +122,7 @@
 	s := &state{entries: map[string]bool{}}
 	s.core = dispatch.New(dispatch.Options{
 		Log: d.log, Outbox: d.sessions, DataCentre: d.o.DataCentre, LeaseLimit: d.o.LeaseLimit,
-		RemoteFactor: d.o.RemoteFactor, Now: time.Now, Seed: uint64(d.incarnation),
+		RemoteFactor: d.o.RemoteFactor, Now: time.Now,
 	})
 	s.conf = &confsync.Holder{Adopt: d.adopt}
 	s.conf.Send = func(id confsync.PeerID, note confNote) { s.core.Note(dispatch.ConnID(id), note) }
--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -172,7 +172,7 @@
 
 func (w *simWorld) newEntry(n int) *dispatch.Core {
 	return dispatch.New(dispatch.Options{Log: logr.Discard(), Outbox: entryOutbox{w, n}, LeaseLimit: lease, RemoteFactor: 1.5,
-		Now: func() time.Time { return w.now.Add(time.Duration(n) * time.Millisecond) }, Seed: uint64(n)})
+		Now: func() time.Time { return w.now.Add(time.Duration(n) * time.Millisecond) }})
 }
 
 func (w *simWorld) newTable(h *simHost) {
--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -61,9 +61,9 @@
 }
 
 // Choose returns the candidate on which it costs least to place the task: one on which it
-// is expected to end early and in time. Jitter, from 0 to 1, is drawn per candidate by the caller: entries that see the same loads
-// must not all choose the same target.
-func Choose(t Task, candidates []Candidate, jitter func() float64) Choice {
+// is expected to end early and in time. Entries that see the same loads don't all meet on
+// one target: each counts its own orders in, and what is taken puts a target back.
+func Choose(t Task, candidates []Candidate) Choice {
 	best, bestCost := Choice{Index: None}, 0.0
 	for i := range candidates {
 		c := &candidates[i]
@@ -71,7 +71,7 @@
 			continue
 		}
 		end := c.EndMs(t, i)
-		cost := c.endCostMs(t, i, end) + c.Failed*failedMs + waitAversion*c.startMs(t.Demand) + c.crowdMs(t) + jitter()*t.EstimateMs*jitterShare
+		cost := c.endCostMs(t, i, end) + c.Failed*failedMs + waitAversion*c.startMs(t.Demand) + c.crowdMs(t)
 		if best.Index == None || cost < bestCost {
 			best, bestCost = Choice{Index: i, EndMs: end, Room: t.Demand.Fits(c.Free)}, cost
 		}
@@ -130,10 +130,6 @@
 	return (crowdingMs + crowdingShare*t.EstimateMs) * float64(taken) / float64(max(c.Total.CPUMilli, 1))
 }
 
-// jitterShare is the part of a task's time that the draw may add: less than the
-// speeds of targets differ by, more than the loads of equal ones do.
-const jitterShare = 0.06
-
 // EndMs returns when the task is expected to end on the candidate, from now.
 func (c *Candidate) EndMs(t Task, i int) float64 {
 	return c.HopMs + c.startMs(t.Demand) + c.runMs(t, i)
--- a/internal/scheduler/earliest/earliest_test.go
+++ b/internal/scheduler/earliest/earliest_test.go
@@ -14,8 +14,6 @@
 	return Candidate{Free: cores(16), Total: cores(16), Speed: speed}
 }
 
-func none() float64 { return 0 }
-
 // A job of eight tasks meets one fast target and three slow ones. All on the fast one,
 // the last would wait; on the slow ones alone, all would be late. Each goes where it
 // ends earliest, the tasks before it counted in.
@@ -28,7 +26,7 @@
 	task := Task{Demand: cores(4), EstimateMs: 60}
 	count := make([]int, len(candidates))
 	for range 8 {
-		c := Choose(task, candidates, none)
+		c := Choose(task, candidates)
 		candidates[c.Index].Take(task, c.Index)
 		count[c.Index]++
 	}
@@ -44,9 +42,9 @@
 	fast.Free = cores(0)
 	task := Task{Demand: cores(2), EstimateMs: 60}
 	fast.WaitMs = 4
-	g.Expect(Choose(task, []Candidate{slow, fast}, none).Index).To(Equal(1))
+	g.Expect(Choose(task, []Candidate{slow, fast}).Index).To(Equal(1))
 	fast.WaitMs = 80
-	g.Expect(Choose(task, []Candidate{slow, fast}, none).Index).To(Equal(0))
+	g.Expect(Choose(task, []Candidate{slow, fast}).Index).To(Equal(0))
 }
 
 // Targets of one kind seem to differ by a tenth, because speeds are measured from rough
@@ -58,7 +56,7 @@
 	task := Task{Demand: cores(2), EstimateMs: 100}
 	count := make([]int, len(candidates))
 	for range 9 {
-		c := Choose(task, candidates, none)
+		c := Choose(task, candidates)
 		candidates[c.Index].Take(task, c.Index)
 		count[c.Index]++
 	}
@@ -71,7 +69,7 @@
 	failing, busy := idle(4), idle(1)
 	failing.Failed = 0.5
 	busy.Free, busy.WaitMs = cores(0), 100
-	g.Expect(Choose(Task{Demand: cores(2), EstimateMs: 100}, []Candidate{failing, busy}, none).Index).To(Equal(1))
+	g.Expect(Choose(Task{Demand: cores(2), EstimateMs: 100}, []Candidate{failing, busy}).Index).To(Equal(1))
 }
 
 // Data lies on one rack. Away from it the task takes half as long again, which is worth
@@ -80,9 +78,9 @@
 	g := NewWithT(t)
 	near, far := idle(1), idle(1)
 	task := Task{Demand: cores(2), EstimateMs: 100, RemoteFactor: 1.5, Near: func(i int) bool { return i == 1 }}
-	g.Expect(Choose(task, []Candidate{far, near}, none).Index).To(Equal(1))
+	g.Expect(Choose(task, []Candidate{far, near}).Index).To(Equal(1))
 	near.Free, near.WaitMs = cores(0), 60
-	g.Expect(Choose(task, []Candidate{far, near}, none).Index).To(Equal(0))
+	g.Expect(Choose(task, []Candidate{far, near}).Index).To(Equal(0))
 }
 
 // Nothing can hold the task, or the step has as many tasks on each target as it may.
@@ -90,9 +88,9 @@
 	g := NewWithT(t)
 	used := idle(1)
 	used.OwnTasks = 1
-	g.Expect(Choose(Task{Demand: cores(17)}, []Candidate{idle(1)}, none).Index).To(Equal(None))
-	g.Expect(Choose(Task{Demand: cores(1), MostPerTarget: 1}, []Candidate{used}, none).Index).To(Equal(None))
-	g.Expect(Choose(Task{Demand: cores(1)}, nil, none).Index).To(Equal(None))
+	g.Expect(Choose(Task{Demand: cores(17)}, []Candidate{idle(1)}).Index).To(Equal(None))
+	g.Expect(Choose(Task{Demand: cores(1), MostPerTarget: 1}, []Candidate{used}).Index).To(Equal(None))
+	g.Expect(Choose(Task{Demand: cores(1)}, nil).Index).To(Equal(None))
 }
 
 // Fast targets are nearly full, slow ones are idle and would be in time. Sent to the fast
@@ -103,7 +101,7 @@
 	fast, slow := idle(1.8), idle(0.8)
 	fast.Free = cores(3)
 	task := Task{Demand: cores(2), EstimateMs: 200, LeftMs: 380}
-	g.Expect(Choose(task, []Candidate{fast, slow}, none).Index).To(Equal(1))
+	g.Expect(Choose(task, []Candidate{fast, slow}).Index).To(Equal(1))
 	task.LeftMs = 250
-	g.Expect(Choose(task, []Candidate{fast, slow}, none).Index).To(Equal(0), "the slow one would be late")
+	g.Expect(Choose(task, []Candidate{fast, slow}).Index).To(Equal(0), "the slow one would be late")
 }
--- a/internal/scheduler/earliest/replay_test.go
+++ b/internal/scheduler/earliest/replay_test.go
@@ -87,7 +87,7 @@
 		view := f.view(nowMs, l.taskCores)
 		endMs := nowMs
 		for range l.tasks {
-			k := Choose(task, view, random.Float64).Index
+			k := Choose(task, view).Index
 			view[k].Take(task, k)
 			from := f.start(k, nowMs, l.taskCores)
 			to := from + workMs/f.speeds[k]
