Queues that come after a thousand others are learned about

At the bound all are forgotten now; those in use are known again after some tens of tasks. The test fails before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -384,3 +384,15 @@
 	w.Expect(a.got).To(BeEmpty())
 	w.Expect(w.orders()).To(Equal(1))
 }
+
+// Operators add and drop queues all day long. What is remembered of each queue's estimates
+// must stay within bounds, and a queue that comes after a thousand others must be learned
+// about too: its callers would be refused for estimates that nobody corrects.
+func TestQueuesThatComeLateAreLearned(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 3 * maxLines {
+		w.line(fmt.Sprint("queue-", i)).Came(100)
+		w.Expect(len(w.lines)).To(BeNumerically("<=", maxLines))
+	}
+	w.Expect(w.line("last")).To(BeIdenticalTo(w.line("last")))
+}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -8,8 +8,9 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// maxLines bounds the queues whose estimates are learned about: 140 teams with a few
-// queues each. The estimates of others are taken as they are.
+// maxLines bounds the queues that are remembered: 140 teams with a few queues each. Queues
+// come and go with configurations, so at the bound all are forgotten; those in use are
+// known again after some tens of tasks.
 const maxLines = 1024
 
 // line returns what is known of a queue's estimates.
@@ -18,10 +19,11 @@
 	if line != nil {
 		return line
 	}
-	line = &calibration.Line{}
-	if len(c.lines) < maxLines {
-		c.lines[queue] = line
+	if len(c.lines) >= maxLines {
+		clear(c.lines)
 	}
+	line = &calibration.Line{}
+	c.lines[queue] = line
 	return line
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -89,7 +89,8 @@
 	c.jobs.add(l)
 	c.counts.Accepted++
 	event.Log(c.log, event.JobAccepted, "job", j.ID, "queue", j.Queue.Name, "config", j.Version, "tasks", len(l.tasks),
-		"chain_ms", chain.Milliseconds(), "estimate_trust", c.line(j.Queue.Name).Trust(), "objective_ms", objective.Milliseconds(), "caller_waits_ms", j.Deadline.Sub(c.now).Milliseconds())
+		"chain_ms", chain.Milliseconds(), "estimate_trust", c.line(j.Queue.Name).Trust(),
+		"objective_ms", objective.Milliseconds(), "caller_waits_ms", j.Deadline.Sub(c.now).Milliseconds())
 	c.placeWaiting(l)
 }
 
@@ -147,8 +148,8 @@
 // refuse answers a job that was never let in.
 func (c *Core) refuse(l *liveJob, f *fault.Fault, predictedMs float64) {
 	c.counts.Refused++
-	event.Log(c.log, event.JobRefused, "job", l.ID, "queue", l.Queue.Name, "config", l.Version, "estimate_trust", c.line(l.Queue.Name).Trust(), "code", int(f.Code), "reason", f.Name,
-		"detail", f.Detail, "predicted_ms", predictedMs, "objective_ms", clock.Millis(l.objective.Sub(c.now)),
+	event.Log(c.log, event.JobRefused, "job", l.ID, "queue", l.Queue.Name, "config", l.Version, "code", int(f.Code), "reason", f.Name,
+		"estimate_trust", c.line(l.Queue.Name).Trust(), "detail", f.Detail, "predicted_ms", predictedMs, "objective_ms", clock.Millis(l.objective.Sub(c.now)),
 		"caller_waits_ms", clock.Millis(l.Deadline.Sub(c.now)), "targets", len(c.viewed), "oldest_load_ms", c.oldestLoadMs(), "retry_after_ms", f.RetryAfterMs)
 	answer := Answer{Kind: AnswerNotRun, Fault: f, RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond}
 	for _, w := range l.waiters {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -77,7 +77,8 @@
 func (c *Core) spec(l *liveJob, t *task) earliest.Task {
 	s := &l.Steps[t.step]
 	spec := earliest.Task{
-		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate), LeftMs: c.leftMs(l, t), MostPerTarget: s.MostPerTarget, RemoteFactor: c.o.RemoteFactor,
+		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate), LeftMs: c.leftMs(l, t),
+		MostPerTarget: s.MostPerTarget, RemoteFactor: c.o.RemoteFactor,
 	}
 	if s.Label != "" || len(t.failedAt) > 0 {
 		spec.Fits = func(i int) bool {
