--- a/scripts/best.py
+++ b/scripts/best.py
@@ -1,13 +1,15 @@
 #!/usr/bin/env python3
 """Prints, for each played day of a folder, what it was worth and the best that could be had.
 
-    best.py OUT
-
-While no host has power or a process, nobody is served; nor is who was being served when it
-went or comes before the first process is up. Those seconds are taken out of the whole day,
-of the windows of two seconds and of the worst kind of request; all else is taken as served
-in time. Prices are the day's own. The real best is lower: targets that are missing, bursts
-above what they can do, and callers that come again at once are taken as served.
+    best.py OUT SITE
+
+While no host has power, nobody is served; nor is who was being served when it went or comes
+before the first process is up. Those seconds are taken out of the whole day, of the windows
+of two seconds and of the worst kind of request; all else is taken as served in time. Prices
+are the day's own. The real best is lower: targets that are missing, bursts above what they
+can do, and callers that come again at once are taken as served. Where processes are killed
+and hosts stay up, callers are turned away at once and come again in time; such days have no
+bound here and are left out.
 """
 import json
 import pathlib
@@ -19,18 +21,14 @@
 # are back the first process answers: the time of a usual job, and of a start.
 UNDER_WAY_S = 0.2
 START_S = 0.1
-CLOSINGS = re.compile(r"closing \((power_off_all|kill_all)\)")
-
-
-def text_of(event):
-    return event if isinstance(event, str) else json.dumps(event)
+CLOSING = re.compile(r"closing \(power_off_all\)")
 
 
 def outages(report, text):
     """Returns the spans in which nobody can be served, from the day's account in words."""
     spans = []
     for line in text.splitlines():
-        if CLOSINGS.search(line):
+        if CLOSING.search(line):
             first = float(line.split()[0])
             spans.append((first - UNDER_WAY_S, first + report["down_s"] + START_S))
     return spans
@@ -66,6 +64,8 @@
         if report["down_s"] is None:
             continue
         spans = outages(report, file.with_suffix(".txt").read_text())
+        if not spans:
+            continue
         print(f"{file.stem:12} worth {report['G']:.3f} best {best(report, spans):.3f}")
 
 
