A choice among targets reckons each start and run once

Change: once each, by reference; the same sums in the same order. EndMs, which nothing else used, goes.

--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -70,8 +70,9 @@
 		if !t.Demand.Fits(c.Total) || t.MostPerTarget > 0 && c.OwnTasks >= t.MostPerTarget || t.Fits != nil && !t.Fits(i) {
 			continue
 		}
-		end := c.EndMs(t, i)
-		cost := c.endCostMs(t, i, end) + c.Failed*failedMs + waitAversion*c.startMs(t.Demand) + c.crowdMs(t)
+		startMs, runMs := c.startMs(&t.Demand), c.runMs(&t, i)
+		end := c.HopMs + startMs + runMs
+		cost := endCostMs(end, runMs, t.LeftMs) + c.Failed*failedMs + waitAversion*startMs + c.crowdMs(&t)
 		if best.Index == None || cost < bestCost {
 			best, bestCost = Choice{Index: i, EndMs: end, Room: t.Demand.Fits(c.Free)}, cost
 		}
@@ -117,25 +118,20 @@
 	runMargin = 0.3
 )
 
-// endCostMs is the cost of ending then.
-func (c *Candidate) endCostMs(t Task, i int, endMs float64) float64 {
-	overMs := endMs + runMargin*c.runMs(t, i) - t.LeftMs
+// endCostMs is the cost of a run that ends then, with so much time left for it.
+func endCostMs(endMs, runMs, leftMs float64) float64 {
+	overMs := endMs + runMargin*runMs - leftMs
 	return endShare*endMs + overCost*max(0, overMs)
 }
 
 // crowdMs is the cost of taking room on the candidate, by the part of it that is
 // taken then.
-func (c *Candidate) crowdMs(t Task) float64 {
+func (c *Candidate) crowdMs(t *Task) float64 {
 	taken := c.Total.CPUMilli - c.Free.CPUMilli + t.Demand.CPUMilli
 	return (crowdingMs + crowdingShare*t.EstimateMs) * float64(taken) / float64(max(c.Total.CPUMilli, 1))
 }
 
-// EndMs returns when the task is expected to end on the candidate, from now.
-func (c *Candidate) EndMs(t Task, i int) float64 {
-	return c.HopMs + c.startMs(t.Demand) + c.runMs(t, i)
-}
-
-func (c *Candidate) runMs(t Task, i int) float64 {
+func (c *Candidate) runMs(t *Task, i int) float64 {
 	run := t.EstimateMs / c.Speed
 	if t.Near != nil && !t.Near(i) {
 		run *= t.RemoteFactor
@@ -143,7 +139,8 @@
 	return run
 }
 
-func (c *Candidate) startMs(d job.Demand) float64 {
+// startMs is the expected time until the task starts, longer than predicted where it waits.
+func (c *Candidate) startMs(d *job.Demand) float64 {
 	if d.Fits(c.Free) {
 		return 0
 	}
@@ -154,7 +151,7 @@
 func (c *Candidate) Take(t Task, i int) {
 	c.OwnTasks++
 	if !t.Demand.Fits(c.Free) {
-		c.ExtraMs += c.runMs(t, i) * float64(t.Demand.CPUMilli) / float64(max(c.Total.CPUMilli, 1))
+		c.ExtraMs += c.runMs(&t, i) * float64(t.Demand.CPUMilli) / float64(max(c.Total.CPUMilli, 1))
 	}
 	c.Free = c.Free.Minus(t.Demand)
 }
