--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -12,7 +12,7 @@
 // The expected end weighs both, and as every task placed is counted in at once, the
 // tasks of one job spread by themselves. The end alone still lets work wait at the fast
 // targets while slow ones that would be in time are idle: callers see that as late
-// answers on a day on which a third of the capacity is not used.
+// answers while targets have room.
 package earliest
 
 import "github.com/camphorrack/camphorrack/internal/job"
@@ -106,9 +106,9 @@
 
 // endShare is the cost of an end before the objective, against what crowding and waits
 // cost: whole, fast targets are crowded while slow ones that would do are idle; at a
-// fifth, with few targets, tasks stay at slow ones for long and more of them are caught
-// in faults. overCost is the cost of each unit by which a run that takes runMargin longer
-// than expected would end past the objective. Together with corrected estimates they
+// fifth, callers of four entries and eleven targets earned 0.0051 less (18 days, standard
+// error 0.0024). overCost is the cost of each unit by which a run that takes runMargin longer
+// than expected would end past the objective. With estimates corrected already, they
 // raised what callers of 11 entries and 65 targets earned on a busy day from 0.949 to
 // 0.954, of 12 and 67 from 0.850 to 0.859; four entries and eleven targets show no
 // difference (18 days, 0.0013 less, standard error 0.0022).
