Runners keep sessions with 12 entries, and report their load where it is wanted

Cause: every runner held a session with every entry, 13,200 at 55 entries and 240 targets. Each reported its load to all of them, 192,000 frames a second, besides 176,000 heartbeats; an entry on a seventh of a core had no processor left for its callers, and after a start each entry passed on each address that it learned, one frame a runner each. Change: a runner keeps 12 sessions, those of its data centre first (scheduler/subset); one entry that is out of reach for 5 s is replaced until it is back, and the substitute's session runs out without losing work. Reports go out at the pace that an entry's processor pays for (scheduler/reporting), seldom to entries that send nothing. Names of entries are passed on once a tick.

--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -123,3 +123,12 @@
 	}
 	a.out.Config, a.dirty = note.After(a.out.Config), true
 }
+
+// Pace asks an agent to report its load at most that often.
+func (c *Core) Pace(conn ConnID, every time.Duration) {
+	a := c.agents[conn]
+	if a == nil || every <= 0 {
+		return
+	}
+	a.out.LoadEveryMs, a.dirty = max(1, every.Milliseconds()), true
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/routing"
 	"github.com/camphorrack/camphorrack/internal/session"
+	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
 // Program is the daemon's name.
@@ -41,6 +42,7 @@
 	LeaseLimit       time.Duration
 	RemoteFactor     float64
 	MemoryMB         int
+	ProcessorShare   float64 // of a core
 
 	Store                  platformlog.Keyed
 	ConfigTopic, ConfigKey string
@@ -77,8 +79,12 @@
 type state struct {
 	core *dispatch.Core
 	conf *confsync.Holder
-	// entries are the addresses of dispatchers that runners have named.
-	entries map[string]bool
+	// entries are the addresses of dispatchers that runners have named, with their data
+	// centres where known; fresh are those that the runners were not told of yet.
+	entries map[string]string
+	fresh   []wire.Peer
+	// loadEvery is how often runners were told to report the load.
+	loadEvery time.Duration
 }
 
 // Dispatcher is the daemon.
@@ -119,7 +125,7 @@
 }
 
 func (d *Dispatcher) newState() *state {
-	s := &state{entries: map[string]bool{}}
+	s := &state{entries: map[string]string{}}
 	s.core = dispatch.New(dispatch.Options{
 		Log: d.log, Outbox: d.sessions, DataCentre: d.o.DataCentre, LeaseLimit: d.o.LeaseLimit,
 		RemoteFactor: d.o.RemoteFactor, Now: time.Now,
@@ -165,6 +171,8 @@
 	}
 	s.core.Tick(now)
 	s.conf.Tick(now)
+	d.sessions.passOn(s)
+	d.sessions.pace(s)
 	d.usable.Store(int64(s.core.Usable()))
 }
 
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -7,10 +7,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/confsync"
 	"github.com/camphorrack/camphorrack/internal/dispatch"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/leased"
+	"github.com/camphorrack/camphorrack/internal/scheduler/reporting"
 	"github.com/camphorrack/camphorrack/internal/session"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -114,39 +116,58 @@
 	event.Log(r.log, event.SessionOpened, "conn", uint64(r.id), "host", h.Worker, "peer", r.conn.RemoteAddr())
 	return r.loop.Push(func(now time.Time, s *state) {
 		r.conns[r.id] = r.conn
-		r.learn(s, h.Entries)
+		s.learn(r.o.InnerAddr, h.Entries)
 		s.core.Connect(now, r.id, h)
+		s.core.Pace(r.id, s.loadEvery)
 		s.conf.Up(confsync.PeerID(r.id))
 	})
 }
 
-// learn passes on addresses of dispatchers that were not known: a runner that the
-// store turns away finds them through those it has.
-func (r *runnerSession) learn(s *state, named []wire.Peer) {
-	var fresh []wire.Peer
+// learn notes dispatchers that were not known, to be passed on: a runner that the store
+// turns away finds them through those it has.
+func (s *state) learn(own string, named []wire.Peer) {
 	for _, p := range named {
-		if p.Addr != r.o.InnerAddr && !s.entries[p.Addr] && len(s.entries) < maxEntries {
-			s.entries[p.Addr] = true
-			fresh = append(fresh, p)
+		dataCentre, known := s.entries[p.Addr]
+		if p.Addr == own || known && (dataCentre == p.DataCentre || p.DataCentre == "") || len(s.entries) >= maxEntries {
+			continue
 		}
+		s.entries[p.Addr] = p.DataCentre
+		s.fresh = append(s.fresh, p)
 	}
-	if len(fresh) == 0 {
+}
+
+// passOn tells the runners of the dispatchers that were learned since the last call. Told one
+// at a time, each of them in a fleet that starts would cost a frame a runner.
+func (s *sessions) passOn(st *state) {
+	if len(st.fresh) == 0 {
 		return
 	}
-	for id, conn := range r.conns {
-		if id != r.id {
-			conn.Send(&wire.ToAgent{Entries: fresh})
-		}
+	for _, conn := range s.conns {
+		conn.Send(&wire.ToAgent{Entries: st.fresh})
+	}
+	st.fresh = nil
+}
+
+// pace tells the runners how often to report the load, where that has changed.
+func (s *sessions) pace(st *state) {
+	every := reporting.Every(s.o.ProcessorShare, len(s.conns))
+	if len(s.conns) == 0 || !reporting.Differs(every, st.loadEvery) {
+		return
+	}
+	event.Log(s.log, event.ReportsPaced, "every_ms", clock.Millis(every), "was_ms", clock.Millis(st.loadEvery), "runners", len(s.conns))
+	st.loadEvery = every
+	for id := range s.conns {
+		st.core.Pace(id, every)
 	}
 }
 
 // maxEntries bounds the addresses kept; old ones are not forgotten.
-const maxEntries = 256
+const maxEntries = 1024
 
 func (s *state) known() []wire.Peer {
 	peers := make([]wire.Peer, 0, len(s.entries))
-	for addr := range s.entries {
-		peers = append(peers, wire.Peer{Addr: addr})
+	for addr, dataCentre := range s.entries {
+		peers = append(peers, wire.Peer{Addr: addr, DataCentre: dataCentre})
 	}
 	return peers
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,6 +47,9 @@
 	BadFrame        ID = 407
 	AgentRated      ID = 408
 	SessionRetired  ID = 409
+	EntryChosen     ID = 410
+	EntryLost       ID = 411
+	ReportsPaced    ID = 412
 
 	ConfigApplied  ID = 501
 	ConfigStale    ID = 502
@@ -117,6 +120,9 @@
 	{BadFrame, "bad_frame", "a frame could not be decoded or broke the protocol; the connection is closed"},
 	{AgentRated, "agent_rated", "an agent's rating changed: failing, straggling or well again"},
 	{SessionRetired, "session_retired", "an agent gave up the session of a substitute, since the entries it prefers are connected"},
+	{EntryChosen, "entry_chosen", "an entry is one of those that this agent keeps sessions with"},
+	{EntryLost, "entry_lost", "an entry has been out of reach for seconds; the agent keeps a session with another one instead"},
+	{ReportsPaced, "reports_paced", "an entry asked its agents to report their load at another pace, by its host's processor and their number"},
 	{ConfigApplied, "config_applied", "a configuration version is in force on this process"},
 	{ConfigStale, "config_stale", "this process has not heard of the configuration for too long"},
 	{ConfigConflict, "config_conflict", "a change lost against another operator's"},
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -51,9 +51,7 @@
 	if !s.opened {
 		return s.welcome(f.Welcome)
 	}
-	for _, p := range f.Entries {
-		s.dialers.learn(p.Addr)
-	}
+	s.dialers.learn(f.Entries)
 	if f.Heartbeat() || f.Leased == nil {
 		return nil
 	}
@@ -76,9 +74,7 @@
 	case w.Version != wire.Version:
 		return &welcomeError{"another version of the protocol"}
 	}
-	for _, p := range w.Entries {
-		s.dialers.learn(p.Addr)
-	}
+	s.dialers.learn(w.Entries)
 	if err := s.dialers.hold(w.Incarnation, s.id); err != nil {
 		return err
 	}
@@ -92,6 +88,7 @@
 		st.table.Connect(now, s.id)
 		st.conf.Up(confsync.PeerID(s.id))
 	})
+	s.dialers.opened(s.addr, w.DataCentre, s.id)
 	return nil
 }
 
@@ -107,7 +104,7 @@
 	if !s.opened {
 		return
 	}
-	s.dialers.release(s.owner, s.id)
+	s.dialers.release(s.addr, s.owner, s.id)
 	s.do(func(now time.Time, st *state) {
 		delete(st.sessions, s.id)
 		st.table.Disconnect(now, s.id)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -206,16 +206,18 @@
 		"incarnation", r.incarnation.String(), "memory_mb", r.o.MemoryMB)
 }
 
-// Learn dials the addresses that are not dialled yet.
+// Learn notes addresses at which dispatchers may be reached.
 func (r *Runner) Learn(addrs []string) {
-	for _, addr := range addrs {
-		r.dialers.learn(addr)
+	peers := make([]wire.Peer, len(addrs))
+	for i, addr := range addrs {
+		peers[i].Addr = addr
 	}
+	r.dialers.learn(peers)
 }
 
 func (r *Runner) hearRecord(e platformlog.Entry) {
 	if len(e.Value) == 0 {
-		r.dialers.place(e.Key, "")
+		r.dialers.place(e.Key, "", "")
 		return
 	}
 	record, err := leased.ParseRecord(e.Value)
@@ -223,7 +225,7 @@
 		event.Log(r.log, event.BadFrame, "topic", leased.EntriesTopic, "key", e.Key, "error", err.Error())
 		return
 	}
-	r.dialers.place(e.Key, record.Addr)
+	r.dialers.place(e.Key, record.Addr, record.DataCentre)
 }
 
 // Announce takes what the target says of itself.
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -148,7 +148,7 @@
 		event.Log(t.log, event.TargetSilent, "target", t.target.Life.Name, "reason", int(why), "failures", t.failures)
 		t.reachable = false
 		t.returnQueue(wire.NotRunDown)
-		t.loadDirty, t.loadSentAt = true, time.Time{}
+		t.urgent()
 	}
 }
 
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -14,10 +14,14 @@
 	// gets nothing else. An entry counts in what it sent itself; it learns of the
 	// others' orders this much later, less than the shortest tasks take.
 	loadEvery = 15 * time.Millisecond
-	// loadSessions is the number of sessions up to which that holds. With more, reports
-	// come as much more seldom, so that what a runner and an entry spend on them stays:
-	// 800 frames a second for a runner. At 30 us a frame, which is
-	// assumed, that is 2.4 % of a core.
+	// unusedEvery is the same to an entry that has sent no order for unusedAfter. An entry
+	// without callers chooses nothing; its reports would be most of the runner's frames
+	// where callers are few and entries many.
+	unusedEvery = 300 * time.Millisecond
+	unusedAfter = 2 * time.Second
+	// loadSessions is the number of sessions in use up to which loadEvery holds. With more,
+	// reports come as much more seldom, so that what a runner spends on them stays:
+	// 800 frames a second.
 	loadSessions = 12
 	// usualShare is the part of the capacity that a usual task takes while none is
 	// known.
@@ -28,13 +32,11 @@
 // calls.
 func (t *Table) Flush(now time.Time) {
 	t.now = now
-	due := t.loadDirty && now.Sub(t.loadSentAt) >= t.loadPeriod()
-	if due {
-		t.loadDirty, t.loadSentAt = false, now
-	}
+	t.markStale()
 	var load *wire.Load
+	period := t.loadPeriod()
 	for _, o := range t.owners {
-		if !due && !o.load && !o.target && len(o.outcomes) == 0 && o.config == nil {
+		if !t.reportDue(o, period) && !o.load && !o.target && len(o.outcomes) == 0 && o.config == nil {
 			continue
 		}
 		if load == nil {
@@ -42,6 +44,7 @@
 		}
 		own := *load
 		own.Seen = o.seen
+		own.Leaving = own.Leaving || o.retiring
 		f := &wire.LeasedToEntry{Load: &own, Outcomes: o.outcomes, Config: o.config}
 		if o.target {
 			f.Target = &wire.LeasedTarget{
@@ -49,15 +52,53 @@
 			}
 		}
 		o.outcomes, o.config, o.target, o.load = nil, nil, false, false
+		o.stale, o.loadAt = false, now
 		t.o.Outbox.Send(o.conn, &wire.ToEntry{Leased: f})
 	}
 }
 
-// loadPeriod is the shortest time between two reports of the load.
+// markStale notes for each session that the load has changed since it was told.
+func (t *Table) markStale() {
+	if !t.loadDirty {
+		return
+	}
+	for _, o := range t.owners {
+		o.stale = true
+		if t.loadUrgent {
+			o.loadAt = time.Time{}
+		}
+	}
+	t.loadDirty, t.loadUrgent = false, false
+}
+
+// reportDue reports whether a session is to be told the load, and nothing else, now.
+func (t *Table) reportDue(o *owner, period time.Duration) bool {
+	if !o.stale {
+		return false
+	}
+	if !t.used(o) {
+		period = unusedEvery
+	}
+	return t.now.Sub(o.loadAt) >= max(period, o.loadEvery)
+}
+
+// used reports whether a session's entry sends work here.
+func (t *Table) used(o *owner) bool { return t.now.Sub(o.orderAt) < unusedAfter }
+
+// loadPeriod is the shortest time between two reports of the load to a session in use.
 func (t *Table) loadPeriod() time.Duration {
-	return loadEvery * time.Duration(max(loadSessions, len(t.owners))) / loadSessions
+	n := 0
+	for _, o := range t.owners {
+		if t.used(o) {
+			n++
+		}
+	}
+	return loadEvery * time.Duration(max(loadSessions, n)) / loadSessions
 }
 
+// urgent makes a change of the load known at once.
+func (t *Table) urgent() { t.loadDirty, t.loadUrgent = true, true }
+
 // Note queues a note on the configuration for a session.
 func (t *Table) Note(conn ConnID, note wire.ConfigNote) {
 	o := t.owners[conn]
@@ -67,8 +108,15 @@
 	o.config = note.After(o.config)
 }
 
-// LoadDue reports whether a report of the load waits for its time.
-func (t *Table) LoadDue() bool { return t.loadDirty }
+// LoadDue reports whether a report of the load to a session in use waits for its time.
+func (t *Table) LoadDue() bool {
+	for _, o := range t.owners {
+		if o.stale && t.used(o) {
+			return true
+		}
+	}
+	return t.loadDirty
+}
 
 func (t *Table) load() *wire.Load {
 	l := &wire.Load{
@@ -172,7 +220,7 @@
 	t.health.shun(t.now)
 	event.Log(t.log, event.TargetStands, "target", t.target.Life.Name, "runs", len(t.runs), "speed", t.speed(), "for_ms", t.health.pause.Milliseconds())
 	t.returnQueue(wire.NotRunDown)
-	t.loadDirty, t.loadSentAt = true, time.Time{}
+	t.urgent()
 }
 
 // overdueFactor is how many times its expected time a task may take before it
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -13,7 +13,7 @@
 // Connect opens a session with an entry.
 func (t *Table) Connect(now time.Time, conn ConnID) {
 	t.now = now
-	t.owners[conn] = &owner{conn: conn, runs: map[uint64]*run{}, target: t.known, load: true}
+	t.owners[conn] = &owner{conn: conn, runs: map[uint64]*run{}, target: t.known, load: true, orderAt: now}
 	t.loadDirty = true
 }
 
@@ -58,6 +58,9 @@
 	if o == nil || f == nil {
 		return
 	}
+	if f.LoadEveryMs > 0 {
+		o.loadEvery = time.Duration(f.LoadEveryMs) * time.Millisecond
+	}
 	for i := range f.Orders {
 		t.take(o, &f.Orders[i])
 	}
@@ -72,6 +75,7 @@
 func (t *Table) take(o *owner, order *wire.Order) {
 	t.counts.Orders++
 	o.seen = max(o.seen, order.Seq)
+	o.orderAt = t.now
 	t.loadDirty = true
 	r := &run{
 		id:      RunID{Task{order.Job, order.Step, order.Index}, order.Run},
@@ -83,7 +87,7 @@
 		limit:   t.now.Add(time.Duration(order.LimitMs) * time.Millisecond),
 		wanted:  true,
 	}
-	if reason := t.refusal(r); reason != wire.NotRunNone {
+	if reason := t.refusal(o, r); reason != wire.NotRunNone {
 		t.tell(r, wire.RunOutcome{Seq: order.Seq, End: wire.EndNotRun, Reason: reason})
 		return
 	}
@@ -99,9 +103,9 @@
 // long tasks.
 func byUrgency(a, b *run) int { return a.startBy.Compare(b.startBy) }
 
-func (t *Table) refusal(r *run) wire.NotRunReason {
+func (t *Table) refusal(o *owner, r *run) wire.NotRunReason {
 	switch {
-	case t.leaving || t.target.Leaving:
+	case t.leaving || t.target.Leaving || o.retiring:
 		return wire.NotRunLeaving
 	case !t.known || !t.reachable:
 		return wire.NotRunDown
--- /dev/null
+++ b/internal/runs/retire.go
@@ -0,0 +1,28 @@
+package runs
+
+import "time"
+
+// retireAfter is how long a session is kept at least once its entry was told that no work
+// is taken over it: an order that was on its way then still comes back as not run, in
+// place of being lost with the session.
+const retireAfter = 300 * time.Millisecond
+
+// Retire lets a session run out. Its entry sends nothing more, what it has here is finished,
+// and then the session is closed.
+func (t *Table) Retire(now time.Time, conn ConnID) {
+	t.now = now
+	o := t.owners[conn]
+	if o == nil || o.retiring {
+		return
+	}
+	o.retiring, o.load, o.retireAt = true, true, now.Add(retireAfter)
+}
+
+// closeRetired closes the sessions that have run out.
+func (t *Table) closeRetired() {
+	for conn, o := range t.owners {
+		if o.retiring && len(o.runs) == 0 && !t.now.Before(o.retireAt) {
+			t.o.Outbox.Close(conn)
+		}
+	}
+}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -207,6 +207,13 @@
 	config   *wire.ConfigNote
 	target   bool // the target's description is to be sent
 	load     bool // the load is to be sent with whatever goes next
+
+	loadEvery time.Duration // the shortest time between reports that the entry wants
+	loadAt    time.Time     // when it was last told the load
+	stale     bool          // the load has changed since
+	orderAt   time.Time     // when it last sent an order
+	retiring  bool          // the session ends as soon as its runs have
+	retireAt  time.Time     // and not before
 }
 
 // board is the blackboard that the controllers share.
@@ -239,8 +246,8 @@
 	leaseEnd  time.Time // when the lease is surely over, by the agent's clock
 	blind     bool      // renewals have failed since the last listing
 
-	loadSentAt time.Time
-	loadDirty  bool
+	loadDirty  bool // the load has changed since the last Flush
+	loadUrgent bool // in a way that entries must know at once
 	player     waiting.Player
 	occupants  []waiting.Occupant
 	waits      []waiting.Queued
@@ -279,7 +286,7 @@
 	if !t.leaving {
 		t.leaving = true
 		t.returnQueue(wire.NotRunLeaving)
-		t.loadDirty, t.loadSentAt = true, time.Time{}
+		t.urgent()
 	}
 }
 
@@ -295,4 +302,5 @@
 	t.shunStanding()
 	t.health.idle(now, len(t.runs) == 0)
 	t.fill()
+	t.closeRetired()
 }
--- a/internal/scheduler/subset/subset_test.go
+++ b/internal/scheduler/subset/subset_test.go
@@ -98,6 +98,35 @@
 		Expect(skewed.imbalance(30)).To(BeNumerically("<", 1.8))
 	})
 
+	// Fifty-five entries and 240 targets in six data centres. An entry that few targets
+	// know queues its callers' work while others are idle; one that knows only those of
+	// its own data centre has nowhere to go when that is full.
+	It("gives each entry of a wide fleet targets enough, at home and outside", func() {
+		const sessions, targets = 12, 240
+		entriesOf := []int{11, 11, 8, 8, 9, 8}
+		var entries []Candidate
+		for dc, n := range entriesOf {
+			for i := range n {
+				entries = append(entries, Candidate{Addr: fmt.Sprintf("10.%d.0.%d:7720", dc, i), DataCentre: place(dc)})
+			}
+		}
+		total, outside := map[string]int{}, map[string]int{}
+		for i := range targets {
+			home := place(i % len(entriesOf))
+			for _, addr := range Choose(fmt.Sprintf("t%d", i), home, entries, sessions) {
+				total[addr]++
+				if at := slices.IndexFunc(entries, func(e Candidate) bool { return e.Addr == addr }); entries[at].DataCentre != home {
+					outside[addr]++
+				}
+			}
+		}
+		for _, e := range entries {
+			Expect(total[e.Addr]).To(BeNumerically(">=", 40), e.Addr)
+			Expect(total[e.Addr]).To(BeNumerically("<=", 80), e.Addr)
+			Expect(outside[e.Addr]).To(BeNumerically(">=", 4), e.Addr)
+		}
+	})
+
 	// Entries' hosts are replaced every day. If each replacement made many agents
 	// change entries, sessions would open and close across the fleet all the time.
 	It("moves little when an entry leaves or joins", func() {
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -123,6 +123,9 @@
 	Orders  []Order     `cbor:"1,keyasint,omitempty"`
 	Recalls []uint64    `cbor:"2,keyasint,omitempty"` // orders whose outcome no longer matters
 	Config  *ConfigNote `cbor:"3,keyasint,omitempty"`
+	// LoadEveryMs is the shortest time between two reports of the load that the entry
+	// wants from now on; 0: as before.
+	LoadEveryMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (l *LeasedToEntry) weight() int {
