Orders of a frame share their spec

Cause: each of a job's 8 to 32 orders carried the job's spec, a kilobyte as a rule and four at most, over the entry's own link. Where that is 2 Mbit/s, the order of a wide job's last task arrived 30 ms (median) to 186 ms (99 in 100) after the first. Ruled out: queues at the runners, which were empty at the median. Change: a frame brings each spec once, and orders name its place. The answer's log line tells where the time of a job's last task went.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -143,10 +143,20 @@
 	waiters   []Waiter
 	runOffset uint64      // added to run numbers, where a target has seen higher ones
 	next      *pendingJob // came again while attempts of this one are open
+	last      lastTask    // of those that are done
 	answer    Answer
 	keepUntil time.Time
 }
 
+// lastTask is where the time of the task went that was done last: as a rule it is what the
+// answer waited for.
+type lastTask struct {
+	at            *attempt
+	host          string
+	speed         float64 // as the agent reported it
+	waitMs, runMs float64 // in the agent's queue, and at the target
+}
+
 // pendingJob is a job that came again and waits for the runs of its first coming to
 // be over.
 type pendingJob struct {
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -46,6 +46,7 @@
 	}
 	switch out.End {
 	case wire.EndDone:
+		l.last = lastTask{at: at, host: a.host, speed: a.load.Speed, waitMs: out.WaitMs, runMs: out.RunMs}
 		c.done(l, t)
 	case wire.EndFailed:
 		c.failed(l, t, a)
@@ -195,7 +196,11 @@
 	late := c.now.After(l.objective)
 	if answer.Kind == AnswerComplete {
 		c.counts.Complete++
-		event.Log(c.log, event.JobComplete, "job", l.ID, "queue", l.Queue.Name, "ms", took, "late", late)
+		last := &l.last
+		event.Log(c.log, event.JobComplete, "job", l.ID, "queue", l.Queue.Name, "ms", took, "late", late, "tasks", len(l.tasks),
+			"last_host", last.host, "last_speed", last.speed, "last_placed_ms", clock.Millis(last.at.placedAt.Sub(l.arrived)),
+			"last_expected_ms", clock.Millis(last.at.expected), "last_room", last.at.room, "last_wait_ms", last.waitMs, "last_run_ms", last.runMs,
+			"last_estimate_ms", clock.Millis(l.Steps[last.at.task.step].Estimate), "objective_ms", clock.Millis(l.objective.Sub(l.arrived)))
 		return
 	}
 	id := event.JobFailed
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -48,6 +48,9 @@
 
 // Encode returns a frame's bytes.
 func Encode[F ToEntry | ToAgent](f *F) ([]byte, error) {
+	if toAgent, ok := any(f).(*ToAgent); ok {
+		toAgent.Leased.pack()
+	}
 	b, err := encoder.Marshal(f)
 	if err != nil {
 		return nil, &FrameError{Cause: err}
@@ -61,5 +64,10 @@
 	if err := decoder.Unmarshal(b, f); err != nil {
 		return nil, &FrameError{Bytes: len(b), Cause: err}
 	}
+	if toAgent, ok := any(f).(*ToAgent); ok {
+		if err := toAgent.Leased.unpack(); err != nil {
+			return nil, &FrameError{Bytes: len(b), Cause: err}
+		}
+	}
 	return f, nil
 }
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -1,6 +1,12 @@
 package wire
 
-import "github.com/camphorrack/camphorrack/internal/job"
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+)
 
 // The frames of this file are for leased targets: targets that run a task only
 // while their agent renews a lease, with amounts of processor and memory in place
@@ -16,7 +22,8 @@
 	// Run numbers the starts of one task. It must be higher than the number of
 	// every earlier start of the task, by whichever owner.
 	Run        uint64     `cbor:"5,keyasint"`
-	Spec       string     `cbor:"6,keyasint,omitempty"`
+	Spec       string     `cbor:"-"`                    // what the target is told; see LeasedToAgent.Specs
+	SpecAt     int        `cbor:"6,keyasint,omitempty"` // its place in Specs, on the wire alone
 	Demand     job.Demand `cbor:"7,keyasint"`
 	EstimateMs float64    `cbor:"8,keyasint"` // at speed 1
 	// SlackMs is how long the task may wait and still be in time; the task with the
@@ -126,6 +133,42 @@
 	// LoadEveryMs is the shortest time between two reports of the load that the entry
 	// wants from now on; 0: as before.
 	LoadEveryMs int64 `cbor:"4,keyasint,omitempty"`
+	// Specs are those of Orders, each once. All tasks of a job have the same one, of up to
+	// some kilobytes; repeated with each order, it fills the link of a small entry host, and
+	// the last task of a wide job leaves tens of milliseconds after the first.
+	Specs []string `cbor:"5,keyasint,omitempty"`
+}
+
+// pack moves the orders' specs to Specs.
+func (l *LeasedToAgent) pack() {
+	if l == nil {
+		return
+	}
+	l.Specs = l.Specs[:0]
+	for i := range l.Orders {
+		o := &l.Orders[i]
+		at := slices.Index(l.Specs, o.Spec)
+		if at < 0 {
+			at = len(l.Specs)
+			l.Specs = append(l.Specs, o.Spec)
+		}
+		o.SpecAt = at
+	}
+}
+
+// unpack gives each order its spec.
+func (l *LeasedToAgent) unpack() error {
+	if l == nil {
+		return nil
+	}
+	for i := range l.Orders {
+		o := &l.Orders[i]
+		if o.SpecAt < 0 || o.SpecAt >= len(l.Specs) {
+			return errors.Newf("order %d has spec %d of %d", o.Seq, o.SpecAt, len(l.Specs))
+		}
+		o.Spec = l.Specs[o.SpecAt]
+	}
+	return nil
 }
 
 func (l *LeasedToEntry) weight() int {
@@ -145,7 +188,10 @@
 	}
 	n := frameOverhead
 	for i := range l.Orders {
-		n += 2*frameOverhead + len(l.Orders[i].Spec)
+		n += 2 * frameOverhead
+		if i == 0 || l.Orders[i].Spec != l.Orders[i-1].Spec {
+			n += len(l.Orders[i].Spec)
+		}
 	}
 	if l.Config != nil {
 		n += len(l.Config.Body)
