--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -1,10 +1,9 @@
 package wire
 
 import (
+	"fmt"
 	"slices"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/camphorrack/camphorrack/internal/job"
 )
 
@@ -144,6 +143,17 @@
 	Specs []string `cbor:"5,keyasint,omitempty"`
 }
 
+// specError is an order whose spec its frame does not bring.
+type specError struct {
+	order  uint64
+	at, of int
+}
+
+// Error implements error.
+func (e *specError) Error() string {
+	return fmt.Sprintf("order %d names spec %d of %d", e.order, e.at, e.of)
+}
+
 // pack moves the orders' specs to Specs.
 func (l *LeasedToAgent) pack() {
 	if l == nil {
@@ -169,7 +179,7 @@
 	for i := range l.Orders {
 		o := &l.Orders[i]
 		if o.SpecAt < 0 || o.SpecAt >= len(l.Specs) {
-			return errors.Newf("order %d has spec %d of %d", o.Seq, o.SpecAt, len(l.Specs))
+			return &specError{o.Seq, o.SpecAt, len(l.Specs)}
 		}
 		o.Spec = l.Specs[o.SpecAt]
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 )
 
 // Version is the protocol's version; a peer of another version is refused.
-const Version = 1
+const Version = 2
 
 // Timing of a session. An application heartbeat goes out at least every
 // HeartbeatMs in both directions; TCP alone notices a connection whose middle has
