--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -233,7 +233,7 @@
 
 // trouble does one thing that goes wrong.
 func (w *simWorld) trouble() {
-	switch w.draw(6) {
+	switch w.draw(7) {
 	case 0: // a session is cut
 		for _, s := range w.sessions {
 			if !s.lossy && w.draw(4) == 0 {
@@ -269,6 +269,14 @@
 		h := w.hosts[w.draw(hostCount)]
 		h.target.reborn()
 		w.at(time.Duration(w.draw(500))*time.Millisecond, h.announce)
+	case 4: // a runner changes to another entry: a session runs out
+		for _, s := range w.sessions {
+			if s.hostUp && !s.lossy && w.draw(4) == 0 {
+				w.note("", "session of entry %d and host %d is retired", s.entry, s.host)
+				w.hosts[s.host].table.Retire(w.now, runs.ConnID(s.id))
+				return
+			}
+		}
 	default: // a caller leaves
 		for _, j := range w.jobs {
 			if j.open {
