--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -195,6 +195,7 @@
 
 	stopCalled    bool // a stop is under way
 	stopCalledAt  time.Time
+	stopCalls     int
 	stopConfirmed time.Time // zero until the target has answered a stop
 }
 
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -25,6 +25,7 @@
 
 func (t *Table) callStop(r *run) {
 	r.stopCalled, r.stopCalledAt = true, t.now
+	r.stopCalls++
 	t.o.Target.Stop(StopCall{Life: t.target.Life, Token: t.token, Run: r.id, Timeout: t.callTimeout()})
 }
 
@@ -46,6 +47,7 @@
 		}
 	case BadToken:
 		t.raiseToken()
+		r.stopCalls = 0 // with the new token at once
 	}
 }
 
@@ -56,7 +58,7 @@
 		return
 	}
 	for _, r := range t.runs {
-		if r.state == stopping && r.stopConfirmed.IsZero() && (!r.stopCalled || t.now.Sub(r.stopCalledAt) > stopRetry) {
+		if r.state == stopping && r.stopConfirmed.IsZero() && t.stopDue(r) {
 			t.callStop(r)
 		}
 	}
@@ -67,3 +69,13 @@
 		}
 	}
 }
+
+// stopDue reports whether a stop that is not confirmed is to be called again. One that failed at
+// once is called again at once, and then at stopRetry: a target that resets each connection would
+// else be given a new one for each run with every tick until it is back.
+func (t *Table) stopDue(r *run) bool {
+	if !r.stopCalled && r.stopCalls < 2 {
+		return true
+	}
+	return t.now.Sub(r.stopCalledAt) > stopRetry
+}
