A retired session lingers after its last outcome; late answers alone tell their last task

Read again: a session that runs out was closed with the tick after its last task, and what is queued on a connection is dropped with it; over a busy link the outcome would have been lost, and a job that was done answered as unknown. Every answer's line had grown by ten fields, where only late ones need them.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -102,7 +102,7 @@
 	step, index int
 	state       taskState
 	attempt     *attempt // while placed
-	moves       int      // it came back from a target that was more crowded than thought
+	moves       int      // times that it came back because its target was more crowded than thought
 	failures    int
 	failedAt    []ConnID // agents on whose targets it failed
 }
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -199,11 +199,7 @@
 	late := c.now.After(l.objective)
 	if answer.Kind == AnswerComplete {
 		c.counts.Complete++
-		last := &l.last
-		event.Log(c.log, event.JobComplete, "job", l.ID, "queue", l.Queue.Name, "ms", took, "late", late, "tasks", len(l.tasks),
-			"last_host", last.host, "last_speed", last.speed, "last_placed_ms", clock.Millis(last.at.placedAt.Sub(l.arrived)),
-			"last_expected_ms", clock.Millis(last.at.expected), "last_room", last.at.room, "last_wait_ms", last.waitMs, "last_run_ms", last.runMs,
-			"last_estimate_ms", clock.Millis(l.Steps[last.at.task.step].Estimate), "objective_ms", clock.Millis(l.objective.Sub(l.arrived)))
+		event.Log(c.log, event.JobComplete, l.completeFields(took, late)...)
 		return
 	}
 	id := event.JobFailed
@@ -224,6 +220,20 @@
 		"undone", l.undone, "open", l.open, "not_run", answer.Kind == AnswerNotRun)
 }
 
+// completeFields are what the line of a complete job says. A late one says where the time of
+// its last task went, too.
+func (l *liveJob) completeFields(tookMs float64, late bool) []any {
+	fields := []any{"job", l.ID, "queue", l.Queue.Name, "ms", tookMs, "late", late}
+	if !late {
+		return fields
+	}
+	last := &l.last
+	return append(fields, "tasks", len(l.tasks), "objective_ms", clock.Millis(l.objective.Sub(l.arrived)),
+		"last_host", last.host, "last_speed", last.speed, "last_placed_ms", clock.Millis(last.at.placedAt.Sub(l.arrived)),
+		"last_expected_ms", clock.Millis(last.at.expected), "last_room", last.at.room,
+		"last_wait_ms", last.waitMs, "last_run_ms", last.runMs, "last_estimate_ms", clock.Millis(l.Steps[last.at.task.step].Estimate))
+}
+
 // recallAll calls every open order of the job back. What becomes of them is still
 // reported.
 func (c *Core) recallAll(l *liveJob) {
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -252,6 +252,7 @@
 		return
 	}
 	r.owner.outcomes = append(r.owner.outcomes, out)
+	r.owner.linger(t.now)
 	event.Log(t.log.V(1), event.TaskReported, "job", r.id.Task.Job, "step", r.id.Task.Step, "task", r.id.Task.Index,
 		"run", r.id.Number, "target", t.target.Life.Name, "end", int(out.End), "reason", int(out.Reason),
 		"est", r.order.EstimateMs, "wait_ms", out.WaitMs, "run_ms", out.RunMs)
--- a/internal/runs/report_test.go
+++ b/internal/runs/report_test.go
@@ -81,6 +81,8 @@
 	w.pass(2 * retireAfter)
 	w.Expect(w.out.closed).To(BeEmpty())
 	w.listEnds([]EndedRun{w.end(RunID{task("a", 0), 7}, Done)})
+	w.pass(retireAfter - time.Millisecond)
+	w.Expect(w.out.closed).To(BeEmpty(), "the outcome may be on its way")
 	w.pass(time.Millisecond)
 	w.Expect(w.out.closed).To(Equal([]ConnID{session}))
 	outcomes := w.outcomes(session)
