--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -1,5 +1,5 @@
 // Package runner is the daemon beside a leased target. It hears what the target says
-// of itself, keeps sessions with every dispatcher, runs their orders on the target
+// of itself, keeps sessions with some dispatchers, runs their orders on the target
 // and renews the lease under which they run. The control state (internal/runs)
 // belongs to one goroutine; calls to the target are made on goroutines of their own.
 package runner
