--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -85,9 +85,8 @@
 // its first: a time, and a part of the task's own. Several entries place at the same
 // time on loads that are some milliseconds old, by speeds that are measured from
 // estimates. With the seemingly fastest target always first, they meet on it while
-// the next one is empty: on a calm day one order in ten waited over 80 ms, and one
-// target ran eighty times what another of its kind did. Room left on each target takes
-// up what the others place meanwhile.
+// the next one is empty. Room left on each target takes up what the others place
+// meanwhile.
 const (
 	crowdingMs    = 60
 	crowdingShare = 0.15
@@ -96,9 +95,7 @@
 // waitFactor and waitMarginMs make a predicted wait longer than it is predicted, where
 // it counts towards an end: what others place meanwhile goes before it as often as not.
 // waitAversion puts a target where the task would wait back further, against one that
-// has room now, since a wait may come out much longer and a run seldom does. Together,
-// on days of high load, they raised what callers earned from 0.64 to 0.71 (mean of six
-// days with a fixed seed, one of them from 0.68 to 0.80).
+// has room now, since a wait may come out much longer and a run seldom does.
 const (
 	waitFactor   = 1.4
 	waitMarginMs = 8
@@ -106,13 +103,9 @@
 )
 
 // endShare is the cost of an end before the objective, against what crowding and waits
-// cost: whole, fast targets are crowded while slow ones that would do are idle; at a
-// fifth, callers of four entries and eleven targets earned 0.0051 less (18 days, standard
-// error 0.0024). overCost is the cost of each unit by which a run that takes runMargin longer
-// than expected would end past the objective. With estimates corrected already, they
-// raised what callers of 11 entries and 65 targets earned on a busy day from 0.949 to
-// 0.954, of 12 and 67 from 0.850 to 0.859; four entries and eleven targets show no
-// difference (18 days, 0.0013 less, standard error 0.0022).
+// cost: whole, fast targets are crowded while slow ones that would do are idle; too small,
+// an answer comes as late as it may. overCost is the cost of each unit by which a run that
+// takes runMargin longer than expected would end past the objective.
 const (
 	endShare  = 0.5
 	overCost  = 2
