--- a/internal/scheduler/reporting/reporting_test.go
+++ b/internal/scheduler/reporting/reporting_test.go
@@ -21,14 +21,14 @@
 	g := NewWithT(t)
 	for _, share := range []float64{0.144, 0.24, 0.48, 0.8} {
 		for _, runners := range []int{4, 11, 55} {
-			g.Expect(heard(share, runners)).To(BeNumerically("<=", share0(runners, share)), "%v of a core, %d runners", share, runners)
+			g.Expect(heard(share, runners)).To(BeNumerically("<=", mostShare(runners, share)), "%v of a core, %d runners", share, runners)
 		}
 	}
 }
 
-// share0 is the aim: a tenth, and more only where loads would be older than the shortest tasks
+// mostShare is the aim: a tenth, and more only where loads would be older than the shortest tasks
 // are long.
-func share0(runners int, processorShare float64) float64 {
+func mostShare(runners int, processorShare float64) float64 {
 	floor := float64(runners) * frameCost.Seconds() / longest.Seconds() / processorShare
 	return max(share, floor) * 1.0001
 }
