Turns of the control goroutine are measured; entries and agents say when they stood still

Cause: a live entry of the configuration test did not answer GET /v1/config within a second, beside a load of 24. Its lines can't tell three hypotheses apart: a turn of the control goroutine that takes long, a process without a processor, a request that never arrived.

Ruled out by reading: GET /v1/config takes the holder's lock alone, not the control goroutine; nothing blocks under that lock (the log's buffer drops, watchers start goroutines).

Change: the loop reports each turn (control.turn_us for turns of 1 ms and more, event 111 from 100 ms); entries and agents write 107 process_stalled as dispatchers and runners did.

Test: TestTurnsAreReportedWithWhatTheyHeldUp (no such report before).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -65,7 +65,7 @@
 	s := newState(o, log, a.metrics)
 	s.runTask = a.runTask
 	a.incarnation = s.incarnation
-	a.control = newControl(s, a.clock)
+	a.control = newControl(s, a.clock, a.metrics.Turns(log))
 	a.dialers = newDialers(a)
 	a.metrics.members(a.dialers)
 	a.holder = config.NewHolder(config.Where{DataCentre: o.DataCentre, Rack: o.Rack}, a.clock, log)
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/control"
+	"github.com/camphorrack/camphorrack/internal/event"
 )
 
 const (
@@ -29,10 +30,16 @@
 // controlLoop is the goroutine that owns the state.
 type controlLoop struct{ *control.Loop[*state] }
 
-func newControl(s *state, k clock.Clock) *controlLoop {
+func newControl(s *state, k clock.Clock, turned func(control.Turn)) *controlLoop {
+	stall := clock.NewStall(clock.StallLimit)
 	return &controlLoop{control.New(control.Options[*state]{
-		State: s, Clock: k,
-		Tick:  func(now time.Time, s *state) { s.tick(now) },
+		State: s, Clock: k, Turned: turned,
+		Tick: func(now time.Time, s *state) {
+			if gap := stall.Look(); gap > 0 {
+				event.Log(s.log, event.ProcessStalled, "ms", gap.Milliseconds())
+			}
+			s.tick(now)
+		},
 		Pace:  func(*state) time.Duration { return tickEvery },
 		Flush: func(s *state) { s.table.Flush() }, MaxCommands: maxCommands, MaxBatch: maxBatch,
 	})}
--- a/internal/clock/stall.go
+++ b/internal/clock/stall.go
@@ -7,6 +7,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// StallLimit is the pause above which a daemon counts as having stood still: longer
+// than any of its ticks, and shorter than the silence after which peers give it up.
+const StallLimit = 400 * time.Millisecond
+
 // Stall notices that the process stood still: it was frozen, or its host suspended.
 // The steady clock may not count such a time, and timers then say nothing of it. A
 // process that goes on as if nothing had happened acts on sessions and requests that
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -33,6 +33,16 @@
 	Flush       func(state S)
 	MaxCommands int // that wait for the goroutine
 	MaxBatch    int // between two flushes
+	// Turned, where set, is told how long each turn took: a batch of commands, or a
+	// tick, with its flush. It runs on the control goroutine and must not block.
+	Turned func(Turn)
+}
+
+// Turn is one pass of the control goroutine.
+type Turn struct {
+	Took     time.Duration
+	Commands int // that it ran; 0 for a tick
+	Waiting  int // commands that wait for the next one
 }
 
 // Command is something to do with the state, on the control goroutine.
@@ -64,31 +74,45 @@
 	tick := time.NewTimer(l.o.Pace(l.o.State))
 	defer tick.Stop()
 	for {
+		var began time.Time
+		commands := 0
 		select {
 		case <-l.stop:
 			return
 		case first := <-l.commands:
-			l.batch(first)
+			began = time.Now()
+			commands = l.batch(first)
 		case <-tick.C:
-			lastTick = time.Now()
+			began = time.Now()
+			lastTick = began
 			l.o.Tick(l.o.Clock.Now(), l.o.State)
 		}
 		l.o.Flush(l.o.State)
+		l.turned(began, commands)
 		// Counted from the last tick, so that commands can't put the next one off.
 		tick.Reset(time.Until(lastTick.Add(l.o.Pace(l.o.State))))
 	}
 }
 
-func (l *Loop[S]) batch(first Command[S]) {
+// batch runs the first command and those that wait behind it, and returns how many
+// it ran.
+func (l *Loop[S]) batch(first Command[S]) int {
 	first(l.o.Clock.Now(), l.o.State)
-	for range l.o.MaxBatch - 1 {
+	for n := 1; n < l.o.MaxBatch; n++ {
 		select {
 		case next := <-l.commands:
 			next(l.o.Clock.Now(), l.o.State)
 		default:
-			return
+			return n
 		}
 	}
+	return l.o.MaxBatch
+}
+
+func (l *Loop[S]) turned(began time.Time, commands int) {
+	if l.o.Turned != nil {
+		l.o.Turned(Turn{Took: time.Since(began), Commands: commands, Waiting: l.Waiting()})
+	}
 }
 
 // Waiting returns how many commands wait.
--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/clock"
+)
+
+// A command that blocks holds up every request behind it; without a report of the
+// turn, that can't be told from a process without a processor.
+func TestTurnsAreReportedWithWhatTheyHeldUp(t *testing.T) {
+	g := NewWithT(t)
+	turns := make(chan Turn, 16)
+	l := New(Options[int]{
+		Clock: clock.NewFake(time.UnixMilli(1)), MaxCommands: 8, MaxBatch: 2,
+		Tick: func(time.Time, int) {}, Pace: func(int) time.Duration { return time.Hour }, Flush: func(int) {},
+		Turned: func(turn Turn) { turns <- turn },
+	})
+	const held = 20 * time.Millisecond
+	entered, leave := make(chan struct{}), make(chan struct{})
+	go l.Run()
+	g.Expect(l.Push(func(time.Time, int) { close(entered); <-leave })).To(Succeed())
+	<-entered
+	for range 4 {
+		g.Expect(l.Push(func(time.Time, int) {})).To(Succeed())
+	}
+	time.Sleep(held)
+	close(leave)
+	first := <-turns
+	g.Expect(first.Took).To(BeNumerically(">=", held))
+	g.Expect(first.Commands).To(Equal(2))
+	g.Expect(first.Waiting).To(Equal(3))
+	g.Expect((<-turns).Commands).To(Equal(2))
+	g.Expect((<-turns).Waiting).To(BeZero())
+	l.End()
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -109,13 +109,14 @@
 func New(o Options, log logr.Logger) (*Dispatcher, error) {
 	leased.LimitMemory(o.MemoryMB)
 	d := &Dispatcher{
-		o: o, log: log, clock: clock.NewAnchored(), stall: clock.NewStall(leased.StallLimit), incarnation: job.NewIncarnation(),
+		o: o, log: log, clock: clock.NewAnchored(), stall: clock.NewStall(clock.StallLimit), incarnation: job.NewIncarnation(),
 	}
 	d.metrics = newCounters(func() int { return d.loop.Waiting() })
 	d.sessions = newSessions(d)
 	d.loop = control.New(control.Options[*state]{
 		State: d.newState(), Clock: d.clock, MaxCommands: maxCommands, MaxBatch: maxBatch,
 		Tick: d.tick, Pace: func(*state) time.Duration { return tickEvery }, Flush: func(s *state) { s.core.Flush() },
+		Turned: d.metrics.Turns(log),
 	})
 	if err := d.listen(); err != nil {
 		d.servers.Close()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -4,9 +4,12 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/control"
+	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -57,12 +60,18 @@
 	endOnce sync.Once
 }
 
-func newControl(c core, k clock.Clock) *controlLoop {
+func newControl(c core, k clock.Clock, log logr.Logger, turned func(control.Turn)) *controlLoop {
+	stall := clock.NewStall(clock.StallLimit)
 	return &controlLoop{Loop: control.New(control.Options[core]{
 		State: c, Clock: k,
-		Tick:  func(now time.Time, c core) { c.Tick(now) },
+		Tick: func(now time.Time, c core) {
+			if gap := stall.Look(); gap > 0 {
+				event.Log(log, event.ProcessStalled, "ms", gap.Milliseconds())
+			}
+			c.Tick(now)
+		},
 		Pace:  pace,
-		Flush: core.Flush, MaxCommands: maxCommands, MaxBatch: maxBatch,
+		Flush: core.Flush, MaxCommands: maxCommands, MaxBatch: maxBatch, Turned: turned,
 	})}
 }
 
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -17,7 +18,7 @@
 // it may have got in.
 func TestBusyControlIsUndecided(t *testing.T) {
 	g := NewWithT(t)
-	c := newControl(owner.New(owner.Options{}), clock.NewFake(time.UnixMilli(1)))
+	c := newControl(owner.New(owner.Options{}), clock.NewFake(time.UnixMilli(1)), logr.Discard(), nil)
 	gate := make(chan struct{})
 	go c.Run()
 	g.Expect(c.post(func(time.Time, core) { <-gate })).To(Succeed())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,15 +64,17 @@
 		return nil, err
 	}
 	e := &Entry{o: o, log: log, clock: clock.NewAnchored(), listener: listener, drainedCh: make(chan struct{})}
+	metrics, err := newCounters(func() int { return e.control.Waiting() })
+	if err != nil {
+		_ = listener.Close()
+		return nil, errors.Wrap(err, "register metrics")
+	}
 	out := newOutbox()
 	e.control = newControl(owner.New(owner.Options{
 		Owner: self, Outbox: out, Log: log, Policy: owner.Policy(o.Policy), MaxJobs: o.MaxJobs,
 		LogEvery: o.LogPlacements, MaxTimeout: o.MaxTimeout, DataCentre: o.DataCentre, Entries: o.entries(), Seed: uint64(self.Incarnation),
-	}), e.clock)
-	if err := e.build(self, out); err != nil {
-		_ = listener.Close()
-		return nil, err
-	}
+	}), e.clock, log, metrics.Turns(log))
+	e.build(self, out, metrics)
 	return e, nil
 }
 
@@ -90,11 +92,7 @@
 }
 
 // build wires the traffic side.
-func (e *Entry) build(self job.Owner, out *outbox) error {
-	metrics, err := newCounters(func() int { return e.control.Waiting() })
-	if err != nil {
-		return errors.Wrap(err, "register metrics")
-	}
+func (e *Entry) build(self job.Owner, out *outbox, metrics *counters) {
 	e.api = &api{
 		log: e.log, clock: e.clock, key: e.o.key(), owner: self, token: self.Token(e.o.key()),
 		dataCentre: e.o.DataCentre, maxTimeout: e.o.MaxTimeout, control: e.control,
@@ -117,7 +115,6 @@
 		// What the library would print to stderr as plain text is for debugging only.
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
 	}
-	return nil
 }
 
 // Addr returns the bound address.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,6 +21,7 @@
 	SettingsRead    ID = 108
 	AcceptFailed    ID = 109
 	MetricsStale    ID = 110
+	ControlSlow     ID = 111
 
 	JobAccepted  ID = 201
 	JobRefused   ID = 202
@@ -93,10 +94,11 @@
 	{InvariantBroken, "invariant_broken", "an invariant does not hold; the history follows"},
 	{DrainStarted, "drain_started", "an operator or a signal asked this daemon to take no new work"},
 	{LinesDropped, "log_lines_dropped", "whatever reads the log stalled, and lines were dropped rather than the daemon stopped"},
-	{ProcessStalled, "process_stalled", "the process stood still; its sessions are ended"},
+	{ProcessStalled, "process_stalled", "the process stood still; its peers may have given up its sessions"},
 	{SettingsRead, "settings_read", "the settings file was read again"},
 	{AcceptFailed, "accept_failed", "a new connection could not be taken, such as for want of file descriptors; tried again"},
 	{MetricsStale, "metrics_stale", "the metrics were read while the control goroutine was busy; its figures are those of before"},
+	{ControlSlow, "control_slow", "one turn of the control goroutine took long; requests and heartbeats waited behind it"},
 	{JobAccepted, "job_accepted", "a submission was let in"},
 	{JobRefused, "job_refused", "a submission was turned away and did not run"},
 	{JobComplete, "job_complete", "every task succeeded and the answer is whole"},
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -52,10 +52,6 @@
 // second: after a loss of power the runners were 0.4 s later than the entries.
 const dialTimeout = 120 * time.Millisecond
 
-// StallLimit is the pause of a process above which its sessions count as lost: the
-// other side may have given them up.
-const StallLimit = 400 * time.Millisecond
-
 // SessionOptions returns the watch over sessions; an idle session is watched as
 // closely as a busy one, because a job may come at any moment.
 func SessionOptions(c *session.Counters) session.Options {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -105,7 +105,7 @@
 func New(o Options, log logr.Logger) (*Runner, error) {
 	leased.LimitMemory(o.MemoryMB)
 	r := &Runner{
-		o: o, log: log, clock: clock.NewAnchored(), stall: clock.NewStall(leased.StallLimit),
+		o: o, log: log, clock: clock.NewAnchored(), stall: clock.NewStall(clock.StallLimit),
 		incarnation: job.NewIncarnation(), kick: make(chan struct{}, 1),
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
@@ -114,6 +114,7 @@
 	r.loop = control.New(control.Options[*state]{
 		State: r.newState(), Clock: r.clock, MaxCommands: maxCommands, MaxBatch: maxBatch,
 		Tick: r.tick, Pace: pace, Flush: func(s *state) { s.table.Flush(r.clock.Now()) },
+		Turned: r.metrics.Turns(log),
 	})
 	if err := r.listen(); err != nil {
 		r.servers.Close()
