A complete answer is given until 2 s past its deadline; one that nobody got ends as an unknown outcome

Cause: deliver (entry) held the complete answer and wrote answer_expired in its place, and await (owner) refused a later look-up, both from the deadline on: other entries that can't reach the owner say outcome_unknown from 0.5 s past it, and nobody may be told "complete" after that. Evidence: on a running fleet of the code before, an entry stopped by a signal between a job's end and its look-up, and woken 0.3, 1.9, 2.3 and 3.5 s past the deadline, answered answer_expired each time, and complete when woken 0.2 s before it. Ruled out: the frozen process alone; a look-up 0.3 s past the deadline without a freeze gets the same.

Change: the owner gives complete answers until 2 s past the deadline (job.AnswerGrace), and other entries call an outcome unknown 0.5 s later (was 0.5 s past the deadline). Past the grace, an answer that was handed to somebody is answer_expired, as that fault says; one that nobody got becomes outcome_unknown for good, as other entries say. The same on the entry between a caller and the owner: it asks the owner again and says that it withheld the answer. Results that were evicted for memory before anybody had them ended as "the answer was given" too. Past the deadline an entry asks the owner for no wait, so that its silence shows sooner.

Open: a freeze beyond the grace still costs the results.

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -5,7 +5,6 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 )
@@ -31,7 +30,12 @@
 	if !ok {
 		// Where there is no room for this command, the waiter stays until the job
 		// ends; the job itself goes on in any case.
-		_ = a.control.post(func(time.Time, core) { stop() })
+		_ = a.control.post(func(_ time.Time, c core) {
+			stop()
+			if len(answers) > 0 { // it came when the wait was just over
+				c.Withhold(id)
+			}
+		})
 		answer = job.Answer{ID: id.String(), State: job.Pending}
 	}
 	a.deliver(g, id, answer)
@@ -55,22 +59,24 @@
 	return job.Answer{}, false
 }
 
-// late reports whether a complete answer must no longer be given, by this entry's
-// own clock. The process may have been paused between the job's end and the
-// writing of the answer; meanwhile another entry that could not reach the owner may
-// have told a caller that the outcome is unknown. It does so forward.ClockAllowance
-// past the deadline, and no entry gives a complete answer past the deadline, so
-// callers never get both.
-func (a *api) late(id job.ID) bool { return !a.clock.Now().Before(id.Deadline) }
+// lapsed reports whether a complete answer must no longer be given, by this entry's
+// own clock. The process may have been frozen between the job's end and the writing
+// of the answer; meanwhile another entry that could not reach the owner may have told
+// a caller that the outcome is unknown, which it does forward.ClockAllowance later.
+func (a *api) lapsed(id job.ID) bool { return !a.clock.Now().Before(id.AnswerableUntil()) }
 
-func errLate() *fault.Fault {
-	return fault.New(fault.AnswerExpired, "the job ended, and its results are not given after the deadline")
+// withheld asks the owner again after its complete answer came too late to be given.
+func withheld(id job.ID) func(time.Time, core, owner.Waiter) (func(), error) {
+	return func(now time.Time, c core, w owner.Waiter) (func(), error) {
+		c.Withhold(id)
+		return c.Await(now, id, w)
+	}
 }
 
 // deliver writes an answer and notes whether its caller will come back for it.
 func (a *api) deliver(g *gin.Context, id job.ID, answer job.Answer) {
-	if answer.State == job.Complete && a.late(id) {
-		writeFault(g, id.String(), errLate())
+	if answer.State == job.Complete && a.lapsed(id) {
+		a.await(g, id, 0, withheld(id))
 		return
 	}
 	written := writeAnswer(g, answer) && g.Request.Context().Err() == nil
@@ -78,5 +84,5 @@
 		a.unclaimed.claimed(id.String())
 		return
 	}
-	a.unclaimed.add(a.clock.Now(), id.String(), id.Deadline)
+	a.unclaimed.add(a.clock.Now(), id.String(), id.AnswerableUntil())
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -36,6 +36,7 @@
 type core interface {
 	Submit(now time.Time, s *job.Submission, w owner.Waiter) (stop func(), err error)
 	Await(now time.Time, id job.ID, w owner.Waiter) (stop func(), err error)
+	Withhold(id job.ID)
 	Cancel(now time.Time, id job.ID) error
 	Knows(id job.ID) bool
 	Connect(now time.Time, conn owner.ConnID, h *wire.Hello)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +21,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/entry"
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/forward"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/session"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -138,6 +142,26 @@
 	}, Equal(fmt.Sprintf("%s not_run=%v status=%d", code, notRun, code.Status())))
 }
 
+// slowOwner stands in for an entry that owns submissions and replies late.
+type slowOwner struct{ token string }
+
+// startSlowOwner replies after a delay; a reply that names no complete state is a failure.
+func startSlowOwner(delay time.Duration, reply func(http.Header) string) *slowOwner {
+	var self job.Owner
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		w.Header().Set(forward.HeaderIncarnation, self.Incarnation.String())
+		body := reply(r.Header)
+		if !strings.Contains(body, string(job.Complete)) {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+		_, _ = io.WriteString(w, body)
+	}))
+	DeferCleanup(server.Close)
+	self = job.Owner{Incarnation: 7, Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	return &slowOwner{token: self.Token(job.Key(testKey))}
+}
+
 // fakeAgent serves every task at once by echoing its payload, or holds it back.
 type fakeAgent struct {
 	mu     sync.Mutex
--- a/internal/entry/passing.go
+++ b/internal/entry/passing.go
@@ -26,17 +26,33 @@
 		return
 	}
 	reply, err := a.forwarder.Do(g.Request.Context(), r)
+	if err == nil && a.completeLapsed(id, r, reply) {
+		reply, err = a.forwarder.Do(g.Request.Context(), a.withheldRequest(g, id))
+	}
+	if err == nil && a.completeLapsed(id, r, reply) {
+		err = fault.New(fault.Undecided, "the owner's clock is behind; ask again with the same id")
+	}
 	if err != nil {
 		writeFault(g, id.String(), err)
 		return
 	}
-	if r.Waits && reply.Status == http.StatusOK && a.late(id) {
-		writeFault(g, id.String(), errLate())
-		return
-	}
 	writeReply(g, reply)
 }
 
+// completeLapsed reports whether the owner's reply is a complete answer that must no
+// longer be given.
+func (a *api) completeLapsed(id job.ID, r forward.Request, reply *forward.Reply) bool {
+	return r.Waits && reply.Status == http.StatusOK && a.lapsed(id)
+}
+
+// withheldRequest asks the owner again after its complete answer came too late to be
+// passed on.
+func (a *api) withheldRequest(g *gin.Context, id job.ID) forward.Request {
+	r := a.request(g, id, nil, 0)
+	r.Method, r.Path, r.Withheld = http.MethodGet, forward.JobPath(id.String()), true
+	return r
+}
+
 // dontPass returns why a request must not be passed on to the owner, or nil.
 func (a *api) dontPass(g *gin.Context, o job.Owner) *fault.Fault {
 	if o.Addr == a.owner.Addr {
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -7,6 +7,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/camphorrack/camphorrack/internal/forward"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 )
@@ -120,6 +121,10 @@
 		a.pass(g, id, a.request(g, id, nil, wait))
 		return
 	}
+	if g.GetHeader(forward.HeaderWithheld) != "" {
+		a.await(g, id, wait, withheld(id))
+		return
+	}
 	a.await(g, id, wait, func(now time.Time, c core, w owner.Waiter) (func(), error) {
 		return c.Await(now, id, w)
 	})
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,15 +23,16 @@
 	MetricsStale    ID = 110
 	ControlSlow     ID = 111
 
-	JobAccepted  ID = 201
-	JobRefused   ID = 202
-	JobComplete  ID = 203
-	JobFailed    ID = 204
-	JobAttached  ID = 205
-	JobForwarded ID = 206
-	JobUndecided ID = 207
-	JobShed      ID = 208
-	JobAbandoned ID = 209
+	JobAccepted     ID = 201
+	JobRefused      ID = 202
+	JobComplete     ID = 203
+	JobFailed       ID = 204
+	JobAttached     ID = 205
+	JobForwarded    ID = 206
+	JobUndecided    ID = 207
+	JobShed         ID = 208
+	JobAbandoned    ID = 209
+	AnswerWithdrawn ID = 210
 
 	TaskPlaced   ID = 301
 	TaskReported ID = 302
@@ -108,6 +109,7 @@
 	{JobUndecided, "job_undecided", "the owner can't be reached and is not proved dead"},
 	{JobShed, "job_shed", "a job that was let in can't be done before its deadline any more"},
 	{JobAbandoned, "job_abandoned", "the caller of a job has left; what runs of it is stopped"},
+	{AnswerWithdrawn, "answer_withdrawn", "a complete answer that no caller was given in time became an unknown outcome, as other entries say by then"},
 	{TaskPlaced, "task_placed", "a task was sent to a target"},
 	{TaskReported, "task_reported", "a target's outcome for a task arrived"},
 	{TaskReplaced, "task_replaced", "a task that certainly did not run goes to another target"},
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,7 +34,7 @@
 	NotBuilt        Code = 207 // it asks for something that the product can't do yet
 
 	TaskFailed       Code = 301 // a target ran a task and reported failure
-	OutcomeUnknown   Code = 302 // a task was sent and its outcome can't be learned
+	OutcomeUnknown   Code = 302 // what became of it can't be learned, or nobody was given it in time
 	DeadlineExceeded Code = 303
 	Cancelled        Code = 304
 	OwnerGone        Code = 305 // the owner's process ended; what it had accepted has an unknown outcome
--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -26,6 +26,7 @@
 			"resubmit":   w.drawResubmit,
 			"lookup":     w.drawLookup,
 			"cancel":     w.drawCancel,
+			"hangUp":     w.drawHangUp,
 			"deliver":    w.drawDeliver,
 			"deliver2":   w.drawDeliver,
 			"deliver3":   w.drawDeliver,
@@ -111,6 +112,15 @@
 func (w *world) drawLookup(t *rapid.T) { w.lookup(w.anySub(t), w.anyEntry(t)) }
 func (w *world) drawCancel(t *rapid.T) { w.cancel(w.anySub(t), w.anyEntry(t)) }
 
+// drawHangUp has the callers of a submission leave.
+func (w *world) drawHangUp(t *rapid.T) {
+	sub := w.anySub(t)
+	for _, stop := range sub.stops {
+		stop()
+	}
+	sub.stops = nil
+}
+
 func (w *world) drawDeliver(t *rapid.T) {
 	l := w.anyLink(t)
 	if rapid.Bool().Draw(t, "toEntry") {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,8 +29,14 @@
 	// HeaderForwarded marks a forwarded request. It is never forwarded again, so
 	// two entries with stale ideas of each other can't pass it round for ever.
 	HeaderForwarded = "Camphorrack-Forwarded"
+	// HeaderWithheld marks a look-up by an entry that was given a complete answer and
+	// could not pass it on in time.
+	HeaderWithheld = "Camphorrack-Withheld"
 )
 
+// JobPath returns where the answer to a submission is looked up.
+func JobPath(id string) string { return "/v1/jobs/" + id }
+
 // Timing of the hop.
 const (
 	// Slice is the longest wait asked of the owner at a time. A longer one would
@@ -49,11 +55,11 @@
 	retryAfter = 500 * time.Millisecond
 )
 
-// ClockAllowance is how far two entries' clocks may differ. The owner never
-// answers "complete" once the id's deadline is past on its own clock. Another
-// entry that can't reach it declares the outcome unknown, for good, only when the
-// deadline is past by this much on its own clock; with clocks further apart than
-// this, a caller could get both answers.
+// ClockAllowance is how far two entries' clocks may differ. The owner never answers
+// "complete" once job.AnswerGrace after the id's deadline is past on its own clock.
+// Another entry that can't reach it declares the outcome unknown, for good, only this
+// much later on its own clock; with clocks further apart, a caller could get both
+// answers.
 const ClockAllowance = 500 * time.Millisecond
 
 // Options configures a Forwarder. A zero field takes the default.
@@ -98,8 +104,13 @@
 	Body     []byte
 	Wait     time.Duration // how long the caller wants to wait for the answer
 	Waits    bool          // whether the path takes wait_ms
+	Withheld bool          // the owner's complete answer came too late to be passed on
 }
 
+// unknownFrom returns the time from which an owner that can't be reached gives no
+// complete answer any more, by any clock.
+func (r Request) unknownFrom() time.Time { return r.Deadline.Add(job.AnswerGrace + ClockAllowance) }
+
 // Reply is the owner's reply, to be passed on as it is.
 type Reply struct {
 	Status     int
@@ -143,14 +154,14 @@
 // so that the body crosses the network once. Other requests stay as they are.
 func (r Request) lookup() Request {
 	if r.Method == http.MethodPost && r.ID != "" {
-		r.Method, r.Path, r.Body = http.MethodGet, "/v1/jobs/"+r.ID, nil
+		r.Method, r.Path, r.Body = http.MethodGet, JobPath(r.ID), nil
 	}
 	return r
 }
 
 // once makes one call, for one slice of the wait.
 func (f *Forwarder) once(ctx context.Context, r Request, until time.Time) (*Reply, error) {
-	slice := min(f.o.Slice, max(until.Sub(f.o.Clock.Now()), 0))
+	slice := f.slice(r, until)
 	p := f.peers.get(r.Owner.Addr)
 	reply, err := p.call(ctx, r, slice, slice+f.o.Grace)
 	if err != nil && !errors.Is(err, errAnotherIncarnation) {
@@ -161,6 +172,16 @@
 	return reply, err
 }
 
+// slice returns how long the owner may hold its reply back. Past the deadline it has a
+// final answer, and to wait for one would only put off finding that it is silent.
+func (f *Forwarder) slice(r Request, until time.Time) time.Duration {
+	now := f.o.Clock.Now()
+	if now.After(r.Deadline.Add(ClockAllowance)) {
+		return 0
+	}
+	return min(f.o.Slice, max(until.Sub(now), 0))
+}
+
 // ownerGone is the answer once another incarnation replied from the owner's
 // address: no two processes can listen there, so the owner has ended. It may have
 // started tasks before, and what it answered before stands.
@@ -180,7 +201,7 @@
 // and the owner may be about to listen again after a cut.
 func (f *Forwarder) unreachable(r Request, cause error) *fault.Fault {
 	event.Log(f.o.Log, event.JobUndecided, "job", r.ID, "owner", r.Owner.Addr.String(), "cause", cause.Error())
-	if f.o.Clock.Now().After(r.Deadline.Add(ClockAllowance)) {
+	if f.o.Clock.Now().After(r.unknownFrom()) {
 		f.o.Counters.OutcomeUnknown.Inc(1)
 		return fault.New(fault.OutcomeUnknown, "the owner could not be reached until past the deadline; tasks may have run")
 	}
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -142,6 +142,9 @@
 		return nil, errors.Wrap(err, "make the request to the owner")
 	}
 	request.Header.Set(HeaderForwarded, "1")
+	if r.Withheld {
+		request.Header.Set(HeaderWithheld, "1")
+	}
 	if r.Body != nil {
 		request.ContentLength = int64(len(r.Body))
 		request.Header.Set("Content-Type", "application/json")
--- a/internal/owner/board.go
+++ b/internal/owner/board.go
@@ -76,7 +76,7 @@
 
 // record is one id's place in the seen-set. It outlives the job's tasks: until
 // the id's deadline it keeps the id from being started again, and for AnswerKeep
-// longer it serves look-ups.
+// longer it serves look-ups, with results for job.AnswerGrace.
 type record struct {
 	id          job.ID
 	fingerprint [sha256.Size]byte
@@ -84,6 +84,7 @@
 	answer      job.Answer
 	answerBytes int
 	evicted     bool // results dropped for memory
+	given       int  // callers that were handed the complete answer
 	cancelled   bool // cancelled before the submission came, so its body is unknown
 	next        time.Time
 	index       int // in timeline
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -10,7 +10,8 @@
 // What it guarantees: a submission's tasks are started only here, each at most
 // once unless an agent proved that the attempt before did not run (or the caller
 // marked a single request idempotent); every accepted submission gets exactly one
-// final answer, by its deadline, and never "complete" after it.
+// final answer by its deadline. One that is complete is given until job.AnswerGrace
+// after it.
 package owner
 
 import (
@@ -63,12 +64,11 @@
 	// within the 128 MB for control.
 	DefaultMaxJobs = 120_000
 	// AnswerKeep is how long after its deadline an id is remembered. A complete
-	// answer is not given past the deadline: another entry that could not reach this
-	// one may by then have told the caller "failed, outcome unknown". What is kept
-	// are failures, and the knowledge that an id was never accepted.
+	// answer is given for job.AnswerGrace only: another entry that could not reach
+	// this one may then tell the caller "failed, outcome unknown". What is kept
+	// longer are failures, and the knowledge that an id was never accepted.
 	AnswerKeep = 15 * time.Second
-	// MaxAnswerBytes bounds the results kept for look-ups until the deadline; the
-	// oldest go first.
+	// MaxAnswerBytes bounds the results kept for look-ups; the oldest go first.
 	MaxAnswerBytes = 48 << 20
 	// MaxTries bounds the starts of an idempotent single request.
 	MaxTries = 3
--- a/internal/owner/expire.go
+++ b/internal/owner/expire.go
@@ -20,9 +20,8 @@
 		if r.live != nil {
 			c.fail(now, r.live, fault.New(fault.DeadlineExceeded, "the deadline passed before every task was done"))
 		}
-		c.dropResults(r)
-		if forgetAt := r.id.Deadline.Add(AnswerKeep); now.Before(forgetAt) {
-			r.next = forgetAt
+		if next := c.nextStage(now, r); now.Before(next) {
+			r.next = next
 			heap.Fix(&c.timeline, 0)
 			continue
 		}
@@ -31,6 +30,16 @@
 	}
 }
 
+// nextStage drops the results of an ended record that are no longer given, and
+// returns when the record needs attention next; a time that is past means never.
+func (c *Core) nextStage(now time.Time, r *record) time.Time {
+	if answerable := r.id.AnswerableUntil(); now.Before(answerable) {
+		return answerable
+	}
+	c.dropResults(r)
+	return r.id.Deadline.Add(AnswerKeep)
+}
+
 // expireAgents forgets agents that have been away for long and left nothing open.
 func (c *Core) expireAgents(now time.Time) {
 	for i := len(c.roster) - 1; i >= 0; i-- { // backwards: removing shifts what is behind
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -161,7 +161,7 @@
 
 // Await hands the answer of a known id to the waiter, now or when it is final.
 // The error is a *fault.Fault: NotFound where this owner never accepted the id,
-// AnswerExpired where it no longer holds the answer.
+// AnswerExpired where the answer was given and is no longer held.
 func (c *Core) Await(now time.Time, id job.ID, w Waiter) (stop func(), err error) {
 	r, known := c.jobs[id.String()]
 	if known {
@@ -183,13 +183,48 @@
 	if r.live != nil {
 		return c.wait(r.live, w), nil
 	}
-	if r.answer.State == job.Complete && (r.evicted || !now.Before(r.id.Deadline)) {
-		return nil, fault.New(fault.AnswerExpired, "the job ended and its results are no longer held")
+	if r.answer.State == job.Complete && r.lapsed(now) {
+		if r.given > 0 {
+			return nil, fault.New(fault.AnswerExpired, "the answer was given, and its results are no longer held")
+		}
+		c.withdraw(r)
 	}
-	w(r.answer)
+	r.give(w)
 	return func() {}, nil
 }
 
+// lapsed reports whether the results of a complete answer can no longer be given.
+func (r *record) lapsed(now time.Time) bool { return r.evicted || !now.Before(r.id.AnswerableUntil()) }
+
+// give hands the answer to a waiter.
+func (r *record) give(w Waiter) {
+	if r.answer.State == job.Complete {
+		r.given++
+	}
+	w(r.answer)
+}
+
+// withdraw replaces a complete answer that nobody was given in time with the one that
+// other entries give by now. Without it, a caller would be told that an answer was
+// given that it never got.
+func (c *Core) withdraw(r *record) {
+	c.dropResults(r)
+	f := fault.Newf(fault.OutcomeUnknown, "the job ended, and nobody was given its results within %s of the deadline", job.AnswerGrace)
+	if r.evicted {
+		f = fault.New(fault.OutcomeUnknown, "the job ended, and its results were dropped for want of memory")
+	}
+	r.answer = job.Answer{ID: r.id.String(), State: job.Failed, Failure: f}
+	event.Log(c.log, event.AnswerWithdrawn, "job", r.id.String(), "evicted", r.evicted)
+}
+
+// Withhold takes back one handing over of a complete answer: its waiter was too late
+// to pass the answer on.
+func (c *Core) Withhold(id job.ID) {
+	if r, known := c.jobs[id.String()]; known && r.given > 0 {
+		r.given--
+	}
+}
+
 func (c *Core) wait(l *liveJob, w Waiter) func() {
 	key := l.nextWait
 	l.nextWait++
--- /dev/null
+++ b/internal/owner/late_test.go
@@ -0,0 +1,150 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
+)
+
+// lateCase is one owner with one agent that succeeds at once.
+type lateCase struct {
+	g    *WithT
+	core *Core
+	out  *echo
+	now  time.Time
+	last int
+}
+
+func newLateCase(t *testing.T) *lateCase {
+	core, out := newBenchCore(1)
+	return &lateCase{g: NewWithT(t), core: core, out: out, now: time.UnixMilli(1_800_000_000_000)}
+}
+
+// complete submits a job that ends before its deadline, a second from now.
+func (l *lateCase) complete(w Waiter) job.ID {
+	l.last++
+	id, err := job.NewID(l.core.opts.Owner.Token(benchKey), l.now.Add(time.Second), fmt.Sprint(l.last), benchKey)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	s := &job.Submission{ID: id, Team: "a", Class: "x", Tasks: make([]job.Task, 1)}
+	stop, err := l.core.Submit(l.now, s, w)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	if w == nil {
+		stop()
+	}
+	l.core.Flush()
+	for conn, f := range l.out.frames {
+		f.Reports[0].Result = []byte("result")
+		l.g.Expect(l.core.Receive(l.now, conn, f)).To(Succeed())
+		delete(l.out.frames, conn)
+	}
+	return id
+}
+
+// abandoned submits a job whose caller stops waiting before it ends.
+func (l *lateCase) abandoned() job.ID { return l.complete(nil) }
+
+// ask looks an answer up after the deadline.
+func (l *lateCase) ask(id job.ID, late time.Duration) (answer job.Answer, err error) {
+	now := id.Deadline.Add(late)
+	l.core.Tick(now)
+	_, err = l.core.Await(now, id, func(a job.Answer) { answer = a })
+	return answer, err
+}
+
+const justInTime = job.AnswerGrace - time.Millisecond
+
+// The entry that holds a finished job's results is frozen or cut off past the job's
+// deadline. Its caller lost the results for good, although the work was done in time.
+func TestCompleteAnswerIsGivenAfterTheDeadline(t *testing.T) {
+	l := newLateCase(t)
+	for _, late := range []time.Duration{0, justInTime} {
+		answer, err := l.ask(l.abandoned(), late)
+		l.g.Expect(err).NotTo(HaveOccurred())
+		l.g.Expect(answer.State).To(Equal(job.Complete), "%s past the deadline", late)
+		l.g.Expect(answer.Results).To(Equal([][]byte{[]byte("result")}))
+	}
+}
+
+// The results came too late to be given to anybody. Told that the answer was given, a
+// caller that never got it would wait for an answer that nobody has.
+func TestAnswerThatNobodyWasGivenBecomesAnUnknownOutcome(t *testing.T) {
+	l := newLateCase(t)
+	id := l.abandoned()
+	for _, late := range []time.Duration{job.AnswerGrace, AnswerKeep - time.Millisecond} {
+		answer, err := l.ask(id, late)
+		l.g.Expect(err).NotTo(HaveOccurred())
+		l.g.Expect(answer.State).To(Equal(job.Failed))
+		l.g.Expect(answer.Failure.Code).To(Equal(fault.OutcomeUnknown))
+		l.g.Expect(answer.Failure.NotRun).To(BeFalse())
+		l.g.Expect(answer.Results).To(BeEmpty())
+	}
+	_, err := l.ask(id, AnswerKeep)
+	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")))
+}
+
+// One caller got the results; another asks after the grace. "Outcome unknown" would
+// contradict what the first one was told.
+func TestAnswerThatWasGivenExpires(t *testing.T) {
+	l := newLateCase(t)
+	given := l.complete(func(job.Answer) {})
+	_, err := l.ask(given, job.AnswerGrace)
+	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")))
+
+	lookedUp := l.abandoned()
+	_, err = l.ask(lookedUp, justInTime)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	_, err = l.ask(lookedUp, job.AnswerGrace)
+	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")))
+}
+
+// An entry was handed the results and was frozen before it could pass them on. Counted
+// as given, they would leave its caller without any answer.
+func TestWithheldAnswerCountsAsNotGiven(t *testing.T) {
+	l := newLateCase(t)
+	id := l.complete(func(job.Answer) {})
+	l.core.Withhold(id)
+	answer, err := l.ask(id, job.AnswerGrace)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	l.g.Expect(answer.Failure.Code).To(Equal(fault.OutcomeUnknown))
+
+	twice := l.complete(func(job.Answer) {})
+	_, err = l.ask(twice, 0)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	l.core.Withhold(twice)
+	_, err = l.ask(twice, job.AnswerGrace)
+	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")), "the other caller has it")
+}
+
+// Results are dropped for want of memory before anybody fetched them, long before the
+// deadline. The caller must learn that it won't get them, and not that it did.
+func TestEvictedAnswerThatNobodyWasGivenBecomesAnUnknownOutcome(t *testing.T) {
+	l := newLateCase(t)
+	id := l.abandoned()
+	r := l.core.jobs[id.String()]
+	l.core.kept += MaxAnswerBytes // as if others filled the memory
+	l.complete(func(job.Answer) {})
+	l.g.Expect(r.evicted).To(BeTrue())
+	answer, err := l.ask(id, -time.Millisecond)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	l.g.Expect(answer.Failure.Code).To(Equal(fault.OutcomeUnknown))
+}
+
+// The last result comes after the deadline, read before the first tick of a process
+// that was frozen. The job had to end by its deadline, and other callers were told so.
+func TestResultAfterTheDeadlineCompletesNothing(t *testing.T) {
+	l := newLateCase(t)
+	id, err := job.NewID(l.core.opts.Owner.Token(benchKey), l.now.Add(time.Second), "frozen", benchKey)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	var answer job.Answer
+	s := &job.Submission{ID: id, Team: "a", Class: "x", Tasks: make([]job.Task, 1)}
+	_, err = l.core.Submit(l.now, s, func(a job.Answer) { answer = a })
+	l.g.Expect(err).NotTo(HaveOccurred())
+	l.core.Flush()
+	l.g.Expect(l.core.Receive(id.Deadline, 1, l.out.frames[1])).To(Succeed())
+	l.g.Expect(answer.Failure.Code).To(Equal(fault.DeadlineExceeded))
+}
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -185,7 +185,7 @@
 			"reason", answer.Failure.Name, "detail", answer.Failure.Detail, "not_run", answer.Failure.NotRun)
 	}
 	for _, w := range l.waiters {
-		w(answer)
+		r.give(w)
 	}
 	l.waiters = nil
 }
