An entry's own standstill no longer counts as the owner's silence

Callers saw: an entry that stood still for some time answered "undecided" in place of the answer, which waited in its socket; past the deadline the same is "outcome unknown", final, of a job that had ended well.

Cause: a call to the owner was cancelled by one timer over its whole silence. A process that was stopped finds the timer due when it goes on, before it has read anything; two calls in a row, and the owner counts as out of reach.

Change: silence is counted in eighths of the limit, each of which counts once however long it took, and an owner is given up only after one that was on time.

TestOwnStandstillIsNotTheOwnersSilence replays the looks (there was nothing like it before). Looked at for the same: sessions (both sides give each other up, on purpose, after a standstill of that length), the store's and the clients' calls (they ask again and say nothing final), agents' calls to targets (no such timer).

--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -99,12 +99,12 @@
 func (p *peer) closeIdle() { p.client.CloseIdleConnections() }
 
 // call makes one request. It gives up, and closes the connection, when no byte
-// moved for as long as silence; a large body on a slow path may take longer.
-func (p *peer) call(ctx context.Context, r Request, wait, silence time.Duration) (*Reply, error) {
+// moved for as long as limit; a large body on a slow path may take longer.
+func (p *peer) call(ctx context.Context, r Request, wait, limit time.Duration) (*Reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := &watch{limit: silence, timer: time.AfterFunc(silence, func() { cancel(errSilent) })}
-	defer watch.timer.Stop()
+	watch := newWatch(limit, func() { cancel(errSilent) })
+	defer watch.stop()
 	request, err := p.request(ctx, r, wait, watch)
 	if err != nil {
 		return nil, err
@@ -173,14 +173,6 @@
 	return errors.Wrap(err, "call the owner")
 }
 
-// watch cancels a call on which no byte moved for too long.
-type watch struct {
-	limit time.Duration
-	timer *time.Timer
-}
-
-func (w *watch) moved() { w.timer.Reset(w.limit) }
-
 type watchedReader struct {
 	io.Reader
 	watch *watch
--- /dev/null
+++ b/internal/forward/silence_test.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// looks replays the times of an observer's looks, as gaps between them, and returns the
+// number of the one at which the peer was given up; 0: never.
+func looks(limit time.Duration, gaps ...time.Duration) int {
+	now := time.UnixMilli(0)
+	s := newSilence(now, limit)
+	for i, gap := range gaps {
+		now = now.Add(gap)
+		if s.look(now) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func repeat(gap time.Duration, n int) []time.Duration {
+	gaps := make([]time.Duration, n)
+	for i := range gaps {
+		gaps[i] = gap
+	}
+	return gaps
+}
+
+// An entry stands still while a reply waits in its socket. Counted as the owner's
+// silence, that made it tell its caller that the owner can't be reached, and past the
+// deadline that the outcome is unknown, of a job that had ended well.
+func TestOwnStandstillIsNotTheOwnersSilence(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 800 * time.Millisecond
+	onTime := limit / quanta
+	g.Expect(looks(limit, repeat(onTime, 20)...)).To(Equal(quanta), "a silent owner is found in time")
+	g.Expect(looks(limit, append([]time.Duration{time.Minute}, repeat(onTime, 20)...)...)).To(Equal(quanta))
+	late := append(repeat(onTime, quanta-1), time.Minute)
+	g.Expect(looks(limit, late...)).To(BeZero(), "a standstill in the last quantum")
+	g.Expect(looks(limit, append(late, onTime)...)).To(Equal(quanta+1), "after one more, it had the time to be heard")
+	g.Expect(looks(limit, repeat(time.Second, 100)...)).To(BeZero(), "a process that hardly runs")
+	g.Expect(looks(limit, append(repeat(time.Second, 100), onTime)...)).To(Equal(101))
+}
+
+// A body that arrives slowly is no silence.
+func TestSignsOfLifeEndASilence(t *testing.T) {
+	g := NewWithT(t)
+	now := time.UnixMilli(0)
+	s := newSilence(now, time.Second)
+	for range 100 {
+		for range quanta - 1 {
+			now = now.Add(time.Second / quanta)
+			g.Expect(s.look(now)).To(BeFalse())
+		}
+		s.heard(now)
+	}
+}
