A failed test of real processes shows their last lines

Reproduced: the configuration's test of an outage that outlives the log's records passed 5 of 5 beside 24 busy processes (load 32 to 42 on 5 processors), and failed 8 of 8 with one of its entries stopped by a signal for 1.2 s at a time, each with the listed failure: GET /v1/config, deadline exceeded after the call's 1 s. Ruled out: descriptors that its polls leave open (200 at most, of 20,000).

The test's checks and bounds are as they were; the tails are printed where it failed, two seconds later, so that a process that stood still can say so.

--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os/exec"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,11 +34,26 @@
 func fleetWithLog(ctx context.Context, flags ...string) (f *localfleet.Fleet, logURL string) {
 	f = localfleet.New(localfleet.Options{Bin: buildDaemons(), Key: "a key that only this test knows"})
 	DeferCleanup(f.Close)
+	DeferCleanup(showTails, f) // before the fleet is closed
 	log, err := f.StartLog(ctx, flags...)
 	Expect(err).NotTo(HaveOccurred())
 	return f, "http://" + log.Addr
 }
 
+// stallReport is how long a process that stood still may take to go on and say so.
+const stallReport = 2 * time.Second
+
+// showTails adds the last log lines of each process to the report of a test that failed.
+func showTails(f *localfleet.Fleet) {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	time.Sleep(stallReport)
+	for _, p := range f.Processes() {
+		AddReportEntry(p.Name, strings.Join(p.Tail(), "\n"))
+	}
+}
+
 func control(logURL string, mode standin.StoreMode) {
 	body, err := json.Marshal(standin.StoreControl{Mode: mode})
 	Expect(err).NotTo(HaveOccurred())
