An answer that is written to a caller who has left does not count as given

Cause, from reading: a caller gives up on an entry that stands still; the entry goes on, hands the answer to that caller's handler and writes it to nobody. The owner counted it as given, and told the caller so when it asked again past the grace.

Change: where the caller has left before its complete answer is written, the answer is withheld, as where it comes too late.

TestAnswerToACallerWhoLeftIsWithheld fails without it (0 withheld).

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -75,11 +75,16 @@
 
 // deliver writes an answer and notes whether its caller will come back for it.
 func (a *api) deliver(g *gin.Context, id job.ID, answer job.Answer) {
-	if answer.State == job.Complete && a.lapsed(id) {
+	left := g.Request.Context().Err() != nil
+	switch {
+	case answer.State == job.Complete && left:
+		// Nobody reads it: where this one comes back past the grace, it wasn't given.
+		_ = a.control.post(func(_ time.Time, c core) { c.Withhold(id) }) // else it counts as given
+	case answer.State == job.Complete && a.lapsed(id):
 		a.await(g, id, 0, withheld(id))
 		return
 	}
-	written := writeAnswer(g, answer) && g.Request.Context().Err() == nil
+	written := writeAnswer(g, answer) && !left && g.Request.Context().Err() == nil
 	if written && answer.Final() {
 		a.unclaimed.claimed(id.String())
 		return
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -59,9 +60,14 @@
 
 // deliver writes an answer and returns what its caller reads.
 func (c *answerCase) deliver(state job.State, f *fault.Fault) (status int, answer job.Answer) {
+	return c.deliverTo(context.Background(), state, f)
+}
+
+// deliverTo writes an answer to a caller who is there as long as ctx lasts.
+func (c *answerCase) deliverTo(ctx context.Context, state job.State, f *fault.Fault) (status int, answer job.Answer) {
 	recorder := httptest.NewRecorder()
 	g, _ := gin.CreateTestContext(recorder)
-	g.Request = httptest.NewRequest(http.MethodGet, "/", nil)
+	g.Request = httptest.NewRequest(http.MethodGet, "/", nil).WithContext(ctx)
 	c.api.deliver(g, c.id, job.Answer{ID: c.id.String(), State: state, Failure: f})
 	c.Expect(json.Unmarshal(recorder.Body.Bytes(), &answer)).To(Succeed())
 	return recorder.Code, answer
@@ -90,3 +96,19 @@
 	status, _ = c.deliver(job.Failed, fault.New(fault.Cancelled, ""))
 	c.Expect(status).To(Equal(fault.Cancelled.Status()))
 }
+
+// A caller gives up on a frozen entry, which goes on to write the answer to nobody. When
+// the caller asks again past the grace, it was told that the answer had been given.
+func TestAnswerToACallerWhoLeftIsWithheld(t *testing.T) {
+	c := newAnswerCase(t)
+	ctx, leave := context.WithCancel(context.Background())
+	c.deliverTo(ctx, job.Complete, nil)
+	c.Expect(c.core.withheld).To(BeZero())
+	leave()
+	c.deliverTo(ctx, job.Complete, nil)
+	c.Expect(c.api.control.do(func(time.Time, core) {})).To(Succeed())
+	c.Expect(c.core.withheld).To(Equal(1))
+	c.deliverTo(ctx, job.Failed, fault.New(fault.Cancelled, ""))
+	c.Expect(c.api.control.do(func(time.Time, core) {})).To(Succeed())
+	c.Expect(c.core.withheld).To(Equal(1))
+}
