--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,12 +9,18 @@
 	. "github.com/onsi/gomega"
 )
 
-// seeds are played in CI: one of the usual kind, and each that ever failed, with a line on
-// the cause.
+// seeds are played in CI: some of the usual kind, and each that ever failed, with a line
+// on the cause.
 var seeds = []uint64{
-	1,
+	1, // two sessions of one runner with one entry
+	2,
+	3,
+	4,
 }
 
+// seedDuration is for how long each seed's faults go on: a minute in all.
+const seedDuration = 15 * time.Second
+
 // Processes, paths, targets and the store fail by the seed, in series that overlap, while
 // callers send jobs and send them again. A broken promise shows as a paper billed twice, a
 // "not run" that ran, an answer that never comes, or an entry that goes back to an older
@@ -24,7 +30,7 @@
 	out, err := exec.Command("go", "build", "-o", bin+"/", "../../apps/camphorrack-dispatcher", "../../apps/camphorrack-runner").CombinedOutput()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
 	for _, seed := range seeds {
-		result, err := Run(context.Background(), Options{Bin: bin, Dir: t.TempDir(), Seed: seed, Duration: 8 * time.Second,
+		result, err := Run(context.Background(), Options{Bin: bin, Dir: t.TempDir(), Seed: seed, Duration: seedDuration,
 			Entries: DefaultEntries, Targets: DefaultTargets, Callers: DefaultCallers, Out: t.Output()})
 		g := NewWithT(t)
 		g.Expect(err).NotTo(HaveOccurred())
