--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,8 +25,8 @@
 	// minSpeed keeps a prediction finite for a target on which nothing moves.
 	minSpeed = 0.02
 	// usualSlackMs is how long a task that has not begun may wait beyond its slack before
-	// it comes back: the estimate that the slack was made from is rough. With 40 ms in
-	// place of 10, room went to tasks that were late anyway.
+	// it comes back: the estimate that the slack was made from is rough. A longer one
+	// gives room to tasks that are late anyway.
 	usualSlackMs = 10
 	// mostMoves is how often a task may come back because it would wait longer than
 	// predicted. Other entries send work there at the same moment, and its own choice is
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -49,7 +49,7 @@
 
 // dialTimeout bounds a connection to a dispatcher, some milliseconds away. A host that
 // is just coming back loses the first packet, and TCP alone sends the next one after a
-// second: after a loss of power the runners were 0.4 s later than the entries.
+// second.
 const dialTimeout = 120 * time.Millisecond
 
 // SessionOptions returns the watch over sessions; an idle session is watched as
@@ -95,7 +95,7 @@
 
 // Metrics returns the handler of the metrics page: a name and a value a line, and for
 // histograms a line for each of some quantiles. refresh copies the control state's figures
-// first: copied with each tick, they cost a dispatcher 650 look-ups a second for nobody.
+// first, so that they cost nothing while nobody reads them.
 func Metrics(log logr.Logger, r metrics.Registry, refresh func() error) gin.HandlerFunc {
 	return func(g *gin.Context) {
 		if err := refresh(); err != nil {
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -19,22 +19,18 @@
 	stopRetry = 100 * time.Millisecond
 	// renewWait is the longest time that a renewal waits for an end while tasks run. What
 	// starts after the call is not reckoned with in its wait, so one lost answer leaves the
-	// agent blind for that long. With 300 ms a target was taken for one that stands still
-	// (28 jobs of 6,312 ended in an unknown outcome on a day with lost orders, 9 with 100),
-	// and the calls rose by 6 in 1,000.
+	// agent blind for that long, and a sound target looks like one that stands still.
 	renewWait = 100 * time.Millisecond
 	// endMargin is how long after the next expected end a renewal waits at most, and
 	// leastWait the shortest wait. A renewal whose answer is lost leaves the agent
-	// blind until it is given up: with a wait of 300 ms each time, one lost answer in
-	// twenty made tasks of 60 ms seem to take 500, and their targets useless.
+	// blind until it is given up, and short tasks seem to take as long.
 	endMargin = 20 * time.Millisecond
 	leastWait = 25 * time.Millisecond
 	// A start or a stop is given up after timeoutFactor times the mean time to an
-	// answer, between leastTimeout and mostTimeout. A target on the same host answers
-	// within 5 ms of ninety-three starts in a hundred, and within 20 ms of all but one
-	// in five hundred; a start that was not answered is fenced off, and the earlier it
-	// is, the more often its task is still in time elsewhere. A slow host takes longer
-	// for every call.
+	// answer, between leastTimeout and mostTimeout. A target on the same host nearly
+	// always answers within some milliseconds; a start that was not answered is fenced
+	// off, and the earlier it is, the more often its task is still in time elsewhere. A
+	// slow host takes longer for every call.
 	usualAnswerMs = 2.5
 	timeoutFactor = 9
 	leastTimeout  = 20 * time.Millisecond
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -31,9 +31,9 @@
 	// queue before it counts as flooding. Of teams that are alike, half are above their
 	// equal share at any moment, and must not be refused for that.
 	fairSlack = 0.5
-	// SoftQueue and HardQueue bound the same for jobs with much time. At 0.95 of
-	// capacity queues of several seconds come up by chance and go away again, and
-	// small jobs pass them; work refused for them would be missing afterwards.
+	// SoftQueue and HardQueue bound the same for jobs with much time. Near capacity
+	// queues of several seconds come up by chance and go away again, and small jobs
+	// pass them; work refused for them would be missing afterwards.
 	SoftQueue = 10 * time.Second
 	HardQueue = 20 * time.Second
 	// OvertakeFactor allows for jobs that will come later and go first.
--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -35,8 +35,7 @@
 
 const (
 	// HoldMargin is by how much a wait is taken to be longer than it looks. Waits
-	// are guesses and runs are nearly known, so a tie goes to the slot in hand. In
-	// trials 0, 0.25 and 0.5 differ by less than 2 % of the mean response.
+	// are guesses and runs are nearly known, so a tie goes to the slot in hand.
 	HoldMargin = 0.25
 	// OtherCentreMs is added for a target in another data centre: the round trip.
 	OtherCentreMs = 3
