An entry's clock counts the time in which its host is suspended

Looked for beside the frozen entry: an owner whose host was suspended had a clock that stood still, so its grace for complete answers lasted on while other entries had called the outcome unknown (listed as not proved in INVARIANTS). Entries now read the clock that counts suspensions; agents and the platform's daemons keep theirs.

TestClockThroughSuspendCountsTheSuspension: with the steady clock in its place, the clock stands still over the hour.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -18,17 +18,33 @@
 // correction, a leap smear gone wrong) would otherwise bring back deadlines that
 // were past, and with them permission to start work that was already given up.
 type Anchored struct {
-	start time.Time
+	start   time.Time // without a monotonic reading
+	elapsed func() time.Duration
 }
 
-// NewAnchored anchors a clock at the host's current time.
-func NewAnchored() *Anchored { return &Anchored{start: time.Now()} }
+// NewAnchored anchors a clock at the host's current time. It stands still while the
+// host is suspended.
+func NewAnchored() *Anchored {
+	start := time.Now()
+	return anchored(start, func() time.Duration { return time.Since(start) })
+}
 
-// Now returns the anchored wall time.
-func (a *Anchored) Now() time.Time {
-	return a.start.Round(0).Add(time.Since(a.start))
+// NewAnchoredThroughSuspend is NewAnchored for a clock that others rely on: it counts
+// the time in which the host is suspended. A reading is a system call.
+func NewAnchoredThroughSuspend() *Anchored { return throughSuspend(bootNanos) }
+
+func throughSuspend(nanos func() int64) *Anchored {
+	start := nanos()
+	return anchored(time.Now(), func() time.Duration { return time.Duration(nanos() - start) })
 }
 
+func anchored(start time.Time, elapsed func() time.Duration) *Anchored {
+	return &Anchored{start: start.Round(0), elapsed: elapsed}
+}
+
+// Now returns the anchored wall time.
+func (a *Anchored) Now() time.Time { return a.start.Add(a.elapsed()) }
+
 // Fake is a clock that moves only when told to. It is safe for concurrent use.
 type Fake struct {
 	mu  sync.Mutex
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,7 +63,7 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	e := &Entry{o: o, log: log, clock: clock.NewAnchored(), listener: listener, drainedCh: make(chan struct{})}
+	e := &Entry{o: o, log: log, clock: clock.NewAnchoredThroughSuspend(), listener: listener, drainedCh: make(chan struct{})}
 	metrics, err := newCounters(func() int { return e.control.Waiting() })
 	if err != nil {
 		_ = listener.Close()
