--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -7,8 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// An owner whose host was suspended past a deadline gives a complete answer by a clock
-// that stood still, after another entry has called the outcome unknown.
+// Guards against an owner that gives answers by a clock that stood still with its host.
 func TestClockThroughSuspendCountsTheSuspension(t *testing.T) {
 	g := NewWithT(t)
 	nanos := int64(1)
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -9,8 +9,7 @@
 	"github.com/camphorrack/camphorrack/internal/clock"
 )
 
-// A command that blocks holds up every request behind it; without a report of the
-// turn, that can't be told from a process without a processor.
+// Guards against a blocked control goroutine that no log line shows.
 func TestTurnsAreReportedWithWhatTheyHeldUp(t *testing.T) {
 	g := NewWithT(t)
 	turns := make(chan Turn, 16)
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -73,8 +73,7 @@
 	return recorder.Code, answer
 }
 
-// The process is frozen between the end of a job and the writing of its answer, and
-// wakes after the deadline. The caller, who asked nobody else, would lose the results.
+// Guards against a frozen entry withholding results that were ready in time.
 func TestCompleteAnswerIsWrittenPastTheDeadline(t *testing.T) {
 	c := newAnswerCase(t)
 	c.clock.Advance(job.AnswerGrace - time.Millisecond)
@@ -83,9 +82,7 @@
 	c.Expect(c.core.withheld).To(BeZero())
 }
 
-// The process wakes so late that another entry may have told a caller that the outcome
-// is unknown; "complete" now would contradict it. This caller must still be told how
-// the job ended, and by the owner, who knows whether anybody got the results.
+// Guards against "complete" after another entry may have called the outcome unknown.
 func TestNoCompleteAnswerIsWrittenPastTheGrace(t *testing.T) {
 	c := newAnswerCase(t)
 	c.clock.Advance(job.AnswerGrace)
@@ -97,8 +94,7 @@
 	c.Expect(status).To(Equal(fault.Cancelled.Status()))
 }
 
-// A caller gives up on a frozen entry, which goes on to write the answer to nobody. When
-// the caller asks again past the grace, it was told that the answer had been given.
+// Guards against an answer counting as given that was written to nobody.
 func TestAnswerToACallerWhoLeftIsWithheld(t *testing.T) {
 	c := newAnswerCase(t)
 	ctx, leave := context.WithCancel(context.Background())
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -219,8 +219,7 @@
 		Expect(agent.startCounts()).To(BeEmpty())
 	})
 
-	// The owner, or the path to it, is paused, and its answer "complete" reaches the
-	// forwarding entry after the deadline. Results that were ready in time must not be lost.
+	// Guards against results being lost that reach the forwarding entry past the deadline.
 	It("is quoted with a complete answer past the deadline", func() {
 		e := startEntry(GinkgoT())
 		owner := startSlowOwner(200*time.Millisecond, func(http.Header) string { return `{"state":"complete"}` })
@@ -230,8 +229,7 @@
 		Expect(early.State).To(Equal(job.Complete))
 	})
 
-	// The answer reaches the forwarding entry so late that another entry may have told a
-	// caller that the outcome is unknown. The owner must learn that this caller has nothing.
+	// Guards against "complete" after another entry may have called the outcome unknown.
 	It("is not quoted with a complete answer past the grace, and is asked again", func() {
 		e := startEntry(GinkgoT())
 		owner := startSlowOwner(200*time.Millisecond, func(h http.Header) string {
@@ -246,8 +244,7 @@
 		Expect(late.Failure.Code).To(Equal(fault.OutcomeUnknown))
 	})
 
-	// The owner's clock is behind, and it gives a complete answer that this entry must
-	// not pass on. The caller asks again, and gets what the owner says by then.
+	// Guards against the same where the owner's clock is behind.
 	It("is undecided while it gives complete answers past the grace", func() {
 		e := startEntry(GinkgoT())
 		owner := startSlowOwner(0, func(http.Header) string { return `{"state":"complete"}` })
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -199,8 +199,7 @@
 		Expect(s.calls.Load()).To(Equal(int32(1)))
 	})
 
-	// Past the deadline the owner has its final answer. A wait would only put off finding
-	// that it is silent, and its caller's final answer with it.
+	// Guards against a silent owner holding up the caller's final answer past the deadline.
 	It("asks for no wait past the deadline", func() {
 		var queries []string
 		s := newScripted(func(_ int, s *scripted, w http.ResponseWriter, r *http.Request) {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -29,9 +29,7 @@
 	return gaps
 }
 
-// An entry stands still while a reply waits in its socket. Counted as the owner's
-// silence, that made it tell its caller that the owner can't be reached, and past the
-// deadline that the outcome is unknown, of a job that had ended well.
+// Guards against an owner that answered being given up for the entry's own standstill.
 func TestOwnStandstillIsNotTheOwnersSilence(t *testing.T) {
 	g := NewWithT(t)
 	const limit = 800 * time.Millisecond
@@ -45,7 +43,7 @@
 	g.Expect(looks(limit, append(repeat(time.Second, 100), onTime)...)).To(Equal(101))
 }
 
-// A body that arrives slowly is no silence.
+// Guards against giving up a reply that arrives slowly.
 func TestSignsOfLifeEndASilence(t *testing.T) {
 	g := NewWithT(t)
 	now := time.UnixMilli(0)
--- a/internal/owner/late_test.go
+++ b/internal/owner/late_test.go
@@ -58,8 +58,7 @@
 
 const justInTime = job.AnswerGrace - time.Millisecond
 
-// The entry that holds a finished job's results is frozen or cut off past the job's
-// deadline. Its caller lost the results for good, although the work was done in time.
+// Guards against results of a job that ended in time being lost past its deadline.
 func TestCompleteAnswerIsGivenAfterTheDeadline(t *testing.T) {
 	l := newLateCase(t)
 	for _, late := range []time.Duration{0, justInTime} {
@@ -70,8 +69,7 @@
 	}
 }
 
-// The results came too late to be given to anybody. Told that the answer was given, a
-// caller that never got it would wait for an answer that nobody has.
+// Guards against a caller being told that an answer was given which nobody got.
 func TestAnswerThatNobodyWasGivenBecomesAnUnknownOutcome(t *testing.T) {
 	l := newLateCase(t)
 	id := l.abandoned()
@@ -87,8 +85,7 @@
 	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")))
 }
 
-// One caller got the results; another asks after the grace. "Outcome unknown" would
-// contradict what the first one was told.
+// Guards against "outcome unknown" after somebody was told "complete".
 func TestAnswerThatWasGivenExpires(t *testing.T) {
 	l := newLateCase(t)
 	given := l.complete(func(job.Answer) {})
@@ -102,8 +99,7 @@
 	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")))
 }
 
-// An entry was handed the results and was frozen before it could pass them on. Counted
-// as given, they would leave its caller without any answer.
+// Guards against results counting as given that an entry could not pass on in time.
 func TestWithheldAnswerCountsAsNotGiven(t *testing.T) {
 	l := newLateCase(t)
 	id := l.complete(func(job.Answer) {})
@@ -120,8 +116,7 @@
 	l.g.Expect(err).To(MatchError(fault.New(fault.AnswerExpired, "")), "the other caller has it")
 }
 
-// Results are dropped for want of memory before anybody fetched them, long before the
-// deadline. The caller must learn that it won't get them, and not that it did.
+// Guards against results counting as given that were dropped before anybody fetched them.
 func TestEvictedAnswerThatNobodyWasGivenBecomesAnUnknownOutcome(t *testing.T) {
 	l := newLateCase(t)
 	id := l.abandoned()
@@ -134,8 +129,7 @@
 	l.g.Expect(answer.Failure.Code).To(Equal(fault.OutcomeUnknown))
 }
 
-// The last result comes after the deadline, read before the first tick of a process
-// that was frozen. The job had to end by its deadline, and other callers were told so.
+// Guards against a job ending as complete after its deadline, in a process that wakes.
 func TestResultAfterTheDeadlineCompletesNothing(t *testing.T) {
 	l := newLateCase(t)
 	id, err := job.NewID(l.core.opts.Owner.Token(benchKey), l.now.Add(time.Second), "frozen", benchKey)
