--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -42,6 +42,9 @@
 	// Slice is the longest wait asked of the owner at a time. A longer one would
 	// hide a connection that went silent until the wait is over.
 	Slice = 500 * time.Millisecond
+	// lateSlice takes the place of Slice past the deadline. It is not zero, so that an
+	// owner whose clock is behind is not asked without a pause.
+	lateSlice = 100 * time.Millisecond
 	// replyGrace is the silence allowed beyond the slice. With the slice it stays
 	// under 1.5 s; twice it fits into the 2 s that a client gives a call that
 	// waits for nothing.
@@ -130,7 +133,7 @@
 	until := f.o.Clock.Now().Add(r.Wait)
 	failures := 0
 	for {
-		reply, err := f.once(ctx, r, until)
+		reply, err := f.once(ctx, r, f.slice(r, until))
 		switch {
 		case err == nil && (!reply.pending() || !f.o.Clock.Now().Before(until)):
 			return reply, nil
@@ -160,8 +163,7 @@
 }
 
 // once makes one call, for one slice of the wait.
-func (f *Forwarder) once(ctx context.Context, r Request, until time.Time) (*Reply, error) {
-	slice := f.slice(r, until)
+func (f *Forwarder) once(ctx context.Context, r Request, slice time.Duration) (*Reply, error) {
 	p := f.peers.get(r.Owner.Addr)
 	reply, err := p.call(ctx, r, slice, slice+f.o.Grace)
 	if err != nil && !errors.Is(err, errAnotherIncarnation) {
@@ -176,10 +178,11 @@
 // final answer, and to wait for one would only put off finding that it is silent.
 func (f *Forwarder) slice(r Request, until time.Time) time.Duration {
 	now := f.o.Clock.Now()
+	most := f.o.Slice
 	if now.After(r.Deadline.Add(ClockAllowance)) {
-		return 0
+		most = min(most, lateSlice)
 	}
-	return min(f.o.Slice, max(until.Sub(now), 0))
+	return min(most, max(until.Sub(now), 0))
 }
 
 // ownerGone is the answer once another incarnation replied from the owner's
