--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/camphorrack/camphorrack/internal/client"
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/config"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
@@ -35,6 +36,7 @@
 	f = localfleet.New(localfleet.Options{Bin: buildDaemons(), Key: "a key that only this test knows"})
 	DeferCleanup(f.Close)
 	DeferCleanup(showTails, f) // before the fleet is closed
+	watchOwnStalls(ctx)
 	log, err := f.StartLog(ctx, flags...)
 	Expect(err).NotTo(HaveOccurred())
 	return f, "http://" + log.Addr
@@ -43,6 +45,20 @@
 // stallReport is how long a process that stood still may take to go on and say so.
 const stallReport = 2 * time.Second
 
+// watchOwnStalls adds to the report when this process stood still: a call that it gave
+// up then was not late for the daemon's sake.
+func watchOwnStalls(ctx context.Context) {
+	stall := clock.NewStall(clock.StallLimit)
+	go func() {
+		for ctx.Err() == nil {
+			clock.Sleep(ctx, clock.StallLimit/8)
+			if gap := stall.Look(); gap > 0 {
+				AddReportEntry("the test stood still", gap.String(), ReportEntryVisibilityFailureOrVerbose)
+			}
+		}
+	}()
+}
+
 // showTails adds the last log lines of each process to the report of a test that failed.
 func showTails(f *localfleet.Fleet) {
 	if !CurrentSpecReport().Failed() {
