A client's own standstill no longer counts as an entry's silence

Callers saw: a call of a client that stood still itself (frozen, or without a processor) ended as lost; an operator's camphorctl said that an entry did not answer.

Cause: the same as in internal/forward, one timer over the whole call and one over the dial.

internal/silence is what internal/forward had, moved, with a dialer.

--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/silence"
 )
 
 // maxReplyBytes caps a reply; a larger one counts as lost.
@@ -37,8 +38,10 @@
 
 // send sends the call to one entry. The error is a *LostError.
 func (c *Client) send(ctx context.Context, entry string, k call) (*reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.wait+c.options.CallTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := silence.NewWatch(k.wait+c.options.CallTimeout, cancel)
+	defer watch.Stop()
 	target := url.URL{Scheme: "http", Host: entry, Path: k.path}
 	if k.waits {
 		target.RawQuery = "wait_ms=" + strconv.FormatInt(k.wait.Milliseconds(), 10)
@@ -52,16 +55,24 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, &LostError{Entry: entry, Cause: err}
+		return nil, lost(ctx, entry, err)
 	}
 	defer response.Body.Close()
-	return readReply(entry, response)
+	return readReply(ctx, entry, response)
 }
 
-func readReply(entry string, response *http.Response) (*reply, error) {
+// lost returns the error of a call that brought no whole reply.
+func lost(ctx context.Context, entry string, err error) *LostError {
+	if errors.Is(context.Cause(ctx), silence.ErrSilent) {
+		err = silence.ErrSilent
+	}
+	return &LostError{Entry: entry, Cause: err}
+}
+
+func readReply(ctx context.Context, entry string, response *http.Response) (*reply, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
-		return nil, &LostError{Entry: entry, Cause: err}
+		return nil, lost(ctx, entry, err)
 	}
 	if len(body) > maxReplyBytes {
 		return nil, &LostError{Entry: entry, Cause: errReplyTooLarge}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/silence"
 )
 
 // Defaults of Options.
@@ -69,9 +70,8 @@
 	if o.WaitSlice <= 0 {
 		o.WaitSlice = DefaultWaitSlice
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerEntry, IdleConnTimeout: idleTimeout,
+		DialContext: silence.Dialer(dialTimeout), MaxIdleConnsPerHost: idlePerEntry, IdleConnTimeout: idleTimeout,
 	}
 	return &Client{options: o, http: &http.Client{Transport: transport}}, nil
 }
--- a/internal/forward/peer.go
+++ b/internal/forward/peer.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/internal/silence"
 )
 
 const (
@@ -36,8 +37,6 @@
 	errForeignReply = errors.New("the reply names no incarnation")
 	// errReplyTooLarge is a reply beyond maxReplyBytes.
 	errReplyTooLarge = errors.New("the reply is too large")
-	// errSilent is a call on which no byte moved for too long.
-	errSilent = errors.New("the owner is silent")
 )
 
 // peers holds one peer per address, each with connections of its own: giving up
@@ -103,8 +102,8 @@
 func (p *peer) call(ctx context.Context, r Request, wait, limit time.Duration) (*Reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatch(limit, func() { cancel(errSilent) })
-	defer watch.stop()
+	watch := silence.NewWatch(limit, cancel)
+	defer watch.Stop()
 	request, err := p.request(ctx, r, wait, watch)
 	if err != nil {
 		return nil, err
@@ -117,7 +116,7 @@
 	if err := checkIncarnation(response, r); err != nil {
 		return nil, err
 	}
-	watch.moved()
+	watch.Moved()
 	body, err := io.ReadAll(io.LimitReader(&watchedReader{response.Body, watch}, maxReplyBytes+1))
 	if err != nil {
 		return nil, lost(ctx, err)
@@ -128,7 +127,7 @@
 	return &Reply{Status: response.StatusCode, RetryAfter: response.Header.Get("Retry-After"), Body: body}, nil
 }
 
-func (p *peer) request(ctx context.Context, r Request, wait time.Duration, w *watch) (*http.Request, error) {
+func (p *peer) request(ctx context.Context, r Request, wait time.Duration, w *silence.Watch) (*http.Request, error) {
 	target := url.URL{Scheme: "http", Host: p.addr.String(), Path: r.Path}
 	if r.Waits {
 		target.RawQuery = waitQuery(wait)
@@ -167,22 +166,22 @@
 }
 
 func lost(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errSilent) {
-		return errSilent
+	if errors.Is(context.Cause(ctx), silence.ErrSilent) {
+		return silence.ErrSilent
 	}
 	return errors.Wrap(err, "call the owner")
 }
 
 type watchedReader struct {
 	io.Reader
-	watch *watch
+	watch *silence.Watch
 }
 
 // Read implements io.Reader.
 func (r *watchedReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	if n > 0 {
-		r.watch.moved()
+		r.watch.Moved()
 	}
 	return n, err
 }
