A draining entry lets requests end that it passes on

Callers saw: an entry that was asked to end cut off requests for other entries' jobs after 2 s.

Cause: the drain settles the entry's own jobs and then gives all other requests 2 s. One that is passed on to a frozen owner takes 2.6 s, one for a running job as long as its caller waits.

Change: they end within the drain timeout, and get 2 s at the least.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -11,7 +11,8 @@
 
 const (
 	drainPoll = 20 * time.Millisecond
-	// closeTimeout bounds the end of the last requests once no job is left.
+	// closeTimeout is what the last requests get at the least once no job is left, also
+	// where the drain timeout is over.
 	closeTimeout = 2 * time.Second
 )
 
@@ -30,12 +31,17 @@
 
 // drain refuses new submissions and goes on serving everything else until nothing
 // accepted is without its answer. The listener stays open meanwhile, because
-// other entries and callers still ask for answers that only this process has.
+// other entries and callers still ask for answers that only this process has. Requests
+// that are passed on to other entries end once it is closed, each in its own time.
 func (e *Entry) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), e.o.drainTimeout())
+	until := time.Now().Add(e.o.drainTimeout())
+	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	err := e.settle(ctx)
-	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+	if least := time.Now().Add(closeTimeout); until.Before(least) {
+		until = least
+	}
+	closing, cancelClosing := context.WithDeadline(context.Background(), until)
 	defer cancelClosing()
 	e.server.RegisterOnShutdown(e.unused.Close) // runs once the listener is closed
 	if closeErr := e.server.Shutdown(closing); err == nil && closeErr != nil {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -222,7 +222,7 @@
 	// Guards against results being lost that reach the forwarding entry past the deadline.
 	It("is quoted with a complete answer past the deadline", func() {
 		e := startEntry(GinkgoT())
-		owner := startSlowOwner(200*time.Millisecond, func(http.Header) string { return `{"state":"complete"}` })
+		owner := startSlowOwner(200*time.Millisecond, alwaysComplete)
 		late := call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(owner.token, 100*time.Millisecond, "late"), "p"))
 		Expect(late.State).To(Equal(job.Complete))
 		early := call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(owner.token, time.Minute, "early"), "p"))
@@ -232,11 +232,11 @@
 	// Guards against "complete" after another entry may have called the outcome unknown.
 	It("is not quoted with a complete answer past the grace, and is asked again", func() {
 		e := startEntry(GinkgoT())
-		owner := startSlowOwner(200*time.Millisecond, func(h http.Header) string {
+		owner := startSlowOwner(200*time.Millisecond, func(h http.Header) (int, string) {
 			if h.Get(forward.HeaderWithheld) != "" {
-				return `{"state":"failed","failure":{"code":302,"name":"outcome_unknown"}}`
+				return http.StatusBadGateway, `{"state":"failed","failure":{"code":302,"name":"outcome_unknown"}}`
 			}
-			return `{"state":"complete"}`
+			return alwaysComplete(h)
 		})
 		almost := 100*time.Millisecond - job.AnswerGrace
 		late := call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(owner.token, almost, "late"), "p"))
@@ -247,7 +247,7 @@
 	// Guards against the same where the owner's clock is behind.
 	It("is undecided while it gives complete answers past the grace", func() {
 		e := startEntry(GinkgoT())
-		owner := startSlowOwner(0, func(http.Header) string { return `{"state":"complete"}` })
+		owner := startSlowOwner(0, alwaysComplete)
 		late := call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(owner.token, -job.AnswerGrace, "late"), "p"))
 		Expect(late).To(haveFailure(fault.Undecided, false))
 	})
@@ -334,6 +334,29 @@
 		Eventually(e.Drained(), "5s").Should(BeClosed())
 	})
 
+	// Guards against a drain that cuts off requests which another entry answers.
+	It("does not cut off a request that it passes on", func() {
+		e := startEntry(GinkgoT())
+		calls := 0
+		owner := startSlowOwner(400*time.Millisecond, func(h http.Header) (int, string) {
+			if calls++; calls < 7 {
+				return http.StatusAccepted, `{"state":"pending"}`
+			}
+			return alwaysComplete(h)
+		})
+		replies := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			replies <- call(http.MethodPost, e.Addr(), "/v1/jobs", submission(newID(owner.token, time.Minute, "job"), "p"))
+		}()
+		Eventually(func() string { return call(http.MethodGet, e.Addr(), "/metrics", nil).raw }).
+			Should(ContainSubstring(`"forward.requests":{"count":1}`))
+		Expect(e.Stop(context.Background())).To(Succeed())
+		var r reply
+		Eventually(replies).Should(Receive(&r))
+		Expect(r.State).To(Equal(job.Complete))
+	})
+
 	// A caller's client holds a connection in reserve that never carried a request.
 	// The drain that has finished everything waited for it, and ended as failed.
 	It("does not wait for connections that were never used", func() {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -10,7 +10,6 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,19 +141,20 @@
 	}, Equal(fmt.Sprintf("%s not_run=%v status=%d", code, notRun, code.Status())))
 }
 
+// alwaysComplete is an owner's reply.
+func alwaysComplete(http.Header) (int, string) { return http.StatusOK, `{"state":"complete"}` }
+
 // slowOwner stands in for an entry that owns submissions and replies late.
 type slowOwner struct{ token string }
 
-// startSlowOwner replies after a delay; a reply that names no complete state is a failure.
-func startSlowOwner(delay time.Duration, reply func(http.Header) string) *slowOwner {
+// startSlowOwner replies after a delay.
+func startSlowOwner(delay time.Duration, reply func(http.Header) (status int, body string)) *slowOwner {
 	var self job.Owner
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(delay)
 		w.Header().Set(forward.HeaderIncarnation, self.Incarnation.String())
-		body := reply(r.Header)
-		if !strings.Contains(body, string(job.Complete)) {
-			w.WriteHeader(http.StatusBadGateway)
-		}
+		status, body := reply(r.Header)
+		w.WriteHeader(status)
 		_, _ = io.WriteString(w, body)
 	}))
 	DeferCleanup(server.Close)
