--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,11 +58,9 @@
 	retryAfter = 500 * time.Millisecond
 )
 
-// ClockAllowance is how far two entries' clocks may differ. The owner never answers
-// "complete" once job.AnswerGrace after the id's deadline is past on its own clock.
-// Another entry that can't reach it declares the outcome unknown, for good, only this
-// much later on its own clock; with clocks further apart, a caller could get both
-// answers.
+// ClockAllowance is how far two entries' clocks may differ. An entry that can't reach
+// the owner declares the outcome unknown, for good, only this much after the owner has
+// stopped answering "complete"; with clocks further apart, a caller could get both.
 const ClockAllowance = 500 * time.Millisecond
 
 // Options configures a Forwarder. A zero field takes the default.
