Tasks that crash their target, and capacity that changes while a target runs

Neither was known: a task that takes down each target was tried again for as long as its caller asked, through any entry; a target's new capacity was taken without a line, entries kept the old one, and a start that was called again was not held against it.

Crashes: a runner names what was at work when its target's life ended unannounced, or when it stopped answering, to all its entries; scheduler/suspicion judges. A job that may have crashed silent targets is refused as not run until they are back.

Capacity: told to entries at once, waiting orders weighed anew, what no longer fits goes back, no repeated start over it; a restarted runner starts nothing on an unguarded target before that has spoken, because the written capacity may be old.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/scheduler/calibration"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
+	"github.com/camphorrack/camphorrack/internal/scheduler/suspicion"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -73,6 +74,7 @@
 	lines    map[string]*calibration.Line // what estimates are worth, by queue
 	// evacuated are the data centres on whose targets nothing is to start.
 	evacuated map[string]struct{}
+	suspects  *suspicion.Ledger
 
 	candidates []earliest.Candidate // scratch of a placement
 	viewed     []*agent
@@ -108,7 +110,7 @@
 func New(o Options) *Core {
 	return &Core{&board{
 		o: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, lines: map[string]*calibration.Line{},
-		evacuated: map[string]struct{}{},
+		evacuated: map[string]struct{}{}, suspects: suspicion.New(),
 	}}
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -7,6 +7,7 @@
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
+	"github.com/camphorrack/camphorrack/internal/scheduler/suspicion"
 )
 
 const (
@@ -83,6 +84,16 @@
 			l.tasks = append(l.tasks, t)
 		}
 	}
+	verdict := c.judge(l)
+	if verdict == suspicion.Condemned {
+		c.jobs.add(l)
+		c.condemn(l)
+		return
+	}
+	if verdict == suspicion.Held {
+		c.refuse(l, fault.Refused(fault.Suspected, "targets that ran a task of it don't answer", heldRetryAfter), 0)
+		return
+	}
 	if f, predicted := c.refusal(l); f != nil {
 		c.refuse(l, f, predicted)
 		return
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -57,7 +57,7 @@
 // Answer is a job's one final answer.
 type Answer struct {
 	Kind       Kind
-	Fault      *fault.Fault  // for AnswerNotRun and AnswerUnknown
+	Fault      *fault.Fault  // for AnswerNotRun and AnswerUnknown, and AnswerFailed without a task's failures
 	RetryAfter time.Duration // for AnswerNotRun: when it is worth coming back
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -121,6 +121,9 @@
 
 // placeWaiting sends an order for each waiting task of the job.
 func (c *Core) placeWaiting(l *liveJob) {
+	if c.condemn(l) {
+		return
+	}
 	c.view(l)
 	c.countOwn(l)
 	placed := make([]string, 0, 8)
@@ -182,7 +185,7 @@
 		Seq: at.seq, Job: l.ID, Step: t.step, Index: t.index, Run: at.run, Spec: l.Spec,
 		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate),
 		SlackMs: int64(slackMs), GiveUpMs: int64(giveUpMs), LimitMs: l.Deadline.Sub(c.now).Milliseconds(),
-		Movable: t.moves < mostMoves, WaitMs: choice.StartMs,
+		Movable: t.moves < mostMoves, WaitMs: choice.StartMs, Unguarded: !l.Queue.Guarded,
 	})
 	a.dirty = true
 }
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -61,7 +61,7 @@
 		return
 	}
 	if f.Target != nil {
-		if a.targetName() != f.Target.Name {
+		if a.targetName() != f.Target.Name || a.target.Capacity != f.Target.Capacity {
 			event.Log(c.log, event.TargetAnnounced, "host", a.host, "target", f.Target.Name, "service", f.Target.Service,
 				"cpu_milli", f.Target.Capacity.CPUMilli, "was", a.targetName())
 		}
@@ -72,6 +72,9 @@
 	if f.Load != nil {
 		c.hearLoad(a, f.Load)
 	}
+	for i := range f.Crashes {
+		c.hearCrash(a, &f.Crashes[i])
+	}
 	for i := range f.Outcomes {
 		c.outcome(a, &f.Outcomes[i])
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -83,6 +83,9 @@
 	ForeignRun        ID = 613
 	TargetStands      ID = 614
 	OrdersReturned    ID = 615
+	TargetCrashed     ID = 616
+	TaskCondemned     ID = 617
+	TargetResized     ID = 618
 )
 
 // Entry describes an event for the catalogue.
@@ -159,6 +162,9 @@
 	{ForeignRun, "foreign_run", "a target runs what an earlier agent started; it is stopped"},
 	{TargetStands, "target_stands", "tasks of several jobs stand still on a target; it gets no work for a while"},
 	{OrdersReturned, "orders_returned", "orders that waited for a target went back to their entries unstarted"},
+	{TargetCrashed, "target_crashed", "a target's life ended unannounced with tasks at work, or it stopped answering, or went on after that"},
+	{TaskCondemned, "task_condemned", "targets crashed under a task; it is not started again, and its job is answered as failed"},
+	{TargetResized, "target_resized", "a target's capacity has changed while it runs"},
 }
 
 var names = func() map[ID]string {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -33,6 +33,7 @@
 	NoConfiguration Code = 206 // the operator's configuration is not known here yet
 	NotBuilt        Code = 207 // it asks for something that the product can't do yet
 	Evacuated       Code = 208 // each data centre that could run it is evacuated
+	Suspected       Code = 209 // targets that ran a task of it don't answer; it may have crashed them
 
 	TaskFailed       Code = 301 // a target ran a task and reported failure
 	OutcomeUnknown   Code = 302 // what became of it can't be learned, or nobody was given it in time
@@ -77,6 +78,7 @@
 	NoConfiguration: {"no_configuration", http.StatusServiceUnavailable},
 	NotBuilt:        {"not_built", http.StatusServiceUnavailable},
 	Evacuated:       {"evacuated", http.StatusServiceUnavailable},
+	Suspected:       {"suspected", http.StatusServiceUnavailable},
 
 	TaskFailed:       {"task_failed", http.StatusBadGateway},
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway},
--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -59,6 +59,7 @@
 	starts   map[string]int               // by job
 	done     map[runs.Task]int
 	jobs     []*simJob
+	crashes  map[runs.Task]int
 	// carriedOutLate is set while a target carries out a call of seconds before.
 	carriedOutLate bool
 }
@@ -205,7 +206,7 @@
 	attempt := j.attempt
 	w.note(j.id, "handed in at entry %d", entry)
 	w.entries[entry].Submit(w.now, &dispatch.Job{ID: j.id, Queue: simQueue, Deadline: w.now.Add(time.Duration(1500+w.draw(4000)) * time.Millisecond),
-		Steps: []dispatch.Step{{Count: j.tasks, Demand: job.Demand{CPUMilli: 1000}, Estimate: 150 * time.Millisecond}}},
+		Steps: []dispatch.Step{{Count: j.tasks, Demand: job.Demand{CPUMilli: taskMilli}, Estimate: 150 * time.Millisecond}}},
 		func(a dispatch.Answer) {
 			if j.attempt == attempt && j.open {
 				w.answered(j, a)
@@ -249,7 +250,12 @@
 
 // trouble does one thing that goes wrong.
 func (w *simWorld) trouble() {
-	switch w.draw(10) {
+	switch w.draw(11) {
+	case 10: // a target's capacity changes, and it says so
+		h := w.hosts[w.draw(hostCount)]
+		h.target.capacityMilli = taskMilli * (1 + w.draw(5))
+		w.note("", "target %d has %d", h.n, h.target.capacityMilli)
+		w.at(time.Duration(w.draw(300))*time.Millisecond, h.announce)
 	case 7: // an operator evacuates a data centre, or lifts that
 		w.log.write(w, dataCentre(w.draw(hostCount)), w.draw(2) == 0)
 	case 8: // the log forgets its history
@@ -346,7 +352,8 @@
 // Sessions end, processes are killed, targets crash, orders are lost and late, callers leave
 // and ask again, at any moment and together. No task runs twice at a time, "not run" is
 // never said of what ran, "complete" only of what is done, every job gets an answer, and
-// nothing starts in an evacuated data centre.
+// nothing starts in an evacuated data centre or over what a target said that it has, and no
+// task crashes target after target.
 func TestSchedules(t *testing.T) {
 	n := uint64(schedules)
 	if more, err := strconv.ParseUint(os.Getenv("SCHEDULES"), 10, 64); err == nil {
@@ -360,11 +367,15 @@
 func play(t *testing.T, seed uint64) {
 	w := &simWorld{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 3)), trace: map[string][]string{},
 		now: time.Unix(1_800_000_000, 0), later: map[time.Duration][]func(){}, sessions: map[uint64]*simSession{},
-		active: map[runs.Task]map[int]uint64{}, starts: map[string]int{}, done: map[runs.Task]int{}}
+		active: map[runs.Task]map[int]uint64{}, starts: map[string]int{}, done: map[runs.Task]int{}, crashes: map[runs.Task]int{}}
 	w.build()
 	for n := range 150 {
 		if w.draw(3) == 0 {
-			j := &simJob{id: fmt.Sprint("j", n), tasks: 1 + w.draw(4), refused: true}
+			kind := "j"
+			if w.draw(20) == 0 {
+				kind = culprit
+			}
+			j := &simJob{id: fmt.Sprint(kind, n), tasks: 1 + w.draw(4), refused: true}
 			w.jobs = append(w.jobs, j)
 			w.submit(j, w.draw(entryCount))
 		}
@@ -396,7 +407,7 @@
 	}
 	for n := range hostCount {
 		h := &simHost{w: w, n: n}
-		h.target = &simTarget{w: w, n: n}
+		h.target = &simTarget{w: w, n: n, capacityMilli: usualMilli}
 		h.target.reborn()
 		w.newTable(h)
 		w.hosts = append(w.hosts, h)
--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -33,6 +33,10 @@
 			}
 		})
 	}
+	if h.target.silent {
+		h.w.at(10*time.Millisecond, func() { answer(runs.NoAnswer) })
+		return
+	}
 	switch h.w.draw(12) {
 	case 0: // carried out late
 		h.w.at(time.Duration(2000+h.w.draw(3000))*time.Millisecond, func() {
@@ -59,7 +63,7 @@
 			}
 		})
 	}
-	if h.w.draw(10) == 0 {
+	if h.target.silent || h.w.draw(10) == 0 {
 		h.w.at(40*time.Millisecond, func() { answer(runs.NoAnswer) })
 		return
 	}
@@ -82,6 +86,10 @@
 		return
 	}
 	s := h.target
+	if s.silent {
+		table.RenewFailed(h.w.now, c, runs.Refused)
+		return
+	}
 	if c.Life != s.life {
 		table.RenewFailed(h.w.now, c, runs.Elsewhere)
 		return
@@ -109,8 +117,12 @@
 }
 
 func (h *simHost) announce() {
+	if h.target.silent {
+		return
+	}
 	h.seq++
+	h.target.saidMilli = h.target.capacityMilli
 	h.table.Announce(h.w.now, runs.Announcement{
-		Life: h.target.life, Service: "s", Capacity: job.Demand{CPUMilli: 4000, MemoryMB: 1000}, ClockMs: h.target.clock(), Seq: h.seq,
+		Life: h.target.life, Service: "s", Capacity: job.Demand{CPUMilli: h.target.capacityMilli, MemoryMB: 1000}, ClockMs: h.target.clock(), Seq: h.seq,
 	})
 }
--- a/internal/leased/simtarget_test.go
+++ b/internal/leased/simtarget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/runs"
@@ -20,8 +21,14 @@
 	fenced  map[runs.Task]uint64
 	ended   []runs.EndedRun
 	ends    uint64
+	// capacityMilli is what the target has; saidMilli is what it last said of that.
+	capacityMilli, saidMilli int
+	silent                   bool // it has crashed and is not back
 }
 
+// taskMilli is what each task takes, and usualMilli what a target has as a rule.
+const taskMilli, usualMilli = 1000, 4000
+
 func (s *simTarget) clock() int64 { return s.w.now.Sub(s.born).Milliseconds() + 5000 }
 
 func (s *simTarget) reborn() {
@@ -34,6 +41,31 @@
 	s.fenced, s.ended, s.ends = map[runs.Task]uint64{}, nil, 0
 }
 
+// culprit begins the ids of jobs whose tasks crash the targets that start them.
+const culprit = "c"
+
+// mostCrashes is how many targets a culprit may take down: three, and two more that had started
+// it by then.
+const mostCrashes = 5
+
+// crashedBy ends the life in which a culprit was started; the next one begins some time later.
+func (s *simTarget) crashedBy(id runs.RunID, life runs.Life) {
+	if _, there := s.running[id]; !there || s.life != life {
+		return
+	}
+	s.w.crashes[id.Task]++
+	s.w.note(id.Task.Job, "task %d crashes target %d", id.Task.Index, s.n)
+	if s.w.crashes[id.Task] > mostCrashes {
+		s.w.fail(id.Task.Job, "task %v crashes target after target", id.Task)
+	}
+	s.reborn()
+	s.silent = true
+	s.w.at(time.Duration(s.w.draw(3000))*time.Millisecond, func() {
+		s.silent = false
+		s.w.hosts[s.n].announce()
+	})
+}
+
 func (s *simTarget) take(untilMs int64) {
 	until := s.w.now.Add(min(time.Duration(untilMs-s.clock())*time.Millisecond, lease))
 	if until.After(s.until) {
@@ -59,6 +91,13 @@
 	case c.LeaseUntilMs <= s.clock():
 		return runs.LateLease
 	}
+	if !s.w.carriedOutLate && (len(s.running)+1)*taskMilli > s.saidMilli {
+		s.w.fail(c.Run.Task.Job, "task %v starts on host %d beside %d others, whose target has said that it has %d", c.Run.Task, s.n, len(s.running), s.saidMilli)
+	}
+	if strings.HasPrefix(c.Run.Task.Job, culprit) {
+		life := s.life
+		s.w.at(time.Duration(10+s.w.draw(200))*time.Millisecond, func() { s.crashedBy(c.Run, life) })
+	}
 	took := 20 + s.w.draw(400)
 	if s.w.draw(4) == 0 {
 		took += s.w.draw(6000) // it stands still: long past the resend
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -25,6 +25,8 @@
 	Stretch float64
 	Latency time.Duration
 	Timeout time.Duration // longest time of a request; 0: none
+	// Guarded says that the service's targets turn away what exceeds their capacity.
+	Guarded bool
 	// Advised queues may run a step only on targets that a service outside names.
 	Advised bool
 }
@@ -63,6 +65,7 @@
 func New(version uint64, queues []*Queue, services []Service, limits Limits) *Table {
 	t := &Table{Version: version, Services: services, Limits: limits, byHost: map[string][]*Queue{}, count: len(queues)}
 	for _, q := range queues {
+		q.Guarded = slices.ContainsFunc(services, func(s Service) bool { return s.Name == q.Service && s.Guarded })
 		host := Host(q.Host)
 		t.byHost[host] = append(t.byHost[host], q)
 	}
--- a/internal/runs/life.go
+++ b/internal/runs/life.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/event"
+	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -27,14 +28,40 @@
 	if leaves {
 		event.Log(t.log, event.TargetLeaving, "target", a.Life.Name, "seq", a.Seq)
 	}
-	t.target = a
+	was := t.target.Capacity
+	t.target, t.recalled = a, false
 	t.hearClock(now, a.ClockMs)
 	if a.Leaving {
 		t.returnQueue(wire.NotRunLeaving)
 	}
 	t.giveBackEvacuated()
+	if a.Capacity != was {
+		t.resized(was)
+	}
 	t.loadDirty = true
-	return leaves
+	return leaves || a.Capacity != was
+}
+
+// resized takes a change of the capacity while the target runs: what waits is weighed anew, and
+// entries must neither send what no longer fits nor leave new room unused.
+func (t *Table) resized(was job.Demand) {
+	now := t.target.Capacity
+	event.Log(t.log, event.TargetResized, "target", t.target.Life.Name, "cpu_milli", now.CPUMilli, "memory_mb", now.MemoryMB,
+		"was_cpu_milli", was.CPUMilli, "was_memory_mb", was.MemoryMB, "in_use_cpu_milli", t.inUse.CPUMilli, "waiting", len(t.queue))
+	for _, o := range t.owners {
+		o.target = true
+	}
+	t.urgent()
+	waiting := t.queue
+	t.queue = nil
+	for _, r := range waiting {
+		if reason := t.unwelcome(r); reason != wire.NotRunNone {
+			t.settleNotRun(r, reason)
+			continue
+		}
+		t.enqueue(r)
+	}
+	t.fill()
 }
 
 // Recall takes what an earlier agent wrote down of the target, until the target speaks
@@ -47,6 +74,7 @@
 	}
 	a.Seq, a.ClockMs = 0, 0
 	t.adopt(a)
+	t.recalled = true
 }
 
 // adopt begins another life of the target. What ran in the one before is gone with
@@ -55,7 +83,7 @@
 	event.Log(t.log, event.TargetAnnounced, "target", a.Life.Name, "born_ms", a.Life.BornMs, "service", a.Service,
 		"cpu_milli", a.Capacity.CPUMilli, "memory_mb", a.Capacity.MemoryMB, "labels", a.Labels, "leaving", a.Leaving)
 	t.endLife("another_life")
-	t.target, t.known = a, true
+	t.target, t.known, t.recalled = a, true, false
 	t.token, t.cursor, t.looked = 0, 0, false
 	t.reachable, t.failures, t.heardAt = true, 0, t.now
 	t.health = newRating()
@@ -80,6 +108,7 @@
 // endLife settles everything of a life that is over.
 func (t *Table) endLife(why string) {
 	ended := len(t.runs)
+	t.crashed()
 	for _, r := range t.runs {
 		if r.state == queued {
 			t.settleNotRun(r, wire.NotRunDown)
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -36,7 +36,7 @@
 	var load *wire.Load
 	period := t.loadPeriod()
 	for _, o := range t.owners {
-		if !t.reportDue(o, period) && !o.load && !o.target && len(o.outcomes) == 0 && o.config == nil && len(o.evacuations) == 0 {
+		if !t.reportDue(o, period) && !o.load && !o.target && len(o.outcomes) == 0 && o.config == nil && len(o.evacuations) == 0 && len(o.crashes) == 0 {
 			continue
 		}
 		if load == nil {
@@ -45,13 +45,13 @@
 		own := *load
 		own.Seen = o.seen
 		own.Leaving = own.Leaving || o.retiring
-		f := &wire.LeasedToEntry{Load: &own, Outcomes: o.outcomes, Config: o.config, Evacuations: o.evacuations}
+		f := &wire.LeasedToEntry{Load: &own, Outcomes: o.outcomes, Config: o.config, Evacuations: o.evacuations, Crashes: o.crashes}
 		if o.target {
 			f.Target = &wire.LeasedTarget{
 				Name: t.target.Life.Name, Service: t.target.Service, Labels: t.target.Labels, Capacity: t.target.Capacity, DataCentre: t.target.DataCentre,
 			}
 		}
-		o.outcomes, o.config, o.evacuations, o.target, o.load = nil, nil, nil, false, false
+		o.outcomes, o.config, o.evacuations, o.crashes, o.target, o.load = nil, nil, nil, nil, false, false
 		o.stale, o.loadAt = false, now
 		t.o.Outbox.Send(o.conn, &wire.ToEntry{Leased: f})
 	}
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -94,6 +94,10 @@
 	o.runs[order.Seq] = r
 	t.runs[r.id] = r
 	t.tasks[r.id.Task] = r
+	t.enqueue(r)
+}
+
+func (t *Table) enqueue(r *run) {
 	at, _ := slices.BinarySearchFunc(t.queue, r, byUrgency)
 	t.queue = slices.Insert(t.queue, at, r)
 }
@@ -111,10 +115,18 @@
 		return wire.NotRunDown
 	case t.out():
 		return wire.NotRunEvacuated
-	case !r.order.Demand.Fits(t.target.Capacity):
-		return wire.NotRunUnfit
 	case t.tasks[r.id.Task] != nil:
 		return wire.NotRunBusy // perhaps of another owner
+	}
+	return t.unwelcome(r)
+}
+
+// unwelcome says why an order is not to wait here, given the target's capacity and what waits
+// before it.
+func (t *Table) unwelcome(r *run) wire.NotRunReason {
+	switch {
+	case !r.order.Demand.Fits(t.target.Capacity):
+		return wire.NotRunUnfit
 	case r.order.Movable && t.waitMs(r) > r.order.WaitMs+movedWaitMs:
 		return wire.NotRunCrowded
 	}
@@ -145,6 +157,10 @@
 	}
 	for i := 0; i < len(t.queue); {
 		r := t.queue[i]
+		if t.recalled && r.order.Unguarded {
+			i++ // the capacity that was written down may be out of date, and the target won't object
+			continue
+		}
 		if r.order.Demand.Fits(t.free()) {
 			t.queue = slices.Delete(t.queue, i, i+1)
 			t.start(r)
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -212,6 +212,7 @@
 	config   *wire.ConfigNote
 	// evacuations are the statements that are to be sent.
 	evacuations []wire.Evacuation
+	crashes     []wire.Crash
 	target      bool // the target's description is to be sent
 	load        bool // the load is to be sent with whatever goes next
 
@@ -242,6 +243,11 @@
 	evacuated map[string]struct{}
 	health    rating
 
+	// recalled says that what is known of the target was written down by an earlier agent.
+	recalled bool
+	// silenced are the tasks that were at work when the target stopped answering.
+	silenced []wire.TaskRef
+
 	token     int64 // 0: not yet drawn
 	clockMs   int64 // the target's clock at clockAt
 	clockAt   time.Time
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -166,7 +166,7 @@
 		t.stop(r, wire.NotRunEvacuated)
 		return
 	}
-	if r.repeats >= mostRepeats {
+	if r.repeats >= mostRepeats || !t.inUse.Fits(t.target.Capacity) {
 		t.stop(r, wire.NotRunNoAnswer)
 		return
 	}
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -36,6 +36,8 @@
 	// than WaitMs, which is what the entry reckons with.
 	Movable bool    `cbor:"12,keyasint,omitempty"`
 	WaitMs  float64 `cbor:"13,keyasint,omitempty"`
+	// Unguarded says that the target starts whatever it is told to, beyond its capacity too.
+	Unguarded bool `cbor:"14,keyasint,omitempty"`
 }
 
 // RunEnd says how an order ended.
@@ -124,6 +126,32 @@
 	return &n
 }
 
+// TaskRef names a task.
+type TaskRef struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  int    `cbor:"2,keyasint,omitempty"`
+	Index int    `cbor:"3,keyasint,omitempty"`
+}
+
+// Fate says what became of a life of a target with tasks at work.
+type Fate uint8
+
+// Fates.
+const (
+	FateSilent  Fate = 1 // it does not answer
+	FateCrashed Fate = 2 // it is over, and nobody was told before
+	FateBack    Fate = 3 // it answers again after a silence
+)
+
+// Crash tells what became of a life of a target. It goes to every entry: the caller of a job
+// that was lost asks again through any of them.
+type Crash struct {
+	Target string    `cbor:"1,keyasint"`
+	BornMs int64     `cbor:"2,keyasint"`
+	Fate   Fate      `cbor:"3,keyasint"`
+	Tasks  []TaskRef `cbor:"4,keyasint,omitempty"` // that were at work
+}
+
 // Evacuation is what a record of the platform's log says of one data centre: no task is to
 // start there, or tasks may start there again.
 type Evacuation struct {
@@ -140,6 +168,8 @@
 	Config   *ConfigNote   `cbor:"4,keyasint,omitempty"`
 	// Evacuations count before anything else of the frame.
 	Evacuations []Evacuation `cbor:"5,keyasint,omitempty"`
+	// Crashes count before the outcomes.
+	Crashes []Crash `cbor:"6,keyasint,omitempty"`
 }
 
 // LeasedToAgent is the part of ToAgent that is about a leased target.
@@ -206,6 +236,9 @@
 		return 0
 	}
 	n := frameOverhead * (2 + len(l.Outcomes))
+	for i := range l.Crashes {
+		n += frameOverhead * (1 + len(l.Crashes[i].Tasks))
+	}
 	if l.Config != nil {
 		n += len(l.Config.Body)
 	}
