--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -23,7 +23,7 @@
 // Start implements runs.Target.
 func (h *simHost) Start(c runs.StartCall) {
 	table := h.table
-	if table.Out() {
+	if h.evacuated[dataCentre(h.n)] {
 		h.w.fail(c.Run.Task.Job, "runner %d calls a start in a data centre of which it knows that it is evacuated", h.n)
 	}
 	answer := func(a runs.Answer) {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -23,6 +23,8 @@
 	// leaves is the part of the callers that give up early, and poisons the part of the
 	// jobs that can never be done.
 	leaves, poisons = 0.1, 0.05
+	// crashers is the part of the jobs whose tasks crash their targets.
+	crashers = 0.01
 )
 
 // call sends one job after the other until the context ends.
@@ -34,11 +36,23 @@
 	}
 }
 
+// kindOf turns a number between 0 and 1 into the kind of a job's tasks.
+func kindOf(part float64) standin.Kind {
+	switch {
+	case part < crashers:
+		return standin.Crasher
+	case part < crashers+poisons:
+		return standin.Poison
+	}
+	return standin.Work
+}
+
 // job hands one job in, again and again as a real caller does: after no answer, a broken
 // connection or an unknown outcome, a fixed pause later and at any entry.
 func (r *run) job(ctx context.Context, random *rand.Rand, id string) {
-	poison := random.Float64() < poisons
-	body := standin.JobBody(1+random.IntN(6), 20+random.IntN(600), poison)
+	kind := kindOf(random.Float64())
+	hopeless := kind != standin.Work
+	body := standin.JobBody(kind, 1+random.IntN(6), 20+random.IntN(600))
 	r.count(func(t *Tally) { t.Sent++ })
 	refused := true
 	for range mostSends {
@@ -52,7 +66,7 @@
 		if ctx.Err() != nil {
 			return // the run is over; what became of it is not looked at
 		}
-		again := r.answered(id, reply, poison, leaving, time.Since(began))
+		again := r.answered(id, reply, hopeless, leaving, time.Since(began))
 		if reply.Status != 429 && reply.Status != 503 {
 			refused = false
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -52,6 +52,8 @@
 	{"store forgets", storeForgets},
 	{"configuration changes", configurationChanges},
 	{"configurations in a storm", configurationStorm},
+	{"data centre evacuated", dataCentreEvacuated},
+	{"capacity changes", capacityChanges},
 }
 
 // inject begins faults by the seed until the time is over, and waits for their ends.
@@ -81,6 +83,12 @@
 func (r *run) heal() {
 	r.fleet.Store.SetMode("", standin.StoreServes)
 	r.fleet.Store.SetSlow(0)
+	for _, t := range r.fleet.Targets {
+		t.SetCapacity(standin.UsualMilli)
+	}
+	for n := range dataCentres {
+		r.fleet.Restore(r.fleet.DataCentre(n))
+	}
 	for _, p := range append(append([]*standin.Process(nil), r.fleet.Entries...), r.fleet.Runners...) {
 		p.Signal(syscall.SIGCONT)
 	}
@@ -324,6 +332,30 @@
 	return nil
 }
 
+// evacuationBound is when nothing starts any more in a data centre, with whatever other faults
+// under way: a process that hears nothing of it for so long has no session over which orders
+// come, or one that brings it the word.
+const evacuationBound = mostLast + 2*time.Second
+
+// dataCentreEvacuated evacuates a data centre for longer than other faults last.
+func dataCentreEvacuated(r *run, x *rand.Rand, lasting time.Duration) func() {
+	name := r.fleet.TargetDataCentre(x.IntN(len(r.fleet.Targets)))
+	r.fleet.Evacuate(name)
+	r.fleet.Ledger.Close(name, time.Now().Add(evacuationBound))
+	time.Sleep(lasting) // and again as long
+	return func() {
+		r.fleet.Ledger.Close(name, time.Time{})
+		r.fleet.Restore(name)
+	}
+}
+
+// capacityChanges lets a target shrink, and grow again, while it runs.
+func capacityChanges(r *run, x *rand.Rand, _ time.Duration) func() {
+	t := pick(x, r.fleet.Targets)
+	t.SetCapacity(1000 * (1 + x.IntN(8)))
+	return func() { t.SetCapacity(standin.UsualMilli) }
+}
+
 func (r *run) configure() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,6 +40,10 @@
 )
 
 const (
+	// dataCentres is how many the hosts are spread over, and crashFor how long a target that a
+	// task has crashed is down.
+	dataCentres = 3
+	crashFor    = 2 * time.Second
 	// settleWait bounds the time until every entry serves, at the start and after the
 	// last fault. A loaded machine takes its time; the run ends as soon as they do.
 	settleWait = 60 * time.Second
@@ -84,6 +88,7 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	fleet, err := standin.NewFleet(standin.FleetOptions{
 		Bin: o.Bin, Dir: o.Dir, Entries: o.Entries, Targets: o.Targets, Relays: true, Seed: o.Seed,
+		DataCentres: dataCentres, CrashFor: crashFor,
 	})
 	if err != nil {
 		return Result{}, err
@@ -151,7 +156,7 @@
 
 func (r *run) serve(ctx context.Context, entry int, id string) (reply standin.Reply) {
 	for until := time.Now().Add(settleWait); time.Now().Before(until); clock.Sleep(ctx, 300*time.Millisecond) {
-		reply = r.fleet.Call(ctx, "POST", r.fleet.URL(entry, "/q0/"+id), standin.JobBody(3, 30, false), 10*time.Second)
+		reply = r.fleet.Call(ctx, "POST", r.fleet.URL(entry, "/q0/"+id), standin.JobBody(standin.Work, 3, 30), 10*time.Second)
 		if reply.Status == 200 {
 			return reply
 		}
