Retry-After: refused callers are given seconds to come back in

Now each second is given to no more of them than a part of what was let in lately, urgent ones first, and none before the queue that refused it is expected to have room.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/scheduler/calibration"
+	"github.com/camphorrack/camphorrack/internal/scheduler/comeback"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
 	"github.com/camphorrack/camphorrack/internal/scheduler/suspicion"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -72,6 +73,7 @@
 	lastRun  uint64 // highest number of a start so far
 	counts   Counts
 	lines    map[string]*calibration.Line // what estimates are worth, by queue
+	comeback comeback.Plan                // for those who are refused
 	// evacuated are the data centres on whose targets nothing is to start.
 	evacuated map[string]struct{}
 	suspects  *suspicion.Ledger
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -99,6 +99,7 @@
 		return
 	}
 	c.jobs.add(l)
+	c.comeback.LetIn(c.now)
 	c.counts.Accepted++
 	event.Log(c.log, event.JobAccepted, "job", j.ID, "queue", j.Queue.Name, "config", j.Version, "tasks", len(l.tasks),
 		"chain_ms", chain.Milliseconds(), "estimate_trust", c.line(j.Queue.Name).Trust(),
@@ -127,7 +128,8 @@
 		return f, end
 	}
 	if limit := c.admitMs(l); end > limit {
-		return fault.Refused(fault.Overloaded, "it can't be done in time", max(retryAfter, time.Duration(end-limit)*time.Millisecond)), end
+		after := c.comeback.After(c.now, clock.FromMillis(end-limit), l.Queue.Priority)
+		return fault.Refused(fault.Overloaded, "it can't be done in time", after), end
 	}
 	return nil, end
 }
