Choices and predictions reckon with the entry's network link

Callers on entry hosts with links of 2 Mbit/s got late answers while targets were idle: half of the jobs started after 100 ms. Cause: a job's body (1.2 kB for the widest kind) goes to each target that gets a task of it, eight times for a job of eight, and neither the choice nor what is let in knew of the time that takes.

Now a target that has no task of the job yet costs the time of sending the body, four times, since other jobs' orders wait behind it; what waits for the link counts toward predicted ends.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"github.com/camphorrack/camphorrack/internal/scheduler/comeback"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
 	"github.com/camphorrack/camphorrack/internal/scheduler/suspicion"
+	"github.com/camphorrack/camphorrack/internal/scheduler/uplink"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -50,6 +51,8 @@
 	LeaseLimit time.Duration
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
+	// LinkMbps is the width of the host's network link; 0: not known, or no limit.
+	LinkMbps float64
 	// Now tells the time of day, for run numbers.
 	Now func() time.Time
 }
@@ -73,7 +76,8 @@
 	lastRun  uint64 // highest number of a start so far
 	counts   Counts
 	lines    map[string]*calibration.Line // what estimates are worth, by queue
-	comeback comeback.Plan                // for those who are refused
+	link     *uplink.Link
+	comeback comeback.Plan // for those who are refused
 	// evacuated are the data centres on whose targets nothing is to start.
 	evacuated map[string]struct{}
 	suspects  *suspicion.Ledger
@@ -112,7 +116,7 @@
 func New(o Options) *Core {
 	return &Core{&board{
 		o: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, lines: map[string]*calibration.Line{},
-		evacuated: map[string]struct{}{}, suspects: suspicion.New(),
+		evacuated: map[string]struct{}{}, suspects: suspicion.New(), link: uplink.New(o.LinkMbps),
 	}}
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -144,6 +144,7 @@
 // predict plays the placement of the job's first tasks, and adds the chain behind
 // them.
 func (c *Core) predict(l *liveJob) (endMs float64, f *fault.Fault) {
+	sendMs := 0.0 // of the orders before
 	for i := range l.tasks {
 		t := &l.tasks[i]
 		if t.state != taskWaiting {
@@ -155,9 +156,10 @@
 			f := fault.Refused(fault.NeverRunnable, "no target that is known can hold a task of it", retryAfter)
 			return 0, f
 		}
+		sendMs += c.candidates[choice.Index].SendMs()
 		c.candidates[choice.Index].Take(spec, choice.Index)
 		behind := l.tails[t.step] - l.Steps[t.step].Estimate
-		endMs = max(endMs, choice.EndMs+clock.Millis(behind))
+		endMs = max(endMs, choice.EndMs+sendMs+clock.Millis(behind))
 	}
 	return endMs, nil
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// frameBytes is what a frame takes on the link besides the bodies of its orders, orderBytes
+	// what an order takes, and answerBytes what the answer to a caller does.
+	frameBytes, orderBytes, answerBytes = 120, 80, 300
 	// runEpochMs is where run numbers begin, in Unix milliseconds: the start of 2026.
 	runEpochMs = 1767225600000
 	// staleStep is added to a run number that a target has seen a higher one than:
@@ -67,9 +70,10 @@
 		hop = localHopMs
 	}
 	slack := clock.Millis(l.objective.Sub(c.now)) - clock.Millis(l.tails[0])
+	hop += c.link.WaitMs(c.now)
 	cand := earliest.Candidate{
 		Free: a.load.Free, Total: a.target.Capacity, WaitMs: a.load.WaitMs[horizon(slack)],
-		Speed: max(a.load.Speed, minSpeed), HopMs: hop, Failed: a.load.FailedRate,
+		Speed: max(a.load.Speed, minSpeed), HopMs: hop, Failed: a.load.FailedRate, FirstMs: c.link.TakesMs(frameBytes + len(l.Spec)),
 	}
 	for i := range a.unseen {
 		cand.Take(a.unseen[i].task, a.unseen[i].index)
@@ -173,6 +177,7 @@
 	a.nextSeq++
 	at := &attempt{seq: a.nextSeq, run: c.nextRun(l), agent: a, job: l, task: t, placedAt: c.now,
 		expected: clock.FromMillis(choice.EndMs), room: choice.Room}
+	c.link.Sent(c.now, c.sendBytes(a, l))
 	t.state, t.attempt = taskPlaced, at
 	a.attempts[at.seq] = at
 	l.open++
@@ -190,6 +195,16 @@
 	a.dirty = true
 }
 
+// sendBytes is what one more order of the job to the agent takes on the link.
+func (c *Core) sendBytes(a *agent, l *liveJob) int {
+	for i := range a.out.Orders {
+		if a.out.Orders[i].Job == l.ID {
+			return orderBytes
+		}
+	}
+	return orderBytes + frameBytes + len(l.Spec)
+}
+
 // nextRun numbers a start. The number is higher than every earlier one of this entry,
 // also where the job came before, and, by the time of day, than those of others.
 func (c *Core) nextRun(l *liveJob) uint64 {
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -189,6 +189,7 @@
 	c.jobs.answered()
 	c.recallAll(l)
 	c.logAnswer(l, answer)
+	c.link.Sent(c.now, answerBytes*len(l.waiters))
 	waiters := l.waiters
 	l.waiters = nil
 	for _, w := range waiters {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -44,6 +44,7 @@
 	RemoteFactor     float64
 	MemoryMB         int
 	ProcessorShare   float64 // of a core
+	LinkMbps         float64 // of the host's network link; 0: not known
 
 	Store         platformlog.Keyed
 	Operator      leased.Operator
@@ -131,7 +132,7 @@
 	s := &state{entries: map[string]string{}}
 	s.core = dispatch.New(dispatch.Options{
 		Log: d.log, Outbox: d.sessions, DataCentre: d.o.DataCentre, LeaseLimit: d.o.LeaseLimit,
-		RemoteFactor: d.o.RemoteFactor, Now: time.Now,
+		RemoteFactor: d.o.RemoteFactor, LinkMbps: d.o.LinkMbps, Now: time.Now,
 	})
 	s.conf = &confsync.Holder{Adopt: d.adopt}
 	s.conf.Send = func(id confsync.PeerID, note confNote) { s.core.Note(dispatch.ConnID(id), note) }
--- a/internal/scheduler/earliest/earliest.go
+++ b/internal/scheduler/earliest/earliest.go
@@ -30,6 +30,9 @@
 	HopMs    float64 // to the target and back
 	Failed   float64 // part of what it ran lately that failed, 0 to 1
 	OwnTasks int     // tasks of the step that are placed here
+	// FirstMs is how long the entry's link takes to send the job's body, for a candidate that
+	// has no task of the step yet.
+	FirstMs float64
 }
 
 // Task is what is to be placed.
@@ -72,8 +75,8 @@
 			continue
 		}
 		startMs, runMs := c.startMs(&t.Demand), c.runMs(&t, i)
-		end := c.HopMs + startMs + runMs
-		cost := endCostMs(end, runMs, t.LeftMs) + c.Failed*failedMs + waitAversion*startMs + c.crowdMs(&t)
+		end := c.HopMs + startMs + runMs + c.SendMs()
+		cost := endCostMs(end, runMs, t.LeftMs) + c.Failed*failedMs + waitAversion*startMs + c.crowdMs(&t) + sendAversion*c.SendMs()
 		if best.Index == None || cost < bestCost {
 			best, bestCost = Choice{Index: i, EndMs: end, StartMs: startMs, Room: t.Demand.Fits(c.Free)}, cost
 		}
@@ -102,6 +105,18 @@
 	waitAversion = 1.5
 )
 
+// sendAversion is the cost of a time for which the entry's link is taken: orders of other jobs
+// wait for it.
+const sendAversion = 4
+
+// SendMs is how long the entry's link takes to send a task's order.
+func (c *Candidate) SendMs() float64 {
+	if c.OwnTasks > 0 {
+		return 0
+	}
+	return c.FirstMs
+}
+
 // endShare is the cost of an end before the objective, against what crowding and waits
 // cost: whole, fast targets are crowded while slow ones that would do are idle; too small,
 // an answer comes as late as it may. overCost is the cost of each unit by which a run that
