--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -177,7 +177,8 @@
 	c.counts.Refused++
 	event.Log(c.log, event.JobRefused, "job", l.ID, "queue", l.Queue.Name, "config", l.Version, "code", int(f.Code), "reason", f.Name,
 		"estimate_trust", c.line(l.Queue.Name).Trust(), "detail", f.Detail, "predicted_ms", predictedMs, "objective_ms", clock.Millis(l.objective.Sub(c.now)),
-		"caller_waits_ms", clock.Millis(l.Deadline.Sub(c.now)), "targets", len(c.viewed), "oldest_load_ms", c.oldestLoadMs(), "retry_after_ms", f.RetryAfterMs)
+		"caller_waits_ms", clock.Millis(l.Deadline.Sub(c.now)), "margin_ms", clock.Millis(c.margin(l.Queue).Of(c.now, l.objective.Sub(c.now))), "link_wait_ms", c.link.WaitMs(c.now),
+		"targets", len(c.viewed), "oldest_load_ms", c.oldestLoadMs(), "retry_after_ms", f.RetryAfterMs)
 	answer := Answer{Kind: AnswerNotRun, Fault: f, RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond}
 	for _, w := range l.waiters {
 		w(answer)
