--- a/command/config.go
+++ b/command/config.go
@@ -63,8 +63,8 @@
 
 // Run implements Command.
 func (c configCommand) Run(ctx context.Context, env Env, args []string) int {
-	f := newConfigFlags(env, c.Name())
-	if code, ok := f.load(args); !ok {
+	f, p, code := openConfig(env, c.Name(), c.open, args)
+	if p == nil {
 		return code
 	}
 	words := *f.words
@@ -73,7 +73,7 @@
 		if len(words) < len(action) || !slices.Equal(words[:len(action)], action) {
 			continue
 		}
-		return a.run(ctx, f, config.NewPublisher(c.open(*f.log), *f.wait), words[len(action):])
+		return a.run(ctx, f, p, words[len(action):])
 	}
 	return f.fail(wrongUsage("want one of " + configWords()))
 }
--- a/command/config_test.go
+++ b/command/config_test.go
@@ -58,6 +58,28 @@
 		Expect(strings.Count(out, " accepted ")).To(Equal(4))
 	})
 
+	// Guards against an operator who empties a data centre in a hurry and names the wrong setting,
+	// or can't see which ones are out.
+	It("evacuates a data centre and restores it", func() {
+		ctl := func(words ...string) (int, string) {
+			c := newCtl()
+			code := c.run(append(words, "-log", log, "-author", "ops", "-wait", "1ms", "-entry", "127.0.0.1:1")...)
+			return code, c.stdout.String()
+		}
+		code, _ := ctl("evacuate", "north", "-reason", "power works")
+		Expect(code).To(Equal(ExitDone))
+		_, out, _ := run("get")
+		Expect(out).To(ContainSubstring("except data_centre:north drain=1 by ops"))
+		_, out = ctl("evacuate")
+		Expect(out).To(And(HavePrefix("north since "), ContainSubstring("power works")))
+		code, _ = ctl("evacuate", "south")
+		Expect(code).To(Equal(ExitUsage), "no reason given")
+		code, _ = ctl("restore", "north")
+		Expect(code).To(Equal(ExitDone))
+		_, out = ctl("evacuate")
+		Expect(out).To(BeEmpty())
+	})
+
 	// An operator's script must tell "another change won", "ask again" and "nothing
 	// happened" apart: the three call for different steps.
 	It("ends with a code of its own for each outcome", func() {
