Silent targets explain a crash too; a queue's changed priority counts

Targets that were lost together come back one after the other, and until then only the first of them counted as crashed, so that a task which ran there could be condemned with nothing to explain its crashes: the test fails with the earlier rule. A margin kept the priority that its queue had at first. A condemned job was judged, and logged, twice.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -54,6 +54,10 @@
 	if c.judge(l) != suspicion.Condemned {
 		return false
 	}
-	c.finish(l, Answer{Kind: AnswerFailed, Fault: fault.New(fault.TaskFailed, "a task of it crashes the targets that start it")})
+	c.finishCondemned(l)
 	return true
 }
+
+func (c *Core) finishCondemned(l *liveJob) {
+	c.finish(l, Answer{Kind: AnswerFailed, Fault: fault.New(fault.TaskFailed, "a task of it crashes the targets that start it")})
+}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -33,14 +33,14 @@
 // margin returns how much earlier than their limit jobs of a queue must be predicted to end.
 func (c *Core) margin(q *routing.Queue) *headroom.Margin {
 	m := c.margins[q.Name]
-	if m != nil {
-		return m
+	if m == nil {
+		if len(c.margins) >= maxLines {
+			clear(c.margins)
+		}
+		m = &headroom.Margin{}
+		c.margins[q.Name] = m
 	}
-	if len(c.margins) >= maxLines {
-		clear(c.margins)
-	}
-	m = &headroom.Margin{Priority: q.Priority}
-	c.margins[q.Name] = m
+	m.Priority = q.Priority // a configuration may have changed it
 	return m
 }
 
@@ -48,14 +48,13 @@
 // lost with a host or was left by its caller tells nothing of that.
 func (c *Core) ended(l *liveJob, answer Answer) {
 	late := answer.Kind == AnswerComplete && c.now.After(l.objective)
-	if answer.Fault != nil && (answer.Fault.Code == fault.Overloaded || answer.Fault.Code == fault.DeadlineExceeded) {
-		late = true
-	} else if answer.Kind != AnswerComplete {
+	givenUp := answer.Fault != nil && (answer.Fault.Code == fault.Overloaded || answer.Fault.Code == fault.DeadlineExceeded)
+	if answer.Kind != AnswerComplete && !givenUp {
 		return
 	}
-	c.margin(l.Queue)
+	c.margin(l.Queue) // there is one from now on
 	for _, m := range c.margins {
-		m.Ended(c.now, l.Queue.Priority, late)
+		m.Ended(c.now, l.Queue.Priority, late || givenUp)
 	}
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -84,13 +84,12 @@
 			l.tasks = append(l.tasks, t)
 		}
 	}
-	verdict := c.judge(l)
-	if verdict == suspicion.Condemned {
+	switch c.judge(l) {
+	case suspicion.Condemned:
 		c.jobs.add(l)
-		c.condemn(l)
+		c.finishCondemned(l)
 		return
-	}
-	if verdict == suspicion.Held {
+	case suspicion.Held:
 		c.refuse(l, fault.Refused(fault.Suspected, "targets that ran a task of it don't answer", heldRetryAfter), 0)
 		return
 	}
--- a/internal/runs/evacuate.go
+++ b/internal/runs/evacuate.go
@@ -36,8 +36,7 @@
 func (t *Table) place() string { return cmp.Or(t.target.DataCentre, t.o.DataCentre) }
 
 // giveBackEvacuated gives what waits for an evacuated target back at once: its callers want
-// answers within a fraction of a second. A start that was not answered is fenced off in place
-// of being called again.
+// answers within a fraction of a second.
 func (t *Table) giveBackEvacuated() {
 	if !t.out() || len(t.queue) == 0 {
 		return
--- a/internal/runs/evacuate_test.go
+++ b/internal/runs/evacuate_test.go
@@ -9,7 +9,7 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// evacuated is a world whose target's data centre is evacuated, or not any more.
+// evacuate evacuates the target's data centre, or lifts that.
 func (w *world) evacuate(lifted bool) { w.Evacuate(w.now, "", lifted) }
 
 // Guards against work that waits in an evacuated data centre until its caller has given up.
--- a/internal/scheduler/suspicion/suspicion.go
+++ b/internal/scheduler/suspicion/suspicion.go
@@ -186,13 +186,13 @@
 	return Innocent, len(rows)
 }
 
-// explained reports whether enough other targets crashed at the same moment that ran nothing of
-// the job. The tasks of a job start together: where each of them crashes its target, all those
+// explained reports whether enough other targets crashed, or fell silent, at the same moment that
+// ran nothing of the job. The tasks of a job start together: where each of them crashes its target, all those
 // ran tasks of it.
 func (l *Ledger) explained(c *crash, job string) bool {
 	others := 0
 	for _, o := range l.crashes {
-		if o == c || !o.proven || o.at.Sub(c.at).Abs() > sameMoment {
+		if o == c || o.at.Sub(c.at).Abs() > sameMoment {
 			continue
 		}
 		if _, shared := o.jobs[job]; !shared {
