--- a/internal/scheduler/suspicion/suspicion.go
+++ b/internal/scheduler/suspicion/suspicion.go
@@ -30,8 +30,10 @@
 	explainedBy = 2
 	// remembered is how long a crash counts: many times longer than callers ask again.
 	remembered = time.Minute
-	// mostRemembered bounds the crashes that are remembered, oldest first.
+	// mostRemembered bounds the crashes that are remembered, and mostTasks the tasks that they
+	// name, some megabytes; the oldest go first.
 	mostRemembered = 1024
+	mostTasks      = 32_768
 )
 
 // Task names a task, in whichever coming of its job.
@@ -78,6 +80,7 @@
 type Ledger struct {
 	crashes []*crash
 	byTask  map[Task][]*crash
+	tasks   int // that the crashes name
 	// condemns decides from the proven crashes under a task.
 	condemns func([]row) bool
 }
@@ -119,6 +122,7 @@
 }
 
 func (l *Ledger) forget(c *crash) {
+	l.tasks -= len(c.tasks)
 	for t := range c.tasks {
 		left := slices.DeleteFunc(l.byTask[t], func(o *crash) bool { return o == c })
 		if len(left) == 0 {
@@ -141,6 +145,7 @@
 		if _, there := c.tasks[t]; there {
 			continue
 		}
+		l.tasks++
 		c.tasks[t] = struct{}{}
 		c.jobs[t.Job] = struct{}{}
 		l.byTask[t] = append(l.byTask[t], c)
@@ -157,7 +162,7 @@
 }
 
 func (l *Ledger) expire(now time.Time) {
-	for len(l.crashes) > 0 && (now.Sub(l.crashes[0].at) > remembered || len(l.crashes) >= mostRemembered) {
+	for len(l.crashes) > 0 && (now.Sub(l.crashes[0].at) > remembered || len(l.crashes) >= mostRemembered || l.tasks >= mostTasks) {
 		l.forget(l.crashes[0])
 		l.crashes = slices.Delete(l.crashes, 0, 1)
 	}
--- a/internal/scheduler/suspicion/suspicion_test.go
+++ b/internal/scheduler/suspicion/suspicion_test.go
@@ -50,6 +50,14 @@
 		l.Crashed(now, Life{Target: "a", BornMs: int64(n)}, []Task{task("x")})
 	}
 	g.Expect(len(l.crashes)).To(BeNumerically("<=", mostRemembered))
+	for n := range 200 {
+		many := make([]Task, 256)
+		for i := range many {
+			many[i] = Task{Job: "y", Step: n, Index: i}
+		}
+		l.Crashed(now, Life{Target: "b", BornMs: int64(n)}, many)
+		g.Expect(len(l.byTask)).To(BeNumerically("<=", mostTasks+len(many)))
+	}
 	l.Crashed(now.Add(2*remembered), life("z"), nil)
 	g.Expect(l.byTask).To(BeEmpty())
 	verdict, _ := l.Judge(now.Add(2*remembered), task("x"))
