--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -57,9 +57,9 @@
 	w.Expect(w.orders()).To(BeZero())
 }
 
-// Guards against innocent jobs that are answered as failed after many targets were lost at the
+// Guards against sound jobs that are answered as failed after many targets were lost at the
 // same moment.
-func TestTargetsLostTogetherCondemnNobody(t *testing.T) {
+func TestTargetsLostTogetherAreNoCrashLoop(t *testing.T) {
 	w := newWorld(t, 6)
 	for id := ConnID(1); id <= 3; id++ {
 		w.crash(id, wire.FateCrashed, "1", "x"+string(rune('0'+id)))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,9 +26,9 @@
 
 	"github.com/camphorrack/camphorrack/internal/scheduler/calibration"
 	"github.com/camphorrack/camphorrack/internal/scheduler/comeback"
+	"github.com/camphorrack/camphorrack/internal/scheduler/crashloop"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
 	"github.com/camphorrack/camphorrack/internal/scheduler/headroom"
-	"github.com/camphorrack/camphorrack/internal/scheduler/suspicion"
 	"github.com/camphorrack/camphorrack/internal/scheduler/uplink"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -82,7 +82,7 @@
 	comeback comeback.Plan // for those who are refused
 	// evacuated are the data centres on whose targets nothing is to start.
 	evacuated map[string]struct{}
-	suspects  *suspicion.Ledger
+	crashes   *crashloop.Ledger
 
 	candidates []earliest.Candidate // scratch of a placement
 	viewed     []*agent
@@ -118,7 +118,7 @@
 func New(o Options) *Core {
 	return &Core{&board{
 		o: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, lines: map[string]*calibration.Line{}, margins: map[string]*headroom.Margin{},
-		evacuated: map[string]struct{}{}, suspects: suspicion.New(), link: uplink.New(o.LinkMbps),
+		evacuated: map[string]struct{}{}, crashes: crashloop.New(), link: uplink.New(o.LinkMbps),
 	}}
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -6,8 +6,8 @@
 	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/scheduler/crashloop"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
-	"github.com/camphorrack/camphorrack/internal/scheduler/suspicion"
 )
 
 const (
@@ -85,12 +85,12 @@
 		}
 	}
 	switch c.judge(l) {
-	case suspicion.Condemned:
+	case crashloop.CrashLoop:
 		c.jobs.add(l)
-		c.finishCondemned(l)
+		c.finishCrashLoop(l)
 		return
-	case suspicion.Held:
-		c.refuse(l, fault.Refused(fault.Suspected, "targets that ran a task of it don't answer", heldRetryAfter), 0)
+	case crashloop.Quarantined:
+		c.refuse(l, fault.Refused(fault.Suspected, "targets that ran a task of it don't answer", quarantineRetryAfter), 0)
 		return
 	}
 	if f, predicted := c.refusal(l); f != nil {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -51,7 +51,7 @@
 		if !a.usable() || a.target.Service != l.Queue.Service {
 			continue
 		}
-		if _, out := c.evacuated[a.place()]; out {
+		if _, out := c.evacuated[a.targetDataCentre()]; out {
 			evacuated++
 			continue
 		}
@@ -61,8 +61,8 @@
 	return evacuated
 }
 
-// place returns the data centre of the agent's target.
-func (a *agent) place() string { return cmp.Or(a.target.DataCentre, a.dataCentre) }
+// targetDataCentre returns that of the agent's target.
+func (a *agent) targetDataCentre() string { return cmp.Or(a.target.DataCentre, a.dataCentre) }
 
 func (c *Core) candidate(a *agent, l *liveJob) earliest.Candidate {
 	hop := float64(remoteHopMs)
@@ -125,7 +125,7 @@
 
 // placeWaiting sends an order for each waiting task of the job.
 func (c *Core) placeWaiting(l *liveJob) {
-	if c.condemn(l) {
+	if c.endCrashLoop(l) {
 		return
 	}
 	c.view(l)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -84,7 +84,7 @@
 	TargetStands      ID = 614
 	OrdersReturned    ID = 615
 	TargetCrashed     ID = 616
-	TaskCondemned     ID = 617
+	TaskCrashLoop     ID = 617
 	TargetResized     ID = 618
 )
 
@@ -163,7 +163,7 @@
 	{TargetStands, "target_stands", "tasks of several jobs stand still on a target; it gets no work for a while"},
 	{OrdersReturned, "orders_returned", "orders that waited for a target went back to their entries unstarted"},
 	{TargetCrashed, "target_crashed", "a target's life ended unannounced with tasks at work, or it stopped answering, or went on after that"},
-	{TaskCondemned, "task_condemned", "targets crashed under a task; it is not started again, and its job is answered as failed"},
+	{TaskCrashLoop, "task_crash_loop", "targets crashed under a task; it is not started again, and its job is answered as failed"},
 	{TargetResized, "target_resized", "a target's capacity has changed while it runs"},
 }
 
--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -373,7 +373,7 @@
 		if w.draw(3) == 0 {
 			kind := "j"
 			if w.draw(20) == 0 {
-				kind = culprit
+				kind = crasher
 			}
 			j := &simJob{id: fmt.Sprint(kind, n), tasks: 1 + w.draw(4), refused: true}
 			w.jobs = append(w.jobs, j)
--- a/internal/leased/simtarget_test.go
+++ b/internal/leased/simtarget_test.go
@@ -41,14 +41,14 @@
 	s.fenced, s.ended, s.ends = map[runs.Task]uint64{}, nil, 0
 }
 
-// culprit begins the ids of jobs whose tasks crash the targets that start them.
-const culprit = "c"
+// crasher begins the ids of jobs whose tasks crash the targets that start them.
+const crasher = "c"
 
-// mostCrashes is how many targets a culprit may take down: three, and two more that had started
+// mostCrashes is how many targets a crasher may take down: three, and two more that had started
 // it by then.
 const mostCrashes = 5
 
-// crashedBy ends the life in which a culprit was started; the next one begins some time later.
+// crashedBy ends the life in which a crasher was started; the next one begins some time later.
 func (s *simTarget) crashedBy(id runs.RunID, life runs.Life) {
 	if _, there := s.running[id]; !there || s.life != life {
 		return
@@ -94,7 +94,7 @@
 	if !s.w.carriedOutLate && (len(s.running)+1)*taskMilli > s.saidMilli {
 		s.w.fail(c.Run.Task.Job, "task %v starts on host %d beside %d others, whose target has said that it has %d", c.Run.Task, s.n, len(s.running), s.saidMilli)
 	}
-	if strings.HasPrefix(c.Run.Task.Job, culprit) {
+	if strings.HasPrefix(c.Run.Task.Job, crasher) {
 		life := s.life
 		s.w.at(time.Duration(10+s.w.draw(200))*time.Millisecond, func() { s.crashedBy(c.Run, life) })
 	}
--- a/internal/runner/counters.go
+++ b/internal/runner/counters.go
@@ -32,7 +32,7 @@
 	c.Copy("runs.not_run", n.NotRun)
 	c.Copy("runs.starts_unanswered", n.Unanswered)
 	c.Copy("runs.sessions_ended", n.SessionsEnded)
-	c.Copy("runs.evacuated", flag(t.Out()))
+	c.Copy("runs.evacuated", flag(t.Evacuated()))
 }
 
 // flag is a gauge of something that is so, 1, or not, 0.
--- a/internal/runs/crash.go
+++ b/internal/runs/crash.go
@@ -5,48 +5,48 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// mostSuspects bounds the tasks that are named with one crash.
-const mostSuspects = 256
+// mostNamed bounds the tasks that are named with one crash.
+const mostNamed = 256
 
 // atWork returns the tasks that the target runs or may be starting.
 func (t *Table) atWork() []wire.TaskRef {
 	var tasks []wire.TaskRef
 	for _, r := range t.runs {
-		if r.state != queued && len(tasks) < mostSuspects {
+		if r.state != queued && len(tasks) < mostNamed {
 			tasks = append(tasks, wire.TaskRef{Job: r.id.Task.Job, Step: r.id.Task.Step, Index: r.id.Task.Index})
 		}
 	}
 	return tasks
 }
 
-// silence tells every entry that the target has stopped answering.
-func (t *Table) silence() {
-	if t.leavesItself() {
+// reportSilent tells every entry that the target has stopped answering.
+func (t *Table) reportSilent() {
+	if t.endAnnounced() {
 		return
 	}
 	t.silenced = t.atWork()
-	t.tellFate(wire.FateSilent, t.silenced)
+	t.reportFate(wire.FateSilent, t.silenced)
 }
 
-// spoke tells every entry that the target has gone on after a silence.
-func (t *Table) spoke() {
-	t.tellFate(wire.FateBack, t.silenced)
+// reportBack tells every entry that the target has gone on after a silence.
+func (t *Table) reportBack() {
+	t.reportFate(wire.FateBack, t.silenced)
 	t.silenced = nil
 }
 
-// crashed tells every entry that the target's life is over and with what at work. What a
+// reportCrash tells every entry that the target's life is over and with what at work. What a
 // silent target had at work counts, though its lease may have ended long ago. One that said
 // that it leaves has not crashed.
-func (t *Table) crashed() {
-	if !t.leavesItself() {
-		t.tellFate(wire.FateCrashed, append(t.atWork(), t.silenced...))
+func (t *Table) reportCrash() {
+	if !t.endAnnounced() {
+		t.reportFate(wire.FateCrashed, append(t.atWork(), t.silenced...))
 	}
 	t.silenced = nil
 }
 
-func (t *Table) leavesItself() bool { return !t.known || t.target.Leaving }
+func (t *Table) endAnnounced() bool { return !t.known || t.target.Leaving }
 
-func (t *Table) tellFate(fate wire.Fate, tasks []wire.TaskRef) {
+func (t *Table) reportFate(fate wire.Fate, tasks []wire.TaskRef) {
 	if len(tasks) == 0 {
 		return
 	}
--- a/internal/runs/life.go
+++ b/internal/runs/life.go
@@ -108,7 +108,7 @@
 // endLife settles everything of a life that is over.
 func (t *Table) endLife(why string) {
 	ended := len(t.runs)
-	t.crashed()
+	t.reportCrash()
 	for _, r := range t.runs {
 		if r.state == queued {
 			t.settleNotRun(r, wire.NotRunDown)
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -24,7 +24,7 @@
 	}
 	if !t.reachable {
 		event.Log(t.log, event.TargetBack, "target", t.target.Life.Name, "failures", t.failures)
-		t.spoke()
+		t.reportBack()
 	}
 	t.heardAt = now
 	t.blind = t.failures > 0
@@ -148,7 +148,7 @@
 	if t.reachable {
 		event.Log(t.log, event.TargetSilent, "target", t.target.Life.Name, "reason", int(why), "failures", t.failures)
 		t.reachable = false
-		t.silence()
+		t.reportSilent()
 		t.returnQueue(wire.NotRunDown)
 		t.urgent()
 	}
--- a/internal/scheduler/suspicion/suspicion.go
+++ b/internal/scheduler/crashloop/crashloop.go
@@ -1,17 +1,17 @@
-// Package suspicion decides which tasks crash the targets that start them, from what ran
+// Package crashloop decides which tasks crash the targets that start them, from what ran
 // where when targets crashed.
 //
 // The load it answers: now and then a task comes that takes down each target on which it
 // starts. Tried again and again it empties the fleet, and everybody's work with it. But
 // whatever else ran on a crashed target looks alike, and targets also crash by themselves,
-// many at a time where a rack or a data centre loses power. An innocent job that is answered
+// many at a time where a rack or a data centre loses power. A sound job that is answered
 // as failed is lost to its caller.
 //
 // A crash counts less against a task where several targets without any task of its job
 // crashed at the same moment: something else took those down. Two crashes that stand for
-// themselves condemn a task, and so do three of any kind, which bounds what a task can take
+// themselves make a crash loop, and so do three of any kind, which bounds what a task can take
 // down in the worst case.
-package suspicion
+package crashloop
 
 import (
 	"slices"
@@ -19,9 +19,9 @@
 )
 
 const (
-	// enoughCrashes condemn a task where nothing else explains them.
+	// enoughCrashes make a crash loop where nothing else explains them.
 	enoughCrashes = 2
-	// mostCrashes condemn a task in any case.
+	// mostCrashes make one in any case.
 	mostCrashes = 3
 	// sameMoment is how far apart crashes with one cause may be: a loss of power takes all
 	// down at once, and runners find a silent target within some hundred milliseconds.
@@ -48,17 +48,17 @@
 	BornMs int64
 }
 
-// Verdict is what is thought of a task.
+// Verdict is what is known of a task.
 type Verdict uint8
 
 // Verdicts.
 const (
-	Innocent Verdict = iota
-	// Held tasks may have crashed several targets: some of these don't answer, and whether
+	Clear Verdict = iota
+	// Quarantined tasks may have crashed several targets: some of these don't answer, and whether
 	// they have crashed is known once they are back.
-	Held
-	// Condemned tasks have crashed the targets that started them.
-	Condemned
+	Quarantined
+	// CrashLoop tasks have crashed the targets that started them.
+	CrashLoop
 )
 
 // crash is a target that crashed, or that does not answer, with tasks at work.
@@ -81,18 +81,18 @@
 	crashes []*crash
 	byTask  map[Task][]*crash
 	tasks   int // that the crashes name
-	// condemns decides from the proven crashes under a task.
-	condemns func([]row) bool
+	// isLoop decides from the proven crashes under a task.
+	isLoop func([]row) bool
 }
 
 // New returns an empty ledger.
 func New() *Ledger { return newLedger(standAlone) }
 
-func newLedger(condemns func([]row) bool) *Ledger {
-	return &Ledger{byTask: map[Task][]*crash{}, condemns: condemns}
+func newLedger(isLoop func([]row) bool) *Ledger {
+	return &Ledger{byTask: map[Task][]*crash{}, isLoop: isLoop}
 }
 
-// standAlone condemns for two crashes that nothing else explains, or three of any kind.
+// standAlone isLoop for two crashes that nothing else explains, or three of any kind.
 func standAlone(rows []row) bool {
 	alone := 0
 	for _, r := range rows {
@@ -183,12 +183,12 @@
 		rows = append(rows, row{explained: l.explained(c, t.Job), others: len(c.tasks) - 1})
 	}
 	switch {
-	case l.condemns(rows):
-		return Condemned, len(rows)
+	case l.isLoop(rows):
+		return CrashLoop, len(rows)
 	case silent > 0 && len(rows)+silent >= enoughCrashes:
-		return Held, len(rows)
+		return Quarantined, len(rows)
 	}
-	return Innocent, len(rows)
+	return Clear, len(rows)
 }
 
 // explained reports whether enough other targets crashed, or fell silent, at the same moment that
--- a/internal/scheduler/suspicion/suspicion_test.go
+++ b/internal/scheduler/crashloop/crashloop_test.go
@@ -1,4 +1,4 @@
-package suspicion
+package crashloop
 
 import (
 	"testing"
@@ -13,7 +13,7 @@
 
 func task(job string) Task { return Task{Job: job} }
 
-// Guards against an innocent task that is condemned because the others which were lost with its
+// Guards against a sound task that is given up because the others which were lost with its
 // target are not back yet to tell of it.
 func TestSilentTargetsExplainACrashToo(t *testing.T) {
 	g, l := NewWithT(t), New()
@@ -23,11 +23,11 @@
 	l.Crashed(now.Add(100*time.Millisecond), life("a"), []Task{task("x")})
 	l.Crashed(now.Add(5*time.Second), life("d"), []Task{task("x")})
 	verdict, crashes := l.Judge(now.Add(6*time.Second), task("x"))
-	g.Expect(verdict).To(Equal(Innocent))
+	g.Expect(verdict).To(Equal(Clear))
 	g.Expect(crashes).To(Equal(2))
 	l.Crashed(now.Add(8*time.Second), life("e"), []Task{task("x")})
 	verdict, _ = l.Judge(now.Add(9*time.Second), task("x"))
-	g.Expect(verdict).To(Equal(Condemned))
+	g.Expect(verdict).To(Equal(CrashLoop))
 }
 
 // Guards against a job whose tasks take down several targets at once and explain each other.
@@ -40,7 +40,7 @@
 		}
 	}
 	verdict, _ := l.Judge(now.Add(3*time.Second), Task{Job: "x", Index: 1})
-	g.Expect(verdict).To(Equal(Condemned))
+	g.Expect(verdict).To(Equal(CrashLoop))
 }
 
 // Guards against crashes that are remembered for ever, and against a ledger that grows with them.
@@ -61,5 +61,5 @@
 	l.Crashed(now.Add(2*remembered), life("z"), nil)
 	g.Expect(l.byTask).To(BeEmpty())
 	verdict, _ := l.Judge(now.Add(2*remembered), task("x"))
-	g.Expect(verdict).To(Equal(Innocent))
+	g.Expect(verdict).To(Equal(Clear))
 }
--- a/internal/scheduler/suspicion/replay_test.go
+++ b/internal/scheduler/crashloop/replay_test.go
@@ -1,4 +1,4 @@
-package suspicion
+package crashloop
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 // The loads of this file: a fleet in which tasks that crash their targets come among others,
 // while targets also crash by themselves. Each rule is played on the same loads.
 
-// rules are the ways of condemning that were compared.
+// rules are the ways of telling a crash loop that were compared.
 var rules = map[string]func([]row) bool{
 	"stand alone": standAlone,
 	"count":       func(rows []row) bool { return len(rows) >= enoughCrashes },
@@ -27,28 +27,28 @@
 
 // load is a fleet under some troubles.
 type load struct {
-	culprits float64       // part of the tasks that crash their target
+	crashers float64       // part of the tasks that crash their target
 	massAt   time.Duration // when a part of the targets crashes at once; 0: never
 	mass     float64
 	flapping int // targets that go down and up
 }
 
 var loads = map[string]load{
-	"culprits alone":             {culprits: 0.001},
-	"culprits in a burst":        {culprits: 0.003},
+	"crashers alone":             {crashers: 0.001},
+	"crashers in a burst":        {crashers: 0.003},
 	"targets lost together":      {massAt: 3 * time.Second, mass: 0.15},
 	"flapping targets":           {flapping: 6},
 	"lost and flapping":          {massAt: 3 * time.Second, mass: 0.15, flapping: 6},
-	"lost, flapping, culprits":   {massAt: 3 * time.Second, mass: 0.15, flapping: 6, culprits: 0.001},
-	"lost, flapping, many at it": {massAt: 3 * time.Second, mass: 0.15, flapping: 6, culprits: 0.003},
+	"lost, flapping, crashers":   {massAt: 3 * time.Second, mass: 0.15, flapping: 6, crashers: 0.001},
+	"lost, flapping, many at it": {massAt: 3 * time.Second, mass: 0.15, flapping: 6, crashers: 0.003},
 }
 
 // loss is what a rule costs.
 type loss struct {
 	innocents int // tasks that were answered as failed without a fault of theirs
-	crashes   int // targets that culprits took down
-	culprits  int
-	most      int // under one culprit
+	crashes   int // targets that crashers took down
+	crashers  int
+	most      int // under one crasher
 }
 
 const (
@@ -98,9 +98,9 @@
 		now := begin.Add(time.Duration(step) * fleetStep)
 		for n := range perStep {
 			task := &simTask{name: Task{Job: fmt.Sprint(step, ".", n)}, left: 6 + x.IntN(60)}
-			if x.Float64() < l.culprits {
+			if x.Float64() < l.crashers {
 				task.crashIn = 1 + x.IntN(task.left)
-				cost.culprits++
+				cost.crashers++
 			}
 			waiting = append(waiting, task)
 		}
@@ -143,12 +143,12 @@
 	return crashes
 }
 
-// place gives each waiting task a target that is up, unless it is condemned.
+// place gives each waiting task a target that is up, unless it is in a crash loop.
 func place(x *rand.Rand, now time.Time, step int, targets []*simTarget, waiting []*simTask, ledger *Ledger, cost *loss) []*simTask {
 	var left []*simTask
 	for _, task := range waiting {
 		verdict, crashes := ledger.Judge(now, task.name)
-		if verdict == Condemned {
+		if verdict == CrashLoop {
 			if task.crashIn == 0 {
 				cost.innocents++
 				continue
@@ -179,21 +179,21 @@
 		one := playFleet(l, rule, seed)
 		sum.innocents += one.innocents
 		sum.crashes += one.crashes
-		sum.culprits += one.culprits
+		sum.crashers += one.crashers
 		sum.most = max(sum.most, one.most)
 	}
 	return sum
 }
 
-// Guards against innocent jobs that are answered as failed because targets crash around them,
-// and against culprits that take down more targets than they must.
+// Guards against sound jobs that are answered as failed because targets crash around them,
+// and against crashers that take down more targets than they must.
 func TestRulesOnEachLoad(t *testing.T) {
 	for name, l := range loads {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			sums := map[string]loss{}
-			for rule, condemns := range rules {
-				sums[rule] = total(l, condemns)
+			for rule, isLoop := range rules {
+				sums[rule] = total(l, isLoop)
 				t.Logf("%s: %+v", rule, sums[rule])
 			}
 			kept := sums["stand alone"]
