--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -9,8 +9,8 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// quarantineRetryAfter is when the caller of a held job is asked to come back: targets that crash are
-// back after some seconds, and then it is known whether they had.
+// quarantineRetryAfter is when the caller of a quarantined job is asked to come back: targets that
+// crash are back after some seconds, and then it is known whether they had.
 const quarantineRetryAfter = 3 * time.Second
 
 // hearCrash takes what an agent tells of a life of its target.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -47,6 +47,7 @@
 // returns how many it left out because their data centre is evacuated.
 func (c *Core) view(l *liveJob) (evacuated int) {
 	c.candidates, c.viewed = c.candidates[:0], c.viewed[:0]
+	linkWaitMs, firstMs := c.link.WaitMs(c.now), c.link.TakesMs(frameBytes+len(l.Spec))
 	for _, a := range c.roster {
 		if !a.usable() || a.target.Service != l.Queue.Service {
 			continue
@@ -56,7 +57,9 @@
 			continue
 		}
 		c.viewed = append(c.viewed, a)
-		c.candidates = append(c.candidates, c.candidate(a, l))
+		cand := c.candidate(a, l)
+		cand.HopMs, cand.FirstMs = cand.HopMs+linkWaitMs, firstMs
+		c.candidates = append(c.candidates, cand)
 	}
 	return evacuated
 }
@@ -70,10 +73,9 @@
 		hop = localHopMs
 	}
 	slack := clock.Millis(l.objective.Sub(c.now)) - clock.Millis(l.tails[0])
-	hop += c.link.WaitMs(c.now)
 	cand := earliest.Candidate{
 		Free: a.load.Free, Total: a.target.Capacity, WaitMs: a.load.WaitMs[horizon(slack)],
-		Speed: max(a.load.Speed, minSpeed), HopMs: hop, Failed: a.load.FailedRate, FirstMs: c.link.TakesMs(frameBytes + len(l.Spec)),
+		Speed: max(a.load.Speed, minSpeed), HopMs: hop, Failed: a.load.FailedRate,
 	}
 	for i := range a.unseen {
 		cand.Take(a.unseen[i].task, a.unseen[i].index)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -136,15 +136,9 @@
 	})
 	s.conf = &confsync.Holder{Adopt: d.adopt}
 	s.conf.Send = func(id confsync.PeerID, note confNote) { s.core.Note(dispatch.ConnID(id), note) }
-	s.evacuations = &evacuation.Holder{
-		Send: func(id evacuation.PeerID, list []evacuation.Statement) {
-			s.core.NoteEvacuations(dispatch.ConnID(id), list)
-		},
-		Changed: func(now time.Time, st evacuation.Statement, peer evacuation.PeerID) {
-			leased.LogEvacuation(d.log, st, peer)
-			s.core.Evacuate(now, st.DataCentre, st.Lifted)
-		},
-	}
+	s.evacuations = leased.NewEvacuations(d.log, func(id evacuation.PeerID, list []evacuation.Statement) {
+		s.core.NoteEvacuations(dispatch.ConnID(id), list)
+	}, s.core.Evacuate)
 	return s
 }
 
--- a/internal/leased/evacuations.go
+++ b/internal/leased/evacuations.go
@@ -1,6 +1,8 @@
 package leased
 
 import (
+	"time"
+
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/evacuation"
@@ -33,8 +35,17 @@
 	return statements
 }
 
-// LogEvacuation writes the line of a changed belief.
-func LogEvacuation(log logr.Logger, s evacuation.Statement, peer evacuation.PeerID) {
+// NewEvacuations returns what a daemon knows of evacuations: send passes it on, and evacuate puts
+// what changes into force.
+func NewEvacuations(log logr.Logger, send func(evacuation.PeerID, []evacuation.Statement), evacuate func(now time.Time, dataCentre string, lifted bool)) *evacuation.Holder {
+	return &evacuation.Holder{Send: send, Changed: func(now time.Time, s evacuation.Statement, peer evacuation.PeerID) {
+		logEvacuation(log, s, peer)
+		evacuate(now, s.DataCentre, s.Lifted)
+	}}
+}
+
+// logEvacuation writes the line of a changed belief.
+func logEvacuation(log logr.Logger, s evacuation.Statement, peer evacuation.PeerID) {
 	id, from := event.EvacuationBegun, "log"
 	if s.Lifted {
 		id = event.EvacuationLifted
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -133,15 +133,9 @@
 		return nil
 	}}
 	s.conf.Send = func(id confsync.PeerID, note wire.ConfigNote) { s.table.Note(runs.ConnID(id), note) }
-	s.evacuations = &evacuation.Holder{
-		Send: func(id evacuation.PeerID, list []evacuation.Statement) {
-			s.table.NoteEvacuations(runs.ConnID(id), list)
-		},
-		Changed: func(now time.Time, st evacuation.Statement, peer evacuation.PeerID) {
-			leased.LogEvacuation(r.log, st, peer)
-			s.table.Evacuate(now, st.DataCentre, st.Lifted)
-		},
-	}
+	s.evacuations = leased.NewEvacuations(r.log, func(id evacuation.PeerID, list []evacuation.Statement) {
+		s.table.NoteEvacuations(runs.ConnID(id), list)
+	}, s.table.Evacuate)
 	return s
 }
 
--- a/internal/runs/evacuate.go
+++ b/internal/runs/evacuate.go
@@ -12,22 +12,20 @@
 // there again. What runs there ends in its own time.
 func (t *Table) Evacuate(now time.Time, dataCentre string, lifted bool) {
 	t.now = now
-	before := t.isEvacuated()
+	before := t.Evacuated()
 	if lifted {
 		delete(t.evacuated, dataCentre)
 	} else {
 		t.evacuated[dataCentre] = struct{}{}
 	}
-	if t.isEvacuated() != before {
+	if t.Evacuated() != before {
 		t.urgent()
 	}
 	t.giveBackEvacuated()
 }
 
 // Evacuated reports whether the target's data centre is evacuated.
-func (t *Table) Evacuated() bool { return t.isEvacuated() }
-
-func (t *Table) isEvacuated() bool {
+func (t *Table) Evacuated() bool {
 	_, out := t.evacuated[t.dataCentre()]
 	return out
 }
@@ -38,7 +36,7 @@
 // giveBackEvacuated gives what waits for an evacuated target back at once: its callers want
 // answers within a fraction of a second.
 func (t *Table) giveBackEvacuated() {
-	if !t.isEvacuated() || len(t.queue) == 0 {
+	if !t.Evacuated() || len(t.queue) == 0 {
 		return
 	}
 	event.Log(t.log, event.OrdersReturned, "target", t.target.Life.Name, "orders", len(t.queue), "reason", "evacuated", "data_centre", t.dataCentre())
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -113,7 +113,7 @@
 		return wire.NotRunLeaving
 	case !t.known || !t.reachable:
 		return wire.NotRunDown
-	case t.isEvacuated():
+	case t.Evacuated():
 		return wire.NotRunEvacuated
 	case t.tasks[r.id.Task] != nil:
 		return wire.NotRunBusy // perhaps of another owner
@@ -152,7 +152,7 @@
 // not fit is passed over by smaller ones for a while only, or a stream of small
 // ones would keep it waiting for ever.
 func (t *Table) fill() {
-	if !t.known || !t.reachable || !t.looked || len(t.foreign) > 0 || t.target.Leaving || t.isEvacuated() {
+	if !t.known || !t.reachable || !t.looked || len(t.foreign) > 0 || t.target.Leaving || t.Evacuated() {
 		return
 	}
 	for i := 0; i < len(t.queue); {
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -162,7 +162,7 @@
 	}
 	event.Log(t.log, event.StartUnanswered, "job", r.id.Task.Job, "task", r.id.Task.Index, "run", r.id.Number,
 		"target", t.target.Life.Name, "after_ms", clock.Millis(t.now.Sub(r.calledAt)), "repeats", r.repeats)
-	if t.isEvacuated() {
+	if t.Evacuated() {
 		t.stop(r, wire.NotRunEvacuated)
 		return
 	}
--- a/internal/scheduler/crashloop/crashloop.go
+++ b/internal/scheduler/crashloop/crashloop.go
@@ -92,7 +92,7 @@
 	return &Ledger{byTask: map[Task][]*crash{}, isLoop: isLoop}
 }
 
-// standAlone isLoop for two crashes that nothing else explains, or three of any kind.
+// standAlone takes two crashes that nothing else explains, or three of any kind, for a loop.
 func standAlone(rows []row) bool {
 	alone := 0
 	for _, r := range rows {
@@ -192,8 +192,8 @@
 }
 
 // explained reports whether enough other targets crashed, or fell silent, at the same moment that
-// ran nothing of the job. The tasks of a job start together: where each of them crashes its target, all those
-// ran tasks of it.
+// ran nothing of the job. The tasks of a job start together, so several may each crash a target at
+// once; these don't explain each other.
 func (l *Ledger) explained(c *crash, job string) bool {
 	others := 0
 	for _, o := range l.crashes {
