--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -91,7 +91,8 @@
 	w.timer.Stop()
 }
 
-// Dialer returns a dialer that gives up a connection that does not come about in time.
+// Dialer returns a dialer that gives up a connection that does not come about in time. The
+// error is then a *net.OpError of a dial, as for one that is refused, and wraps ErrSilent.
 func Dialer(limit time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithCancelCause(ctx)
@@ -100,7 +101,7 @@
 		defer watch.Stop()
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 		if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
-			return nil, ErrSilent
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ErrSilent}
 		}
 		return conn, err
 	}
