Client: calls that any entry can answer are tried again

An entry that was draining turned a caller away although the next one took work.

Cause: Submit goes on until its context ends; the other calls went once round the entries and gave up.

Change: such calls go round for Options.Patience (10 s), with the pauses of Submit, and pass over an entry that says that it takes no work. What an operator reads of or orders from one process (status, drain, configuration) is still asked of that process once.

Tests: the first case of "a token" fails with a single round, the second with an entry that takes no work taken at its word.

--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -100,23 +100,40 @@
 	return fault.Newf(fault.Undecided, "HTTP status %d with no fault in it", r.status)
 }
 
-// each sends the call to one entry after the other until one answers. The error
-// is the last *LostError.
+// each sends the call to one entry after the other until one serves it, round after
+// round for as long as Options.Patience. The error is the last *LostError.
 func (c *Client) each(ctx context.Context, k call) (*reply, error) {
-	var last error
+	until := time.Now().Add(c.options.Patience)
+	pauses := newPauses()
+	for {
+		r, err := c.round(ctx, k)
+		if err == nil && !r.elsewhere() || ctx.Err() != nil || time.Now().After(until) {
+			return r, err
+		}
+		sleep(ctx, pauses.NextBackOff())
+	}
+}
+
+// round sends the call to each entry once, until one serves it.
+func (c *Client) round(ctx context.Context, k call) (last *reply, err error) {
 	for range c.options.Entries {
 		at, entry := c.entry()
-		r, err := c.send(ctx, entry, k)
-		if err == nil {
-			return r, nil
-		}
-		last = err
-		if ctx.Err() != nil {
+		last, err = c.send(ctx, entry, k)
+		if err == nil && !last.elsewhere() || ctx.Err() != nil {
 			break
 		}
 		c.leave(at)
 	}
-	return nil, last
+	return last, err
+}
+
+// elsewhere reports whether the entry takes no work and another one may.
+func (r *reply) elsewhere() bool {
+	if r.status != http.StatusServiceUnavailable {
+		return false
+	}
+	code := r.fault().Code
+	return code == fault.Draining || code == fault.NoConfiguration
 }
 
 // get calls a path that waits for nothing and decodes what it returns into v.
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -30,6 +30,9 @@
 	// connection only then. Most tasks end within a second and so within the
 	// first call; a longer job costs one look-up a second.
 	DefaultWaitSlice = time.Second
+	// DefaultPatience is how long calls that any entry can answer are tried again. It
+	// outlasts a restart of an entry and a pause of some seconds.
+	DefaultPatience = 10 * time.Second
 
 	dialTimeout  = time.Second
 	idlePerEntry = 512 // so that a burst of calls reuses connections
@@ -44,6 +47,7 @@
 	Entries     []string
 	CallTimeout time.Duration
 	WaitSlice   time.Duration
+	Patience    time.Duration
 }
 
 // Client calls entries. It is safe for concurrent use.
@@ -64,18 +68,21 @@
 			return nil, fault.Input(fault.BadSetting, "entry", "want host:port, got "+addr)
 		}
 	}
-	if o.CallTimeout <= 0 {
-		o.CallTimeout = DefaultCallTimeout
-	}
-	if o.WaitSlice <= 0 {
-		o.WaitSlice = DefaultWaitSlice
-	}
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.WaitSlice, DefaultWaitSlice)
+	setDefault(&o.Patience, DefaultPatience)
 	transport := &http.Transport{
 		DialContext: silence.Dialer(dialTimeout), MaxIdleConnsPerHost: idlePerEntry, IdleConnTimeout: idleTimeout,
 	}
 	return &Client{options: o, http: &http.Client{Transport: transport}}, nil
 }
 
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
 // SplitAddrs splits a comma separated list of addresses.
 func SplitAddrs(list string) []string {
 	var addrs []string
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -154,3 +154,31 @@
 		Expect(errors.As(err, &wrong)).To(BeTrue())
 	})
 })
+
+var _ = Describe("a token", func() {
+	token := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"token":"t"}`) }
+
+	// Guards against a caller that is told of a lost connection although its only entry
+	// stood still for a moment.
+	It("is asked for again after a lost connection", func(ctx context.Context) {
+		e := fakeEntry(hangsUp, hangsUp, token)
+		c, err := New(Options{Entries: []string{e.addr}})
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		Expect(c.Token(ctx)).To(Equal("t"))
+	})
+
+	// Guards against a caller that is turned away although another entry takes work.
+	It("comes from an entry that takes work", func(ctx context.Context) {
+		for _, code := range []fault.Code{fault.Draining, fault.NoConfiguration} {
+			leaving := fakeEntry(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(code.Status())
+				_ = json.NewEncoder(w).Encode(fault.New(code, ""))
+			})
+			c, err := New(Options{Entries: []string{leaving.addr, fakeEntry(token).addr}})
+			Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			Expect(c.Token(ctx)).To(Equal("t"))
+		}
+	})
+})
--- a/internal/client/submit.go
+++ b/internal/client/submit.go
@@ -76,12 +76,15 @@
 func jobPath(id string) string { return "/v1/jobs/" + id }
 
 func newPoller(c *Client, id, path string, encoded []byte) *poller {
-	pauses := backoff.NewExponentialBackOff(
+	return &poller{client: c, id: id, path: path, body: encoded, pauses: newPauses()}
+}
+
+func newPauses() *backoff.ExponentialBackOff {
+	return backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(firstPause),
 		backoff.WithMaxInterval(lastPause),
 		backoff.WithMaxElapsedTime(0),
 	)
-	return &poller{client: c, id: id, path: path, body: encoded, pauses: pauses}
 }
 
 func (p *poller) run(ctx context.Context) (*job.Answer, error) {
