Client: an entry that is silent is hedged by the next one

What callers saw: with the entry that they asked frozen, they noticed after 3 s (1 s of wait, 2 s of silence) and asked another then. That one asks the owner twice, 0.9 s each, before it says that the outcome is unknown: 4.85 s in all, of the 5 s after the deadline within which callers are promised a final answer.

Ways: a shorter call timeout takes slow replies for lost ones; asking two entries always doubles calls. Kept: the second call goes out beside the first once that is silent for 0.5 s beyond its wait, and the first reply counts. Ids are idempotent, so a copy starts nothing twice.

Test: the hedged submission; without the second call it runs into its time limit.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -30,6 +30,11 @@
 	// connection only then. Most tasks end within a second and so within the
 	// first call; a longer job costs one look-up a second.
 	DefaultWaitSlice = time.Second
+	// DefaultHedgeAfter is how much longer than its wait an entry may be silent before the
+	// next one is asked beside it. Both ways lead to the same owner, so a second call costs
+	// little; a caller that waited for CallTimeout would learn of a frozen entry too late
+	// for its deadline.
+	DefaultHedgeAfter = 500 * time.Millisecond
 	// DefaultPatience is how long calls that any entry can answer are tried again. It
 	// outlasts a restart of an entry and a pause of some seconds.
 	DefaultPatience = 10 * time.Second
@@ -47,6 +52,7 @@
 	Entries     []string
 	CallTimeout time.Duration
 	WaitSlice   time.Duration
+	HedgeAfter  time.Duration
 	Patience    time.Duration
 }
 
@@ -70,6 +76,7 @@
 	}
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.WaitSlice, DefaultWaitSlice)
+	setDefault(&o.HedgeAfter, DefaultHedgeAfter)
 	setDefault(&o.Patience, DefaultPatience)
 	transport := &http.Transport{
 		DialContext: silence.Dialer(dialTimeout), MaxIdleConnsPerHost: idlePerEntry, IdleConnTimeout: idleTimeout,
@@ -99,8 +106,10 @@
 
 func (c *Client) entry() (uint32, string) {
 	at := c.current.Load()
-	return at, c.options.Entries[at%uint32(len(c.options.Entries))]
+	return at, c.addr(at)
 }
 
+func (c *Client) addr(at uint32) string { return c.options.Entries[at%uint32(len(c.options.Entries))] }
+
 // leave moves on from the entry at index from, unless another call already did.
 func (c *Client) leave(from uint32) { c.current.CompareAndSwap(from, from+1) }
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -103,6 +103,21 @@
 		Expect(toSecond).To(Equal(toFirst))
 	})
 
+	// Guards against a caller that waits on one frozen entry until past its deadline.
+	It("is asked for through another entry while the first is silent", func(ctx context.Context) {
+		frozen := make(chan struct{})
+		defer close(frozen)
+		first := fakeEntry(func(http.ResponseWriter, *http.Request) { <-frozen })
+		second := fakeEntry(answers(http.StatusOK, complete))
+		c, err := New(Options{Entries: []string{first.addr, second.addr}, CallTimeout: time.Hour, WaitSlice: time.Millisecond, HedgeAfter: 10 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		Expect(c.Submit(ctx, id, request)).To(Equal(&complete))
+		Expect(c.Submit(ctx, id, request)).To(Equal(&complete))
+		methods, _ := first.seen()
+		Expect(methods).To(HaveLen(1), "the entry that answers is asked from then on")
+	}, SpecTimeout(time.Minute))
+
 	It("is looked up, not sent again, while it is pending", func(ctx context.Context) {
 		e := fakeEntry(answers(http.StatusAccepted, job.Answer{ID: id, State: job.Pending}), answers(http.StatusOK, complete))
 		Expect(submit(ctx, e)).To(Equal(&complete))
--- a/internal/client/submit.go
+++ b/internal/client/submit.go
@@ -104,8 +104,7 @@
 // try makes one call. It returns a final answer, or an error that ends the
 // polling, or how long to pause before the next call.
 func (p *poller) try(ctx context.Context) (*job.Answer, time.Duration, error) {
-	at, entry := p.client.entry()
-	r, err := p.client.send(ctx, entry, p.call())
+	at, r, err := p.client.hedged(ctx, p.call())
 	if err != nil {
 		p.last = err
 		p.accepted = false
