Chaos runs: standstills of the whole fleet, and of half of it in rows

A machine without processor for its processes stops all of them, or some in rows too short for any of them to tell. Under load this was seen and could not be repeated; by signals it needs no load. Pauses count: waking the fleet leaves a process alone that was frozen by itself.

Limits of the harness (a process comes up in 10 s, a drain ends in its time, a caller is answered 5 s after its deadline at the latest) no longer count time in which the process, or for callers the whole fleet, is paused.

Ruled out as the product's: a fleet that doesn't come up within 10 s. An entry waited 0.3 s at most before it served, agents and targets for nothing: the bound is the test's.

--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -24,13 +24,16 @@
 	clients []*client.Client // one an entry; each falls back to the others
 	history *history
 	calls   sync.WaitGroup
+	// within bounds a call by time in which the fleet is not paused as a whole: nobody can
+	// answer in the rest.
+	within func(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc)
 
 	mu     sync.Mutex
 	tokens []string // one an entry
 }
 
 func newCallers(ctx context.Context, entries []string) (*callers, error) {
-	c := &callers{addrs: entries, history: &history{}, tokens: make([]string, len(entries))}
+	c := &callers{addrs: entries, history: &history{}, within: context.WithTimeout, tokens: make([]string, len(entries))}
 	for i := range entries {
 		first := append(append([]string(nil), entries[i:]...), entries[:i]...)
 		cl, err := client.New(client.Options{Entries: first})
@@ -97,7 +100,7 @@
 }
 
 func (c *callers) submit(ctx context.Context, o *observed, entry int) {
-	ctx, cancel := context.WithTimeout(ctx, o.plan.deadline+answerAllowance)
+	ctx, cancel := c.within(ctx, o.plan.deadline+answerAllowance)
 	defer cancel()
 	begun := time.Now()
 	answer, err := c.clients[entry].Submit(ctx, o.id, o.plan.submission)
@@ -107,7 +110,7 @@
 
 // lookUp asks for an answer that was given before.
 func (c *callers) lookUp(ctx context.Context, o *observed, entry int) {
-	ctx, cancel := context.WithTimeout(ctx, answerAllowance)
+	ctx, cancel := c.within(ctx, answerAllowance)
 	defer cancel()
 	answer, err := c.clients[entry].Await(ctx, o.id)
 	if err == nil {
--- a/internal/demo/drive.go
+++ b/internal/demo/drive.go
@@ -40,6 +40,7 @@
 		return nil, err
 	}
 	defer callers.close()
+	callers.within = s.within
 	r := &run{
 		deployment: s, callers: callers, operators: newOperators(s),
 		disturbed: make([]atomic.Bool, len(s.entries)), injections: map[string]int{},
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -33,6 +33,7 @@
 // Fleet is the processes that were started, and stops them.
 type Fleet struct {
 	options Options
+	pauses  pauses // of all processes at once
 
 	mu        sync.Mutex
 	processes []*Process
--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -19,7 +19,7 @@
 	"github.com/camphorrack/camphorrack/internal/settings"
 )
 
-// Times of starting and stopping a process.
+// Times of starting and stopping a process, without those in which it is paused.
 const (
 	startTimeout = 10 * time.Second
 	stopTimeout  = 5 * time.Second // for a graceful end, before it is killed
@@ -61,6 +61,7 @@
 	serving chan string
 	ended   chan struct{}
 	log     io.Closer
+	pauses  pauses
 
 	mu      sync.Mutex
 	tail    []string
@@ -162,15 +163,16 @@
 }
 
 func (p *Process) awaitServing(ctx context.Context) error {
-	timer := time.NewTimer(startTimeout)
-	defer timer.Stop()
+	late := make(chan struct{})
+	stop := p.pauses.afterRunning(startTimeout, func() { close(late) })
+	defer stop()
 	var cause error
 	select {
 	case p.Addr = <-p.serving:
 		return nil
 	case <-p.ended:
 		cause = errEnded
-	case <-timer.C:
+	case <-late:
 		cause = errTimeout
 	case <-ctx.Done():
 		cause = ctx.Err()
@@ -203,12 +205,13 @@
 func (p *Process) StopWithin(limit time.Duration) bool {
 	p.want(false)
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // fails only where it has ended
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
+	late := make(chan struct{})
+	stop := p.pauses.afterRunning(limit, func() { close(late) })
+	defer stop()
 	select {
 	case <-p.ended:
 		return p.endedWell()
-	case <-timer.C:
+	case <-late:
 		_ = p.cmd.Process.Kill()
 		<-p.ended
 		return false
