A new entry takes no work before it knows the newest configuration

What operators saw: a limit that they had changed came back for a moment after an entry was replaced (config_behind: "entry-1: version 5 after version 7").

Cause, traced (docs/incidents/own-older-configuration.md): the predecessor alone had read the change and was killed. Its successor served with the answers of the other entries, 2 ms after the last; the log was up and slow, and was not waited for. The log was not out, and whoever knew the change lived: the log.

Ruled out: a version that goes back within a process; an agent that was first, in this trace (in others it is: with peers that stand still for 0.3 s the entry served with nothing and took what agents bring).

Nothing of its own waits: a new incarnation has given no token before.

Ways weighed: docs/design/configuration.md.

--- a/internal/config/follower/follower.go
+++ b/internal/config/follower/follower.go
@@ -51,6 +51,7 @@
 type Follower struct {
 	o          Options
 	wake       chan struct{}
+	polled     chan bool
 	fold       *config.Fold
 	backoff    *backoff.ExponentialBackOff
 	downSince  time.Time // zero while the log answers
@@ -65,7 +66,7 @@
 	setDefault(&o.PollEvery, DefaultPollEvery)
 	setDefault(&o.SnapshotEvery, DefaultSnapshotEvery)
 	setDefault(&o.StaleAfter, DefaultStaleAfter)
-	f := &Follower{o: o, wake: make(chan struct{}, 1), fold: config.NewFold(o.Holder.Get().State)}
+	f := &Follower{o: o, wake: make(chan struct{}, 1), polled: make(chan bool, 1), fold: config.NewFold(o.Holder.Get().State)}
 	f.backoff = backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(o.PollEvery),
 		backoff.WithMaxInterval(MaxBackoff),
@@ -121,12 +122,14 @@
 	more, err := f.read(ctx)
 	f.o.Holder.SayStale(f.o.StaleAfter)
 	if err != nil {
+		f.tellPolled(false)
 		return f.failed(err)
 	}
 	f.recovered()
 	if more {
 		return 0
 	}
+	f.tellPolled(f.fold.Attached())
 	if f.fold.Attached() {
 		f.o.Holder.Confirm()
 		f.snapshot(ctx)
@@ -134,6 +137,17 @@
 	return f.o.PollEvery*3/4 + f.jitter(f.o.PollEvery/2)
 }
 
+// Polled brings how polls ended: whether the log was read to its end and says what is in
+// force. Only the first that nobody has taken is kept.
+func (f *Follower) Polled() <-chan bool { return f.polled }
+
+func (f *Follower) tellPolled(current bool) {
+	select {
+	case f.polled <- current:
+	default: // an earlier one was not taken yet
+	}
+}
+
 // Attached reports whether the follower has seen every record up to its position.
 func (f *Follower) Attached() bool { return f.fold.Attached() }
 
--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -213,4 +213,26 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(versionAt(second)()).To(Equal(published.Version), "in the first answer")
 	})
+
+	// Guards against a restarted entry that enforces an older configuration than its
+	// predecessor did, because those that it asked stood still for a moment.
+	It("start with the newest configuration that another entry has, which stands still", func(ctx context.Context) {
+		f, logURL := fleetWithLog(ctx)
+		first, err := f.StartEntry(ctx, "entry-1", "", nil, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := f.StartEntry(ctx, "entry-2", "", []string{first.Addr}, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(0, "a", 7))
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []*localfleet.Process{first, second} {
+			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(published.Version))
+		}
+		control(logURL, standin.StoreBusy)
+		second.Kill()
+		first.Pause()
+		time.AfterFunc(2*time.Second, first.Resume)
+		second, err = f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(versionAt(second)()).To(Equal(published.Version), "in the first answer")
+	})
 })
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -39,6 +39,7 @@
 	unclaimed *unclaimed
 	metrics   *counters
 	draining  *atomic.Bool
+	caughtUp  chan struct{}      // closed once the newest configuration is known
 	drain     func()             // starts a graceful shutdown
 	pull      func(entry string) // takes what another entry has of the configuration and this one lacks
 }
@@ -53,7 +54,7 @@
 	g.NoRoute(a.unknown)
 	g.NoMethod(a.unknown)
 
-	g.GET("/v1/token", a.giveToken)
+	g.GET("/v1/token", a.needsConfiguration, a.giveToken)
 	g.POST("/v1/jobs", a.submit(false))
 	g.POST("/v1/requests", a.submit(true))
 	g.GET("/v1/jobs/:id", a.lookup)
@@ -62,13 +63,13 @@
 
 	g.GET("/v1/targets", a.targets)
 	g.GET("/v1/status", a.status)
-	g.GET(config.Path, a.configuration)
+	g.GET(config.Path, a.needsConfiguration, a.configuration)
 	g.POST(config.Path+"/:version", a.refresh)
 	g.POST("/v1/drain", a.startDrain)
-	g.GET("/healthz", a.health)
+	g.GET("/healthz", a.needsConfiguration, a.health)
 	g.GET("/metrics", a.giveMetrics)
 
-	g.GET(session.Path, a.agents.serve)
+	g.GET(session.Path, a.awaitConfiguration, a.agents.serve)
 	g.POST(pathPeer, a.takePeer)
 	return g
 }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// polled brings whether the log was read to its end; nil without a log.
+func (c *configuration) polled() <-chan bool {
+	if c.follower == nil {
+		return nil
+	}
+	return c.follower.Polled()
+}
+
 func (c *configuration) end() {
 	if c.stop != nil {
 		c.stop()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,8 +97,8 @@
 		log: e.log, clock: e.clock, key: e.o.key(), owner: self, token: self.Token(e.o.key()),
 		dataCentre: e.o.DataCentre, maxTimeout: e.o.MaxTimeout, control: e.control,
 		forwarder: forward.New(forward.Options{Log: e.log, Clock: e.clock, Counters: metrics.forward}),
-		unclaimed: newUnclaimed(), metrics: metrics, draining: &e.draining, drain: e.beginDrain,
-		pull: func(addr string) { e.introduceOnce(context.Background(), addr) },
+		unclaimed: newUnclaimed(), metrics: metrics, draining: &e.draining, caughtUp: make(chan struct{}), drain: e.beginDrain,
+		pull: func(addr string) { _ = e.introduceOnce(context.Background(), addr) }, // it tells again itself
 		agents: &agents{
 			log: e.log, control: e.control, outbox: out,
 			options: session.Options{Counters: metrics.sessions},
@@ -120,22 +120,24 @@
 // Addr returns the bound address.
 func (e *Entry) Addr() string { return e.listener.Addr().String() }
 
-// Start serves until Stop.
+// Start serves until Stop. It returns once the entry takes work.
 func (e *Entry) Start() {
 	go e.control.Run()
-	e.introduceFirst()
 	e.api.config.start(e.control)
-	for _, addr := range e.o.entries() {
-		go e.introduce(addr)
-	}
-	go e.spreadNews()
 	go func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
 		}
 	}()
+	event.Log(e.log, event.EntryStarting, "addr", e.Addr(), "entries", e.o.Entries, "log", e.o.Log)
+	confirmed := e.catchUp()
+	for _, addr := range e.o.entries() {
+		go e.introduce(addr)
+	}
+	go e.spreadNews()
 	event.Log(e.log, event.ProcessStarted, "addr", e.Addr(), "advertise", e.api.owner.Addr.String(),
-		"incarnation", e.api.owner.Incarnation.String(), "data_centre", e.o.DataCentre, "policy", e.o.Policy)
+		"incarnation", e.api.owner.Incarnation.String(), "data_centre", e.o.DataCentre, "policy", e.o.Policy,
+		"config_version", e.api.config.holder.Get().State.Version, "config_confirmed_by", confirmed)
 }
 
 // Drained is closed when a drain is over, or when serving failed.
--- a/internal/entry/introduce.go
+++ b/internal/entry/introduce.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
 	"github.com/camphorrack/camphorrack/internal/config"
@@ -33,10 +33,6 @@
 	// that lives is enough to tell the successor of an entry that is killed next; all of
 	// them would be messages that rise with the square of the entries.
 	newsPeers = 2
-	// startTimeout is how long a starting entry waits for the others' configuration
-	// before it serves. They answer in some milliseconds; one that is frozen or gone
-	// must not hold up its successor.
-	startTimeout = 300 * time.Millisecond
 	// maxPeerAnswer bounds the answer to an introduction: a state in base64.
 	maxPeerAnswer = 2 * config.MaxStateBytes
 	// queryConfig carries the mark of the introducer's configuration.
@@ -58,27 +54,13 @@
 	Config []byte `json:"config,omitempty"`
 }
 
-// introduceFirst makes this entry known to those in its settings before it serves,
-// and takes the newest configuration that they have. While the log can't be read,
-// agents alone would bring it, who hear of a change up to FanOutSpread after the
-// entries: a restarted entry would enforce an older one than its predecessor did.
-func (e *Entry) introduceFirst() {
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
-	var asked sync.WaitGroup
-	for _, addr := range e.o.entries() {
-		asked.Go(func() { e.introduceOnce(ctx, addr) })
-	}
-	asked.Wait()
-}
-
 // introduce makes this entry known to those in its settings until it drains. They
 // tell their agents. Without this, a new entry that no agent was given the address
 // of would own submissions and have no targets for them.
 func (e *Entry) introduce(addr string) {
 	for !e.draining.Load() {
 		wait := introduceEvery/2 + rand.N(introduceEvery)
-		if !e.introduceOnce(context.Background(), addr) {
+		if e.introduceOnce(context.Background(), addr) != nil {
 			wait = introduceRetry/2 + rand.N(introduceRetry)
 		}
 		select {
@@ -89,21 +71,25 @@
 	}
 }
 
-// introduceOnce reports whether the other entry took the introduction.
-func (e *Entry) introduceOnce(ctx context.Context, addr string) bool {
+// errIntroductionRefused is an introduction that the other entry did not take.
+var errIntroductionRefused = errors.New("the introduction was refused")
+
+// introduceOnce makes this entry known to another and takes what that one's configuration
+// has more. The error is errIntroductionRefused, or the network's.
+func (e *Entry) introduceOnce(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
 	defer cancel()
 	request, err := e.introduction(ctx, addr)
 	if err != nil {
-		return false
+		return err
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return false // tried again soon
+		return errors.Wrap(err, "introduce")
 	}
 	defer func() { _ = response.Body.Close() }() // read to its end, or given up
 	if response.StatusCode != http.StatusOK {
-		return false
+		return errors.Wrapf(errIntroductionRefused, "HTTP status %d", response.StatusCode)
 	}
 	var answer peerAnswer
 	err = json.NewDecoder(io.LimitReader(response.Body, maxPeerAnswer)).Decode(&answer)
@@ -113,7 +99,7 @@
 	if err != nil {
 		event.Log(e.log, event.BadFrame, "peer", addr, "reason", "answer to an introduction", "error", err.Error())
 	}
-	return true
+	return nil
 }
 
 func (e *Entry) introduction(ctx context.Context, addr string) (*http.Request, error) {
@@ -150,7 +136,7 @@
 		addrs := e.o.entries()
 		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 		for _, addr := range addrs[:min(len(addrs), newsPeers)] {
-			go e.introduceOnce(context.Background(), addr) // one that fails leaves its agents to be told
+			go func() { _ = e.introduceOnce(context.Background(), addr) }() // one that fails leaves its agents to be told
 		}
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,6 +22,7 @@
 	AcceptFailed    ID = 109
 	MetricsStale    ID = 110
 	ControlSlow     ID = 111
+	EntryStarting   ID = 112
 
 	JobAccepted     ID = 201
 	JobRefused      ID = 202
@@ -108,6 +109,7 @@
 	{AcceptFailed, "accept_failed", "a new connection could not be taken, such as for want of file descriptors; tried again"},
 	{MetricsStale, "metrics_stale", "the metrics were read while the control goroutine was busy; its figures are those of before"},
 	{ControlSlow, "control_slow", "one turn of the control goroutine took long; requests and heartbeats waited behind it"},
+	{EntryStarting, "entry_starting", "an entry listens and looks for the newest configuration; it takes no work until process_started"},
 	{JobAccepted, "job_accepted", "a submission was let in"},
 	{JobRefused, "job_refused", "a submission was turned away and did not run"},
 	{JobComplete, "job_complete", "every task succeeded and the answer is whole"},
