A target that hangs a part of its tasks is reckoned slow

Cause: the speed of a target was learned from ends alone. A task that hangs is stopped by its entry after four times its prediction, and a stop said nothing, so the target went on getting work at its good speed.

TestTargetThatHangsAPartIsReckonedSlow replays the load; without the change the speed told stays as it was.

--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -69,6 +69,9 @@
 		t.settle(r, wire.EndFailed)
 	default:
 		t.counts.Stopped++
+		if t.hung(r) {
+			t.health.done(r.order.EstimateMs, ranMs)
+		}
 		t.settle(r, wire.EndStopped)
 	}
 }
