Soak: standstills of all processes; the soak's own is not an entry's

A call of the soak ends after 3 s by its own timer, so only the soak's own process can have looked later.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -61,12 +61,12 @@
 		if leaving {
 			wait = time.Duration(10+random.IntN(300)) * time.Millisecond
 		}
-		began := time.Now()
+		began, stood := time.Now(), r.own.total()
 		reply := r.fleet.Call(ctx, "POST", r.fleet.URL(random.IntN(r.Entries), "/q0/"+id), body, wait)
 		if ctx.Err() != nil {
 			return // the run is over; what became of it is not looked at
 		}
-		again := r.answered(id, reply, hopeless, leaving, time.Since(began))
+		again := r.answered(id, reply, hopeless, leaving, time.Since(began)-(r.own.total()-stood))
 		if reply.Status != 429 && reply.Status != 503 {
 			refused = false
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -76,6 +76,7 @@
 type run struct {
 	Options
 	fleet *standin.Fleet
+	own   *ownStalls
 
 	mu      sync.Mutex
 	tally   Tally
@@ -94,7 +95,7 @@
 		return Result{}, err
 	}
 	defer fleet.Close()
-	r := &run{Options: o, fleet: fleet, version: 1}
+	r := &run{Options: o, fleet: fleet, own: newOwnStalls(), version: 1}
 	if err := r.settle(ctx); err != nil {
 		return Result{}, err
 	}
@@ -136,7 +137,11 @@
 	for i := range r.Entries {
 		all.Go(func() { r.watchConfiguration(calling, i) })
 	}
+	all.Go(func() { r.own.watch(calling) })
+	var standing sync.WaitGroup
+	standing.Go(func() { r.standstills(ctx) })
 	r.inject(ctx)
+	standing.Wait()
 	stop()
 	all.Wait()
 }
