--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -116,6 +116,22 @@
 var _ = Describe("real processes", func() {
 	const patience = 60 * time.Second
 
+	// twoEntriesWithAChange starts two entries, of which the second names the first, and
+	// waits until a change is in force on both.
+	twoEntriesWithAChange := func(ctx context.Context) (f *localfleet.Fleet, logURL string, first, second *localfleet.Process, version uint64) {
+		f, logURL = fleetWithLog(ctx)
+		first, err := f.StartEntry(ctx, "entry-1", "", nil, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		second, err = f.StartEntry(ctx, "entry-2", "", []string{first.Addr}, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(0, "a", 7))
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []*localfleet.Process{first, second} {
+			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(published.Version))
+		}
+		return f, logURL, first, second, published.Version
+	}
+
 	// The platform's log is down for longer than it keeps records, and when it is
 	// back it is empty. An entry is replaced meanwhile. If the fleet fell back to
 	// its defaults, drained targets would get work again and quotas would be gone;
@@ -197,42 +213,24 @@
 	// newest change yet. A task of a target that an operator had just drained would be
 	// placed there again: callers would see the limit come and go.
 	It("start with the newest configuration that another entry has", func(ctx context.Context) {
-		f, logURL := fleetWithLog(ctx)
-		first, err := f.StartEntry(ctx, "entry-1", "", nil, "-log", logURL)
-		Expect(err).NotTo(HaveOccurred())
-		second, err := f.StartEntry(ctx, "entry-2", "", []string{first.Addr}, "-log", logURL)
-		Expect(err).NotTo(HaveOccurred())
-		published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(0, "a", 7))
-		Expect(err).NotTo(HaveOccurred())
-		for _, p := range []*localfleet.Process{first, second} {
-			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(published.Version))
-		}
+		f, logURL, first, second, published := twoEntriesWithAChange(ctx)
 		control(logURL, standin.StoreBusy)
 		second.Kill()
-		second, err = f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
+		second, err := f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(versionAt(second)()).To(Equal(published.Version), "in the first answer")
+		Expect(versionAt(second)()).To(Equal(published), "in the first answer")
 	})
 
 	// Guards against a restarted entry that enforces an older configuration than its
 	// predecessor did, because those that it asked stood still for a moment.
 	It("start with the newest configuration that another entry has, which stands still", func(ctx context.Context) {
-		f, logURL := fleetWithLog(ctx)
-		first, err := f.StartEntry(ctx, "entry-1", "", nil, "-log", logURL)
-		Expect(err).NotTo(HaveOccurred())
-		second, err := f.StartEntry(ctx, "entry-2", "", []string{first.Addr}, "-log", logURL)
-		Expect(err).NotTo(HaveOccurred())
-		published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(0, "a", 7))
-		Expect(err).NotTo(HaveOccurred())
-		for _, p := range []*localfleet.Process{first, second} {
-			Eventually(versionAt(p)).WithTimeout(patience).Should(Equal(published.Version))
-		}
+		f, logURL, first, second, published := twoEntriesWithAChange(ctx)
 		control(logURL, standin.StoreBusy)
 		second.Kill()
 		first.Pause()
 		time.AfterFunc(2*time.Second, first.Resume)
-		second, err = f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
+		second, err := f.StartEntry(ctx, "entry-2 again", second.Addr, []string{first.Addr}, "-log", logURL)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(versionAt(second)()).To(Equal(published.Version), "in the first answer")
+		Expect(versionAt(second)()).To(Equal(published), "in the first answer")
 	})
 })
