News of a change go to every entry that is known, until two have taken them

The first entry of a fleet names none, and told nobody; one whose two had died or stood still told nobody either.

Ruled out: agents, which had it and wait 4 s before they tell an entry; the new start, which had asked both live entries.

Change: it tells of all entries that it knows, also those that made themselves known, one after the other until two have taken it.

Test: "tell an entry that they don't name ..." timed out before, passes after.

--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -209,6 +209,20 @@
 		}
 	})
 
+	// Guards against a change that is lost with the one entry that read it, because that
+	// one was started before the others and names none of them.
+	It("tell an entry that they don't name of a change as soon as the log brings it", func(ctx context.Context) {
+		f, logURL := fleetWithLog(ctx)
+		first, err := f.StartEntry(ctx, "entry-1", "", nil, "-log", logURL)
+		Expect(err).NotTo(HaveOccurred())
+		without, err := f.StartEntry(ctx, "entry-2", "", []string{first.Addr})
+		Expect(err).NotTo(HaveOccurred())
+		published, err := config.NewPublisher(store.New(logURL), 0).Publish(ctx, setQuota(0, "a", 7))
+		Expect(err).NotTo(HaveOccurred())
+		const beforeItAsksItself = 20 * time.Second
+		Eventually(versionAt(without)).WithTimeout(beforeItAsksItself).Should(Equal(published.Version))
+	})
+
 	// The log can't be read when an entry is replaced, and no agent has heard of the
 	// newest change yet. A task of a target that an operator had just drained would be
 	// placed there again: callers would see the limit come and go.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -43,6 +43,7 @@
 	Receive(now time.Time, conn owner.ConnID, f *wire.ToEntry) error
 	Disconnect(now time.Time, conn owner.ConnID)
 	Learn(now time.Time, named []wire.Peer)
+	Peers() []wire.Peer
 	Tick(now time.Time)
 	Configure(now time.Time, applied *config.Applied)
 	Flush()
--- a/internal/entry/introduce.go
+++ b/internal/entry/introduce.go
@@ -133,11 +133,27 @@
 		case <-e.drainedCh:
 			return
 		}
-		addrs := e.o.entries()
-		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-		for _, addr := range addrs[:min(len(addrs), newsPeers)] {
-			go func() { _ = e.introduceOnce(context.Background(), addr) }() // one that fails leaves its agents to be told
-		}
+		_ = e.control.Push(func(_ time.Time, c core) { go e.tell(c.Peers()) }) // fails only at the end
+	}
+}
+
+// tell introduces this entry, and with it what it has, to newsPeers of the others. One that
+// does not take it, because it is gone or stands still, is passed over for the next.
+func (e *Entry) tell(peers []wire.Peer) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	untold := make(chan string, len(peers))
+	for _, p := range peers {
+		untold <- p.Addr
+	}
+	close(untold)
+	for range newsPeers {
+		go func() {
+			for addr := range untold {
+				if e.introduceOnce(context.Background(), addr) == nil {
+					return
+				}
+			}
+		}()
 	}
 }
 
--- a/internal/owner/peers.go
+++ b/internal/owner/peers.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// Peers returns the other entries that this one knows: from its settings, and as they were
+// named to it. Some may be gone.
+func (c *Core) Peers() []wire.Peer { return c.peers.list() }
+
 // Learn takes the names of other entries that are up.
 func (c *Core) Learn(now time.Time, named []wire.Peer) { c.learn(now, named) }
 
