A failed test of real processes shows what TCP lost meanwhile

Hypothesis on the listed failure that its report could not tell apart: a lost connection request on loopback is sent again after 1 s, which is the whole of that call's time.

--- a/internal/config/processes_test.go
+++ b/internal/config/processes_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,6 +38,7 @@
 	f = localfleet.New(localfleet.Options{Bin: buildDaemons(), Key: "a key that only this test knows"})
 	DeferCleanup(f.Close)
 	DeferCleanup(showTails, f) // before the fleet is closed
+	DeferCleanup(showLosses, tcpCounters())
 	watchOwnStalls(ctx)
 	log, err := f.StartLog(ctx, flags...)
 	Expect(err).NotTo(HaveOccurred())
@@ -59,6 +62,38 @@
 	}()
 }
 
+// lossCounters are the host's counters of what TCP lost or could not take in.
+var lossCounters = []string{"RetransSegs", "TCPTimeouts", "TCPSynRetrans", "ListenOverflows", "ListenDrops", "TCPBacklogDrop"}
+
+// tcpCounters reads the host's counters of TCP by name.
+func tcpCounters() map[string]int64 {
+	counters := map[string]int64{}
+	for _, file := range []string{"/proc/net/snmp", "/proc/net/netstat"} {
+		text, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		lines := strings.Split(string(text), "\n")
+		for i := 0; i+1 < len(lines); i += 2 { // names, then values
+			values := strings.Fields(lines[i+1])
+			for j, name := range strings.Fields(lines[i]) {
+				counters[name], _ = strconv.ParseInt(values[j], 10, 64) // the first is the protocol's name
+			}
+		}
+	}
+	return counters
+}
+
+// showLosses adds to the report of a test that failed what TCP lost on the host meanwhile:
+// a lost segment or connection request is sent again after 0.2 to 1 s.
+func showLosses(before map[string]int64) {
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	after := tcpCounters()
+	for _, name := range lossCounters {
+		AddReportEntry(name, after[name]-before[name])
+	}
+}
+
 // showTails adds the last log lines of each process to the report of a test that failed.
 func showTails(f *localfleet.Fleet) {
 	if !CurrentSpecReport().Failed() {
