Entries and agents of the own interface tell that they can't take connections

An entry at its limit of descriptors is silent to new callers: with 64 of them and 100 open connections, a request for a token got nothing in 3 s and was served 0.8 s after 60 had closed. The entry wrote no line: net/http's was for debugging only. It says 109 accept_failed now, once until it takes connections again, as dispatchers and runners do for each try.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -95,7 +95,7 @@
 }
 
 func (a *Agent) serve() {
-	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(httpconn.LogAccepts(a.listener, a.log)); !errors.Is(err, http.ErrServerClosed) {
 		event.Log(a.log, event.ProcessStopping, "error", err.Error())
 		a.askEnd() // without announcements there is no target
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 	go e.control.Run()
 	e.api.config.start(e.control)
 	go func() {
-		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.server.Serve(httpconn.LogAccepts(e.listener, e.log)); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
 		}
 	}()
