--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -30,6 +30,13 @@
 
 // startEntry runs a daemon in this process until the test ends.
 func startEntry(t testingT, change ...func(*entry.Options)) *entry.Entry {
+	e := newEntry(t, change...)
+	e.Start()
+	return e
+}
+
+// newEntry returns a daemon that is stopped at the end of the test.
+func newEntry(t testingT, change ...func(*entry.Options)) *entry.Entry {
 	o := entry.Options{Listen: "127.0.0.1:0", Key: testKey, MaxTimeout: 10 * time.Minute, MaxJobs: 10000,
 		Policy: "least-work", CrashOnBreach: true}
 	for _, c := range change {
@@ -39,7 +46,6 @@
 	if err != nil {
 		t.Fatalf("start an entry: %v", err)
 	}
-	e.Start()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
