--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -12,10 +12,10 @@
 	"github.com/camphorrack/camphorrack/internal/job"
 )
 
-// answerAllowance is how long after its deadline a final answer may come. Half a
-// second goes to the clocks, before an entry that can't reach the owner gives the
-// final answer itself; a caller takes up to three more to notice that the entry it
-// called is silent, and then asks another.
+// answerAllowance is how long after its deadline a final answer may come: an entry that
+// can't reach the owner calls the outcome unknown 2.5 s after it, takes up to two more to
+// find the owner silent, and is asked once the first entry has been silent for half a
+// second beyond its wait.
 const answerAllowance = 5 * time.Second
 
 // callers submits as independent callers would, and notes what they see.
