--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/silence"
 )
@@ -35,61 +36,48 @@
 // read to its end, or every entry in the settings has told what it has and the log can't
 // be read. Agents hear of a change up to FanOutSpread after the entries; with what they
 // tell first, a restarted entry would enforce an older configuration than its predecessor.
-// It returns where the configuration was confirmed.
-func (e *Entry) catchUp() string {
+// It returns where the configuration was confirmed, and which entries have told nothing.
+func (e *Entry) catchUp() (by string, silent []string) {
 	defer close(e.api.caughtUp)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	watch := silence.NewWatch(catchUpTimeout, cancel)
 	defer watch.Stop()
-	told := make(chan struct{})
-	go func() {
-		e.askAll(ctx)
-		close(told)
-	}()
+	silent = e.o.entries()
+	told := make(chan string, len(silent))
+	for _, addr := range silent {
+		go e.askUntilTold(ctx, addr, told)
+	}
 	polled := e.api.config.polled()
 	logUnread := polled != nil
-	for told != nil || logUnread {
+	for len(silent) > 0 || logUnread {
 		select {
-		case <-told:
-			told = nil
+		case addr := <-told:
+			silent = slices.DeleteFunc(silent, func(other string) bool { return other == addr })
 		case current := <-polled:
 			if current {
-				return confirmedByLog
+				return confirmedByLog, silent
 			}
 			logUnread = false
 		case <-ctx.Done():
-			return unconfirmed
+			return unconfirmed, silent
 		case <-e.drainedCh:
-			return unconfirmed
+			return unconfirmed, silent
 		}
 	}
-	return confirmedByEntries
-}
-
-// askAll returns when every entry in the settings has told what it has, or the context
-// has ended.
-func (e *Entry) askAll(ctx context.Context) {
-	var asked sync.WaitGroup
-	for _, addr := range e.o.entries() {
-		asked.Go(func() { e.askUntilTold(ctx, addr) })
-	}
-	asked.Wait()
+	return confirmedByEntries, nil
 }
 
 // askUntilTold asks an entry until it answers, or nothing listens at its address: what a
-// process knew that has ended is lost.
-func (e *Entry) askUntilTold(ctx context.Context, addr string) {
-	for {
+// process knew that has ended is lost. Then it sends the address.
+func (e *Entry) askUntilTold(ctx context.Context, addr string, told chan<- string) {
+	for ctx.Err() == nil {
 		err := e.introduceOnce(ctx, addr)
 		if err == nil || errors.Is(err, errIntroductionRefused) || errors.Is(err, syscall.ECONNREFUSED) {
+			told <- addr
 			return
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(catchUpRetry):
-		}
+		clock.Sleep(ctx, catchUpRetry)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,14 +131,15 @@
 		}
 	}()
 	event.Log(e.log, event.EntryStarting, "addr", e.Addr(), "entries", e.o.Entries, "log", e.o.Log)
-	confirmed := e.catchUp()
+	confirmed, silent := e.catchUp()
 	for _, addr := range e.o.entries() {
 		go e.introduce(addr)
 	}
 	go e.spreadNews()
 	event.Log(e.log, event.ProcessStarted, "addr", e.Addr(), "advertise", e.api.owner.Addr.String(),
 		"incarnation", e.api.owner.Incarnation.String(), "data_centre", e.o.DataCentre, "policy", e.o.Policy,
-		"config_version", e.api.config.holder.Get().State.Version, "config_confirmed_by", confirmed)
+		"config_version", e.api.config.holder.Get().State.Version, "config_confirmed_by", confirmed,
+		"silent_entries", strings.Join(silent, ","))
 }
 
 // Drained is closed when a drain is over, or when serving failed.
