--- a/internal/entry/catchup.go
+++ b/internal/entry/catchup.go
@@ -32,11 +32,10 @@
 	unconfirmed        = "unconfirmed"
 )
 
-// catchUp takes the newest configuration before the entry takes work: until the log was
-// read to its end, or every entry in the settings has told what it has and the log can't
-// be read. Agents hear of a change up to FanOutSpread after the entries; with what they
-// tell first, a restarted entry would enforce an older configuration than its predecessor.
-// It returns where the configuration was confirmed, and which entries have told nothing.
+// catchUp takes the newest configuration before the entry takes work: from the log, or, where
+// that can't be read, from every entry in the settings. Agents hear of a change up to
+// FanOutSpread later; with what they tell first, an entry would enforce an older configuration
+// than its predecessor. It returns what confirmed it, and which entries have told nothing.
 func (e *Entry) catchUp() (by string, silent []string) {
 	defer close(e.api.caughtUp)
 	ctx, cancel := context.WithCancelCause(context.Background())
