The watch over the configuration judges an answer by what was seen before it was asked for

Cause, by a test: at the end of a run two loops ask every daemon at a time. Of two calls that overlap, the answer to the earlier one may be read last; with a stand-in that holds its first answer (21) until the second call has had 23, the same line comes. A daemon's holder takes rising versions only, under one lock, and its random schedules and fuzzing show no other case.

The check is as strict as before for calls that don't overlap: an answer below what the process had when it was asked is a breach.

--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -176,18 +176,27 @@
 		return nil
 	}
 	defer c.Close()
+	had := o.had(p)
 	state, err := c.Config(ctx)
 	if err != nil || p.Ended() {
 		return nil // a reply may have come from its successor
 	}
-	o.saw(p, state.Version)
+	o.saw(p, state.Version, had)
 	return &state.Version
 }
 
-// saw checks a version against those that the process, and its predecessors at the
-// same address, had in force before. A process that is behind its predecessor is
-// one breach, however long it lasts.
-func (o *operators) saw(p *localfleet.Process, version uint64) {
+// had returns the highest version that a process was seen with.
+func (o *operators) had(p *localfleet.Process) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.seen[p]
+}
+
+// saw checks a version against what the process had when it was asked, since answers to
+// calls that overlap may be read in any order, and against what its predecessors at the
+// same address had in force. A process that is behind its predecessor is one breach,
+// however long it lasts.
+func (o *operators) saw(p *localfleet.Process, version, had uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	own, known := o.seen[p]
@@ -196,7 +205,7 @@
 	o.inForce[p.Name] = max(before, version)
 	detail := fmt.Sprintf("version %d after version %d", version, before)
 	switch {
-	case version < own:
+	case version < had:
 		o.breaches = append(o.breaches, Breach{RuleConfigReverts, p.Name, detail})
 	case version == 0 && before > 0:
 		o.without++
