Membership: which entries an agent knows and reads, and which an entry names, as a pure package

Cause: every agent hears of every entry: by the one topic of all records, by lists of all entries in both greetings of each session, and by frames for each new entry. All three grow with entries times runners, and the lists are capped at 1,024 addresses, below the 1,064 entries of the target size.

--- /dev/null
+++ b/internal/scheduler/membership/agent.go
@@ -0,0 +1,224 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/elliotchance/orderedmap/v3"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/subset"
+)
+
+const (
+	// maxUnrecorded is the number of addresses that an agent keeps although no record names them and
+	// it has not selected them. Entries name MaxNames each.
+	maxUnrecorded = 8 * MaxNames
+	// minFullTime and maxFullTime bound how long an agent selects others in place of an entry that
+	// has turned it away. The time doubles while the entry stays full.
+	minFullTime = 5 * time.Second
+	maxFullTime = time.Minute
+)
+
+// Entry is an entry that an agent knows.
+type Entry struct {
+	Peer
+	Down     bool // it has been unreachable for so long that another one replaces it
+	Selected bool // a session with it is to be kept
+
+	records   int       // hosts whose record names it
+	fullUntil time.Time // it has too many agents until then
+	fullTime  time.Duration
+}
+
+// Recorded reports whether a record in the store names the entry.
+func (e *Entry) Recorded() bool { return e.records > 0 }
+
+// Agent is what an agent knows of the entries. It is not safe for concurrent use.
+type Agent struct {
+	host, dataCentre string
+	entries          *orderedmap.OrderedMap[string, *Entry] // by address
+	addrByHost       map[string]string                      // as in the hosts' records
+	ranked           []string                               // data centres in the order of their reading
+	seeds            []string                               // addresses of the settings that are not tried yet
+}
+
+// NewAgent returns the state of the agent on a host that knows no entry yet. dataCentres are those of
+// the whole deployment, as far as they are known.
+func NewAgent(host, dataCentre string, dataCentres []string) *Agent {
+	return &Agent{
+		host: host, dataCentre: dataCentre, ranked: rankDataCentres(host, dataCentre, dataCentres), addrByHost: map[string]string{},
+		entries: orderedmap.NewOrderedMap[string, *Entry](),
+	}
+}
+
+// Entry returns the entry at an address, or nil.
+func (a *Agent) Entry(addr string) *Entry {
+	e, _ := a.entries.Get(addr)
+	return e
+}
+
+// Entries returns all known entries, in the order in which they became known.
+func (a *Agent) Entries() []*Entry {
+	all := make([]*Entry, 0, a.entries.Len())
+	for e := range a.entries.Values() {
+		all = append(all, e)
+	}
+	return all
+}
+
+// Learn adds an entry that an entry or the settings have named, or sets its data centre. It reports
+// whether anything has changed. To make room it may drop the entry that was named the longest time
+// ago and that no record names; Learn returns its address, or "".
+func (a *Agent) Learn(p Peer) (changed bool, dropped string) {
+	e := a.Entry(p.Addr)
+	switch {
+	case p.Addr == "":
+		return false, ""
+	case e == nil:
+		dropped = a.makeRoom()
+		a.entries.Set(p.Addr, &Entry{Peer: p})
+		return true, dropped
+	case p.DataCentre == "" || e.DataCentre == p.DataCentre:
+		return false, ""
+	}
+	e.DataCentre = p.DataCentre
+	return true, ""
+}
+
+// makeRoom drops the oldest entry that no record names and that is not selected, if there are too
+// many such, and returns its address.
+func (a *Agent) makeRoom() (dropped string) {
+	unrecorded := 0
+	oldest := ""
+	for addr, e := range a.entries.AllFromFront() {
+		if e.Recorded() || e.Selected {
+			continue
+		}
+		if unrecorded == 0 {
+			oldest = addr
+		}
+		unrecorded++
+	}
+	if unrecorded < maxUnrecorded {
+		return ""
+	}
+	a.entries.Delete(oldest)
+	return oldest
+}
+
+// SetRecord sets the entry in the record of a host; an empty address means that the record was
+// deleted. It returns the host's previous address if it is dropped, because another host may get it.
+func (a *Agent) SetRecord(host string, p Peer) (changed bool, dropped string) {
+	previous := a.addrByHost[host]
+	if previous == p.Addr {
+		changed, _ = a.Learn(p)
+		return changed, ""
+	}
+	a.addrByHost[host] = p.Addr
+	if p.Addr == "" {
+		delete(a.addrByHost, host)
+	} else {
+		changed, _ = a.Learn(p)
+		a.Entry(p.Addr).records++
+	}
+	if e := a.Entry(previous); e != nil {
+		e.records--
+		if !e.Recorded() {
+			a.entries.Delete(previous)
+			return true, previous
+		}
+	}
+	return changed, ""
+}
+
+// Remove removes an entry.
+func (a *Agent) Remove(addr string) { a.entries.Delete(addr) }
+
+// SetFull records that an entry has turned the agent away because it has too many, and returns how
+// long others are selected in its place.
+func (a *Agent) SetFull(now time.Time, addr string) time.Duration {
+	e := a.Entry(addr)
+	if e == nil {
+		return minFullTime
+	}
+	e.fullTime = min(max(2*e.fullTime, minFullTime), maxFullTime)
+	e.fullUntil = now.Add(e.fullTime)
+	return e.fullTime
+}
+
+// SetOpen records that a session with an entry has opened.
+func (a *Agent) SetOpen(addr string) {
+	if e := a.Entry(addr); e != nil {
+		e.fullTime, e.fullUntil = 0, time.Time{}
+	}
+}
+
+// Select selects the entries to keep sessions with. Unreachable and full ones are left out, unless
+// fewer than AgentSessions are left: after a power failure all entries return together.
+func (a *Agent) Select(now time.Time) {
+	usable := 0
+	for e := range a.entries.Values() {
+		e.Selected = false
+		if !e.Down && !now.Before(e.fullUntil) {
+			usable++
+		}
+	}
+	candidates := make([]subset.Candidate, 0, a.entries.Len())
+	for e := range a.entries.Values() {
+		c := e.candidate()
+		c.Down = now.Before(e.fullUntil) || e.Down && usable >= AgentSessions
+		candidates = append(candidates, c)
+	}
+	for _, addr := range subset.Choose(a.host, a.dataCentre, candidates, AgentSessions) {
+		a.Entry(addr).Selected = true
+	}
+}
+
+// Selected returns the selected entries, to be named to other entries.
+func (a *Agent) Selected() []Peer {
+	var peers []Peer
+	for e := range a.entries.Values() {
+		if e.Selected {
+			peers = append(peers, e.Peer)
+		}
+	}
+	return peers
+}
+
+// Lists returns the data centres whose lists are to be followed, in the order of their reading: the
+// agent's own first, and others while the entries in those before them do not fill its sessions, or
+// none of them is outside.
+func (a *Agent) Lists() []string {
+	recorded := map[string]int{}
+	for e := range a.entries.Values() {
+		if e.Recorded() {
+			recorded[e.DataCentre]++
+		}
+	}
+	sum := 0
+	for i, dataCentre := range a.ranked {
+		sum += recorded[dataCentre]
+		if outside := sum > recorded[a.dataCentre]; outside && sum >= AgentSessions {
+			return a.ranked[:i+1]
+		}
+	}
+	return a.ranked
+}
+
+// SetSeeds sets the addresses in the settings that may be those of entries. They are tried in an
+// order that differs between hosts.
+func (a *Agent) SetSeeds(addrs []string) {
+	candidates := make([]subset.Candidate, len(addrs))
+	for i, addr := range addrs {
+		candidates[i] = subset.Candidate{Addr: addr}
+	}
+	a.seeds = subset.Choose(a.host, "", candidates, len(addrs))
+}
+
+// NextSeed returns the address in the settings to try next. ok is false if there is none left.
+func (a *Agent) NextSeed() (addr string, ok bool) {
+	if len(a.seeds) == 0 {
+		return "", false
+	}
+	addr, a.seeds = a.seeds[0], a.seeds[1:]
+	return addr, true
+}
--- a/internal/scheduler/subset/subset.go
+++ b/internal/scheduler/subset/subset.go
@@ -66,22 +66,37 @@
 	score uint64
 }
 
+// Prefers reports whether the worker's agent prefers the entry a to b.
+func Prefers(worker, dataCentre string, a, b Candidate) bool {
+	if aGroup, bGroup := locality(dataCentre, a), locality(dataCentre, b); aGroup != bGroup {
+		return aGroup < bGroup
+	}
+	return compareRanked(ranked{a.Addr, score(worker, a.Addr)}, ranked{b.Addr, score(worker, b.Addr)}) < 0
+}
+
+// locality returns the group of an entry: 0 for those of the data centre, 1 for those whose data centre
+// is unknown, 2 for the others. To a worker without a data centre all entries are remote.
+func locality(dataCentre string, e Candidate) int {
+	switch {
+	case dataCentre == "":
+		return 2
+	case e.DataCentre == "":
+		return 1
+	case e.DataCentre == dataCentre:
+		return 0
+	}
+	return 2
+}
+
 // groupByLocality returns the addresses of the entries that are up, in three groups, each
-// best first. To a worker without a data centre all entries are remote.
+// best first.
 func groupByLocality(worker, dataCentre string, entries []Candidate) (local, unknown, remote []string) {
 	var groups [3][]ranked
 	for _, e := range entries {
 		if e.Down {
 			continue
 		}
-		group := 2
-		switch {
-		case dataCentre == "":
-		case e.DataCentre == "":
-			group = 1
-		case e.DataCentre == dataCentre:
-			group = 0
-		}
+		group := locality(dataCentre, e)
 		groups[group] = append(groups[group], ranked{e.Addr, score(worker, e.Addr)})
 	}
 	return rankedAddrs(groups[0]), rankedAddrs(groups[1]), rankedAddrs(groups[2])
@@ -89,9 +104,7 @@
 
 // rankedAddrs returns the addresses by descending hash.
 func rankedAddrs(group []ranked) []string {
-	slices.SortFunc(group, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.addr, b.addr))
-	})
+	slices.SortFunc(group, compareRanked)
 	addrs := make([]string, len(group))
 	for i, r := range group {
 		addrs[i] = r.addr
@@ -99,6 +112,11 @@
 	return addrs
 }
 
+// compareRanked orders addresses by descending hash.
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.addr, b.addr))
+}
+
 // score is the rendezvous hash. The separator distinguishes "a"+"bc" from "ab"+"c".
 func score(worker, addr string) uint64 {
 	var d xxhash.Digest
