Membership: the store's lists by data centre, read at a pace; greetings name what an agent selects

Change: a list for each data centre (32 topics at the most); a runner follows its own, one other, and further ones only while they hold fewer entries than it keeps sessions with. A dispatcher writes its record only if the list has another one. Reads wait 30 s and pause 1 to 3 s after a change, so their number does not depend on that of the records. Addresses of the settings are tried one at a time, only while no session is open. Entry and runner name what the other selects; an entry forgets what none of its runners has named for a minute.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -25,8 +25,8 @@
 	"github.com/camphorrack/camphorrack/internal/leased"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/routing"
+	"github.com/camphorrack/camphorrack/internal/scheduler/membership"
 	"github.com/camphorrack/camphorrack/internal/session"
-	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
 // Program is the daemon's name.
@@ -84,11 +84,8 @@
 	core        *dispatch.Core
 	config      *confsync.Replica
 	evacuations *evacuation.Replica
-	// entries maps the addresses of dispatchers, as reported by runners, to their data
-	// centres (empty if unknown). unannounced are those to be sent to the runners on the
-	// next tick.
-	entries     map[string]string
-	unannounced []wire.Peer
+	// directory holds the other dispatchers, as named by the store and by runners.
+	directory *membership.Directory
 	// loadInterval is the minimum time between load reports that was last sent to runners.
 	loadInterval time.Duration
 }
@@ -138,7 +135,7 @@
 }
 
 func (d *Dispatcher) newState() *state {
-	s := &state{entries: map[string]string{}}
+	s := &state{directory: membership.NewDirectory(membership.Peer{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre})}
 	s.core = dispatch.New(dispatch.Options{
 		Log: d.log, Outbox: d.sessions, DataCentre: d.options.DataCentre, LeaseLimit: d.options.LeaseLimit,
 		RemoteFactor: d.options.RemoteFactor, LinkMbps: d.options.LinkMbps, Now: time.Now,
@@ -188,8 +185,9 @@
 	}
 	s.core.Tick(now)
 	s.config.Tick(now)
-	d.updateHandover(now, s)
+	s.directory.Expire(now)
 	d.sessions.announceEntries(s)
+	d.updateHandover(now, s)
 	d.sessions.updateLoadInterval(s)
 	d.usableAgents.Store(int64(s.core.UsableAgents()))
 }
@@ -229,9 +227,12 @@
 	d.stop = cancel
 	go d.loop.Run()
 	d.servers.Serve()
-	go platformlog.Watch(ctx, d.log, d.options.Store, d.options.Operator.Name, operatorReader{d})
-	record := leased.Record{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre}
-	go platformlog.PutWithRetry(ctx, d.log, d.options.Store, leased.EntriesTopic, d.options.Host, record.Encode())
+	go platformlog.Watch(ctx, d.log, d.options.Store, platformlog.Partition{Topic: d.options.Operator.Name}, platformlog.PromptPace, operatorReader{d})
+	go leased.PublishRecord(ctx, d.log, d.options.Store, d.options.Host, leased.Record{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre},
+		func(peers []membership.Peer) {
+			// Push fails only if the control loop has stopped, when the process exits.
+			_ = d.loop.Push(func(_ time.Time, s *state) { s.directory.Name(membership.FromStore, peers) })
+		})
 	event.Log(d.log, event.ProcessStarted, "host", d.options.Host, "data_centre", d.options.DataCentre, "callers", d.options.CallerAddr,
 		"inner", d.options.SessionAddr, "incarnation", d.incarnation.String(), "memory_mb", d.options.MemoryMB)
 }
--- a/internal/dispatcher/handover.go
+++ b/internal/dispatcher/handover.go
@@ -80,10 +80,8 @@
 	return dispatch.Answer{Kind: dispatch.AnswerNotRun, Fault: f, RetryAfter: time.Second}
 }
 
-// updateHandover passes on what the control state knows: the addresses of entries, and the load
-// of this one.
+// updateHandover passes on the load of this entry.
 func (d *Dispatcher) updateHandover(now time.Time, s *state) {
-	d.handover.Learn(s.unannounced)
 	d.handover.Tick(s.core.Counts().Accepted, d.draining.Load())
 	d.handover.UpdateState(wire.HandoverState{
 		Draining: d.draining.Load(), Targets: s.core.UsableAgents(), LinkMbps: max(d.options.LinkMbps, 0), LinkWaitMs: s.core.LinkWaitMs(now),
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -13,6 +13,7 @@
 	"github.com/camphorrack/camphorrack/internal/evacuation"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/leased"
+	"github.com/camphorrack/camphorrack/internal/scheduler/membership"
 	"github.com/camphorrack/camphorrack/internal/scheduler/reporting"
 	"github.com/camphorrack/camphorrack/internal/session"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -27,30 +28,32 @@
 // Error implements error.
 func (e *helloError) Error() string { return "hello: " + e.reason }
 
-// sessions serves the connections of runners. conns is owned by the control goroutine.
+// sessions serves the connections of runners. runners is owned by the control goroutine.
 type sessions struct {
 	*Dispatcher
 	sessionOptions session.Options
-	conns          map[dispatch.ConnID]*session.ToAgentConn
+	runners        map[dispatch.ConnID]*runnerSession
 	lastID         atomic.Uint64
 }
 
 func newSessions(d *Dispatcher) *sessions {
-	return &sessions{Dispatcher: d, sessionOptions: leased.SessionOptions(d.metrics.Sessions), conns: map[dispatch.ConnID]*session.ToAgentConn{}}
+	return &sessions{
+		Dispatcher: d, sessionOptions: leased.SessionOptions(d.metrics.Sessions), runners: map[dispatch.ConnID]*runnerSession{},
+	}
 }
 
 // Send implements dispatch.Outbox. A frame for a closed connection is dropped: its orders are
 // given up when the connection is removed.
 func (s *sessions) Send(id dispatch.ConnID, f *wire.ToAgent) {
-	if conn := s.conns[id]; conn != nil {
-		conn.Send(f)
+	if r := s.runners[id]; r != nil {
+		r.conn.Send(f)
 	}
 }
 
 // Close implements dispatch.Outbox.
 func (s *sessions) Close(id dispatch.ConnID) {
-	if conn := s.conns[id]; conn != nil {
-		conn.Close(nil)
+	if r := s.runners[id]; r != nil {
+		r.conn.Close(nil)
 	}
 }
 
@@ -63,23 +66,19 @@
 	r := &runnerSession{sessions: s, conn: conn, id: dispatch.ConnID(s.lastID.Add(1))}
 	// The welcome is sent first: a runner that has a session with this process at another
 	// address closes this one without a hello, which would replace the other session.
-	err = r.loop.Push(func(_ time.Time, st *state) {
-		conn.Send(&wire.ToAgent{Welcome: &wire.Welcome{
-			Version: wire.Version, Incarnation: r.incarnation, Addr: r.options.SessionAddr, DataCentre: r.options.DataCentre, Entries: st.knownEntries(),
-		}})
-	})
-	if err != nil {
-		conn.Close(err)
-	}
+	conn.Send(&wire.ToAgent{Welcome: &wire.Welcome{
+		Version: wire.Version, Incarnation: r.incarnation, Addr: r.options.SessionAddr, DataCentre: r.options.DataCentre,
+	}})
 	r.handleDisconnect(conn.Serve(r.receive))
 }
 
 // runnerSession is one connection of a runner.
 type runnerSession struct {
 	*sessions
-	conn   *session.ToAgentConn
-	id     dispatch.ConnID
-	opened bool
+	conn             *session.ToAgentConn
+	id               dispatch.ConnID
+	host, dataCentre string // of the runner
+	opened           bool
 }
 
 func (r *runnerSession) receive(f *wire.ToEntry) error {
@@ -117,11 +116,12 @@
 	case h.Worker == "":
 		return &helloError{"the host name is missing"}
 	}
-	r.opened = true
+	r.opened, r.host, r.dataCentre = true, h.Worker, h.DataCentre
 	event.Log(r.log, event.SessionOpened, "conn", uint64(r.id), "host", h.Worker, "peer", r.conn.RemoteAddr())
 	return r.loop.Push(func(now time.Time, s *state) {
-		r.conns[r.id] = r.conn
-		s.addEntries(r.options.SessionAddr, h.Entries)
+		r.runners[r.id] = r
+		s.directory.Name(membership.Source(r.id), fromWire(h.Entries))
+		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
 		s.core.Connect(now, r.id, h, r.conn.Extended())
 		s.core.QueueLoadInterval(r.id, s.loadInterval)
 		s.evacuations.PeerUp(evacuation.PeerID(r.id))
@@ -129,60 +129,55 @@
 	})
 }
 
-// addEntries adds the dispatchers that a runner has reported. Those that are new or whose data
-// centre has changed are announced on the next tick. A runner that the store rejects can only
-// find dispatchers through those it is connected to.
-func (s *state) addEntries(ownAddr string, peers []wire.Peer) {
-	for _, p := range peers {
-		dataCentre, known := s.entries[p.Addr]
-		if p.Addr == ownAddr || known && (dataCentre == p.DataCentre || p.DataCentre == "") || len(s.entries) >= maxEntries {
-			continue
+// announceEntries tells each runner of the dispatchers that have become known since the last call and
+// that it prefers to this one, in one frame, and passes all changes on to the hand-over.
+func (s *sessions) announceEntries(st *state) {
+	added, removed := st.directory.TakeChanges()
+	s.handover.Forget(removed)
+	s.handover.Learn(toWire(added))
+	if len(added) == 0 {
+		return
+	}
+	for _, r := range s.runners {
+		if preferred := st.directory.Preferred(r.host, r.dataCentre, added); len(preferred) > 0 {
+			r.conn.Send(&wire.ToAgent{Entries: toWire(preferred)})
 		}
-		s.entries[p.Addr] = p.DataCentre
-		s.unannounced = append(s.unannounced, p)
 	}
 }
 
-// announceEntries sends each runner the dispatchers added since the last call in one frame. If
-// each dispatcher were announced separately, a fleet that starts would cost one frame per
-// dispatcher and runner.
-func (s *sessions) announceEntries(st *state) {
-	if len(st.unannounced) == 0 {
-		return
+// toWire converts entries for a frame.
+func toWire(peers []membership.Peer) []wire.Peer {
+	converted := make([]wire.Peer, len(peers))
+	for i, p := range peers {
+		converted[i] = wire.Peer(p)
 	}
-	for _, conn := range s.conns {
-		conn.Send(&wire.ToAgent{Entries: st.unannounced})
+	return converted
+}
+
+// fromWire converts the entries of a frame.
+func fromWire(peers []wire.Peer) []membership.Peer {
+	converted := make([]membership.Peer, len(peers))
+	for i, p := range peers {
+		converted[i] = membership.Peer(p)
 	}
-	st.unannounced = nil
+	return converted
 }
 
 // updateLoadInterval sends the runners the minimum time between load reports if it has changed
 // significantly. It depends on the number of runners, so that reading their reports takes no more
 // than a fixed share of the entry's processor.
 func (s *sessions) updateLoadInterval(st *state) {
-	interval := reporting.Interval(s.options.ProcessorShare, len(s.conns))
-	if len(s.conns) == 0 || !reporting.SignificantChange(interval, st.loadInterval) {
+	interval := reporting.Interval(s.options.ProcessorShare, len(s.runners))
+	if len(s.runners) == 0 || !reporting.SignificantChange(interval, st.loadInterval) {
 		return
 	}
-	event.Log(s.log, event.ReportsPaced, "every_ms", clock.Millis(interval), "was_ms", clock.Millis(st.loadInterval), "runners", len(s.conns))
+	event.Log(s.log, event.ReportsPaced, "every_ms", clock.Millis(interval), "was_ms", clock.Millis(st.loadInterval), "runners", len(s.runners))
 	st.loadInterval = interval
-	for id := range s.conns {
+	for id := range s.runners {
 		st.core.QueueLoadInterval(id, interval)
 	}
 }
 
-// maxEntries limits the number of known addresses; old ones are not evicted.
-const maxEntries = 1024
-
-// knownEntries returns the known dispatchers, in no order.
-func (s *state) knownEntries() []wire.Peer {
-	peers := make([]wire.Peer, 0, len(s.entries))
-	for addr, dataCentre := range s.entries {
-		peers = append(peers, wire.Peer{Addr: addr, DataCentre: dataCentre})
-	}
-	return peers
-}
-
 // handleDisconnect logs the end of the connection and removes it from the control state.
 func (r *runnerSession) handleDisconnect(err error) {
 	var closed *session.CloseError
@@ -198,7 +193,8 @@
 	}
 	// Push fails only if the control loop has stopped; its state is not used any more.
 	_ = r.loop.Push(func(now time.Time, s *state) {
-		delete(r.conns, r.id)
+		delete(r.runners, r.id)
+		s.directory.Forget(now, membership.Source(r.id))
 		s.core.Disconnect(now, r.id)
 		s.evacuations.PeerDown(evacuation.PeerID(r.id))
 		s.config.PeerDown(confsync.PeerID(r.id))
--- a/internal/handover/peers.go
+++ b/internal/handover/peers.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// maxPeers limits the number of known addresses, as that of entries in the dispatcher.
-	maxPeers = 1024
 	// sessionWait is how long a submission waits at most for a session that is being opened,
 	// and 1/sessionWaitDivisor the part of its slack that it waits. A dial within a region takes
 	// some milliseconds; one to a host without power delays the jobs that are served here then.
@@ -52,6 +50,7 @@
 	lastNumber  uint64             // of the session
 	usedAt      time.Time
 	closing     string // why this entry closes the session
+	gone        bool   // it is removed when the session has ended
 }
 
 // protocolError reports a frame that breaks the protocol between entries.
@@ -70,12 +69,32 @@
 	for _, entry := range entries {
 		p := e.peers[entry.Addr]
 		switch {
-		case entry.Addr == "" || entry.Addr == e.options.Addr || p == nil && len(e.peers) >= maxPeers:
+		case entry.Addr == "" || entry.Addr == e.options.Addr:
 		case p == nil:
 			e.peers[entry.Addr] = &peer{addr: entry.Addr, dataCentre: entry.DataCentre}
 		case entry.DataCentre != "":
 			p.dataCentre = entry.DataCentre
 		}
+		e.peers[entry.Addr].gone = false
+	}
+}
+
+// Forget removes addresses at which there is no entry any more. One with a session stays until that
+// has ended.
+func (e *Endpoint) Forget(addrs []string) {
+	if len(addrs) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, addr := range addrs {
+		switch p := e.peers[addr]; {
+		case p == nil:
+		case p.dialling:
+			p.gone = true
+		default:
+			delete(e.peers, addr)
+		}
 	}
 }
 
@@ -245,6 +264,9 @@
 	}
 	p.dialFailed = !p.open
 	p.conn, p.flights, p.dialling, p.open = nil, nil, false, false
+	if p.gone {
+		delete(e.peers, p.addr)
+	}
 	e.notify()
 }
 
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -25,10 +25,6 @@
 
 func init() { gin.SetMode(gin.ReleaseMode) }
 
-// EntriesTopic is the keyed topic in which each dispatcher publishes its Record, under the
-// name of its host.
-const EntriesTopic = "camphorrack-entries"
-
 // MetricsTimeout is how long a request for the metrics waits for the control goroutine:
 // less than the timeout of scrapers, and more than any batch of commands takes.
 const MetricsTimeout = 500 * time.Millisecond
@@ -62,8 +58,8 @@
 	}
 }
 
-// Record is the value of a dispatcher's key in EntriesTopic: the address that accepts
-// sessions, and the data centre.
+// Record is the value that each dispatcher publishes under the name of its host, in the list of
+// its data centre: the address that accepts sessions, and the data centre.
 type Record struct {
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
--- a/internal/platformlog/keyed.go
+++ b/internal/platformlog/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -43,49 +44,76 @@
 // OnChange implements Observer.
 func (f ObserverFunc) OnChange(e Entry) { f(e) }
 
+// Partition is a partition of a keyed topic.
+type Partition struct {
+	Topic string
+	Index int // from 0 to Partitions-1
+}
+
 // KeyedLog is the platform's log with keyed topics. The newest value of each key is retained
-// indefinitely, older values for a limited time.
+// indefinitely, older values for a limited time. A key has a value in each partition of its topic.
 type KeyedLog interface {
+	// Partitions returns the number of partitions of every topic.
+	Partitions() int
 	// Put writes the value of a key. After an error the value may have been written.
-	Put(ctx context.Context, topic, key string, value []byte) error
+	Put(ctx context.Context, p Partition, key string, value []byte) error
 	// Newest returns the newest value of every key, and the offset to pass to Follow.
-	Newest(ctx context.Context, topic string) (entries []Entry, end uint64, err error)
+	Newest(ctx context.Context, p Partition) (entries []Entry, end uint64, err error)
 	// Follow returns the records at and after an offset, and the offset to pass to the next
 	// Follow. If there are none yet, it waits up to wait for the first. A *TruncatedError
 	// means that retention has dropped some of the records: call Newest again.
-	Follow(ctx context.Context, topic string, from uint64, wait time.Duration) (entries []Entry, next uint64, err error)
+	Follow(ctx context.Context, p Partition, from uint64, wait time.Duration) (entries []Entry, next uint64, err error)
 }
 
 const (
-	// longPollTimeout is how long a read waits for new records. A broken connection is only
-	// detected when a read takes longer than that, so it also determines how long changes are
-	// missed then.
-	longPollTimeout = 2 * time.Second
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call. The store limits
 	// the calls of all processes together, and rejected calls count towards the limit.
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = time.Second
+	// maxPollWait is the longest wait that the platform's log allows.
+	maxPollWait = 30 * time.Second
 )
 
+// Pace is how often Watch calls the log. A change is passed on at once if none came before it for
+// the length of a pause.
+type Pace struct {
+	// Wait is how long a read waits for new records, at most 30 s. A read whose response is lost
+	// ends only after that, so it also is how long changes are missed then.
+	Wait time.Duration
+	// Pause is the mean time from a change to the next read, half of it at the least. A fleet whose
+	// hosts restart one after the other writes many records, each of which would otherwise end a
+	// read of every process that watches the topic.
+	Pause time.Duration
+	// MaxRetryDelay is the longest delay between failed calls.
+	MaxRetryDelay time.Duration
+}
+
+// PromptPace is for changes that have to be applied within seconds.
+var PromptPace = Pace{Wait: 2 * time.Second, MaxRetryDelay: maxRetryDelay}
+
+// PatientPace is for changes that the processes also learn from each other. The calls of a process
+// don't depend on the number of changes.
+var PatientPace = Pace{Wait: maxPollWait, Pause: 2 * time.Second, MaxRetryDelay: 4 * time.Second}
+
 // Watch passes a snapshot of a keyed topic and then each change to observer, until ctx ends. It
 // logs when the log becomes unreachable and when it is reachable again, and passes another
 // snapshot after each failure and each truncation.
-func Watch(ctx context.Context, log logr.Logger, k KeyedLog, topic string, observer Observer) {
-	outages := &outageLogger{log: log, topic: topic}
-	backOff := NewBackOff()
+func Watch(ctx context.Context, log logr.Logger, k KeyedLog, p Partition, pace Pace, observer Observer) {
+	outages := &outageLogger{log: log, topic: p.Topic}
+	backOff := newBackOff(pace.MaxRetryDelay)
 	var next uint64
 	needSnapshot := true
 	for ctx.Err() == nil {
 		var entries []Entry
 		var err error
 		if needSnapshot {
-			entries, next, err = k.Newest(ctx, topic)
+			entries, next, err = k.Newest(ctx, p)
 		} else {
-			entries, next, err = k.Follow(ctx, topic, next, longPollTimeout)
+			entries, next, err = k.Follow(ctx, p, next, pace.Wait)
 		}
 		var truncated *TruncatedError
 		if errors.As(err, &truncated) {
-			event.Log(log, event.LogTruncated, "topic", topic, "from", truncated.From, "lowest", truncated.Lowest)
+			event.Log(log, event.LogTruncated, "topic", p.Topic, "from", truncated.From, "lowest", truncated.Lowest)
 			needSnapshot = true
 			continue
 		}
@@ -105,6 +133,9 @@
 		for _, e := range entries {
 			observer.OnChange(e)
 		}
+		if len(entries) > 0 && pace.Pause > 0 {
+			clock.Sleep(ctx, pace.Pause/2+rand.N(pace.Pause))
+		}
 	}
 }
 
@@ -132,14 +163,14 @@
 }
 
 // PutWithRetry writes the value of a key, and retries until the write succeeds or ctx ends.
-func PutWithRetry(ctx context.Context, log logr.Logger, k KeyedLog, topic, key string, value []byte) {
-	outages := &outageLogger{log: log, topic: topic}
+func PutWithRetry(ctx context.Context, log logr.Logger, k KeyedLog, p Partition, key string, value []byte) {
+	outages := &outageLogger{log: log, topic: p.Topic}
 	backOff := NewBackOff()
 	for ctx.Err() == nil {
-		err := k.Put(ctx, topic, key, value)
+		err := k.Put(ctx, p, key, value)
 		if err == nil {
 			outages.recordSuccess()
-			event.Log(log, event.RecordWritten, "topic", topic, "key", key)
+			event.Log(log, event.RecordWritten, "topic", p.Topic, "key", key)
 			return
 		}
 		outages.recordFailure(err)
@@ -148,8 +179,10 @@
 }
 
 // NewBackOff returns the exponential delays between retries of failed calls.
-func NewBackOff() *backoff.ExponentialBackOff {
+func NewBackOff() *backoff.ExponentialBackOff { return newBackOff(maxRetryDelay) }
+
+func newBackOff(longest time.Duration) *backoff.ExponentialBackOff {
 	return backoff.NewExponentialBackOff(
-		backoff.WithInitialInterval(initialRetryDelay), backoff.WithMaxInterval(maxRetryDelay), backoff.WithMaxElapsedTime(0),
+		backoff.WithInitialInterval(initialRetryDelay), backoff.WithMaxInterval(longest), backoff.WithMaxElapsedTime(0),
 	)
 }
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -12,16 +12,11 @@
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/runs"
-	"github.com/camphorrack/camphorrack/internal/scheduler/subset"
+	"github.com/camphorrack/camphorrack/internal/scheduler/membership"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
 const (
-	// maxEntrySessions is the number of dispatchers with which a runner keeps sessions. Each
-	// session costs both ends heartbeats and load reports; with a session to every dispatcher,
-	// the work of a small entry host would grow with the fleet until it serves no caller. With
-	// few sessions, a dispatcher would know too few targets to spread a wide job over.
-	maxEntrySessions = 12
 	// dialTimeout bounds a dial and its handshake: a host without power does not
 	// answer at all.
 	dialTimeout = 600 * time.Millisecond
@@ -46,31 +41,30 @@
 	// selectionDelay is how long changes of the known entries are collected before the
 	// selection is computed again: a read of the store delivers all records within it.
 	selectionDelay = 25 * time.Millisecond
-	// maxEntries bounds the number of known addresses.
-	maxEntries = 1024
 )
 
-// entryAddr is a known address of a dispatcher and the state of its connection.
-type entryAddr struct {
-	addr, dataCentre string
-	down             bool               // unreachable for downAfter
-	cancel           context.CancelFunc // stops its goroutine; nil if it has none
-	connID           runs.ConnID        // of its open session; 0: none
-	selected         bool
+// entryConn is the connection to the entry at an address, which a goroutine maintains.
+type entryConn struct {
+	addr   string
+	cancel context.CancelFunc // stops the goroutine
+	connID runs.ConnID        // of its open session; 0: none
 }
 
-// dialers selects the dispatchers with which the runner keeps sessions, and runs a goroutine
+// dialers keeps sessions with the entries that membership.Agent selects, and runs a goroutine
 // for each of them, which reconnects whenever the session ends. Its methods are safe for
 // concurrent use, except for those whose caller must hold the lock.
 type dialers struct {
-	runner     *Runner
+	runner *Runner
+	// runSession and retire are those of the runner, replaced in tests.
+	runSession func(ctx context.Context, addr string) error
+	retire     func(runs.ConnID)
 	ctx        context.Context
 	stop       context.CancelFunc
 	goroutines sync.WaitGroup
 
 	mu               sync.Mutex
-	entries          map[string]*entryAddr
-	addrByHost       map[string]string // by the name of the host in the dispatcher's record
+	known            *membership.Agent
+	conns            map[string]*entryConn // by address
 	sessionByOwner   map[job.Incarnation]runs.ConnID
 	selectionPending bool // applySelection is scheduled
 }
@@ -83,8 +77,10 @@
 
 func newDialers(r *Runner) *dialers {
 	ctx, stop := context.WithCancel(context.Background())
-	return &dialers{runner: r, ctx: ctx, stop: stop, entries: map[string]*entryAddr{}, addrByHost: map[string]string{},
-		sessionByOwner: map[job.Incarnation]runs.ConnID{}}
+	return &dialers{
+		runner: r, runSession: r.runSession, retire: r.retire, ctx: ctx, stop: stop, conns: map[string]*entryConn{}, sessionByOwner: map[job.Incarnation]runs.ConnID{},
+		known: membership.NewAgent(r.options.Host, r.options.DataCentre, r.options.DataCentres),
+	}
 }
 
 // registerSession registers a session with an entry's process. It returns an *aliasError if
@@ -105,16 +101,17 @@
 func (d *dialers) sessionOpened(addr, dataCentre string, id runs.ConnID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.entries[addr]
-	if e == nil {
+	e, conn := d.known.Entry(addr), d.conns[addr]
+	if e == nil || conn == nil {
 		return
 	}
-	e.connID = id
-	if e.down {
-		e.down = false
+	conn.connID = id
+	d.known.SetOpen(addr)
+	if e.Down {
+		e.Down = false
 		d.scheduleSelection()
 	}
-	d.addEntry(addr, dataCentre)
+	d.learn(membership.Peer{Addr: addr, DataCentre: dataCentre})
 }
 
 // sessionEnded removes a session that has ended.
@@ -124,76 +121,69 @@
 	if d.sessionByOwner[owner] == id {
 		delete(d.sessionByOwner, owner)
 	}
-	if e := d.entries[addr]; e != nil && e.connID == id {
-		e.connID = 0
+	if conn := d.conns[addr]; conn != nil && conn.connID == id {
+		conn.connID = 0
 	}
 }
 
-// addPeers adds addresses that come from an entry or the settings.
+// connected reports whether a session is open.
+func (d *dialers) connected() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.sessionByOwner) > 0
+}
+
+// addPeers adds addresses that come from an entry.
 func (d *dialers) addPeers(peers []wire.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range peers {
-		d.addEntry(p.Addr, p.DataCentre)
+		d.learn(membership.Peer(p))
 	}
 }
 
-// addEntry adds an address, or updates the data centre of a known one. Empty addresses, and
-// new ones beyond maxEntries, are ignored. The caller holds the lock.
-func (d *dialers) addEntry(addr, dataCentre string) {
-	e := d.entries[addr]
-	switch {
-	case addr == "" || e == nil && len(d.entries) >= maxEntries:
-		return
-	case e == nil:
-		event.Log(d.runner.log, event.PeerLearned, "entry", addr, "data_centre", dataCentre)
-		e = &entryAddr{addr: addr}
-		d.entries[addr] = e
-	case dataCentre == "" || e.dataCentre == dataCentre:
-		return
-	}
-	e.dataCentre = dataCentre
-	d.scheduleSelection()
+// learn adds an entry, or updates the data centre of a known one. The caller holds the lock.
+func (d *dialers) learn(p membership.Peer) {
+	isNew := d.known.Entry(p.Addr) == nil
+	changed, dropped := d.known.Learn(p)
+	d.handleChange(p, changed, isNew, dropped)
 }
 
-// updateRecord sets the address in the record of a host's dispatcher; an empty address means
-// that the record was deleted. The host's previous address is removed, because another host
-// may get it.
-func (d *dialers) updateRecord(host, addr, dataCentre string) {
+// updateRecord sets the entry in the record of a host's dispatcher; an empty address means that
+// the record was deleted.
+func (d *dialers) updateRecord(host string, p membership.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	previous := d.addrByHost[host]
-	d.addrByHost[host] = addr
-	if previous != "" && previous != addr && !d.hasRecord(previous) {
-		d.removeEntry(previous)
-	}
-	d.addEntry(addr, dataCentre)
+	isNew := p.Addr != "" && d.known.Entry(p.Addr) == nil
+	changed, dropped := d.known.SetRecord(host, p)
+	d.handleChange(p, changed, isNew, dropped)
 }
 
-// hasRecord reports whether the record of any host names the address. The caller holds the
-// lock.
-func (d *dialers) hasRecord(addr string) bool {
-	for _, a := range d.addrByHost {
-		if a == addr {
-			return true
-		}
+// handleChange logs a change of the known entries, schedules a selection, and stops dialling an
+// address that was dropped. The caller holds the lock.
+func (d *dialers) handleChange(p membership.Peer, changed, isNew bool, dropped string) {
+	if dropped != "" {
+		event.Log(d.runner.log, event.PeerDropped, "entry", dropped, "known", len(d.known.Entries()))
+		d.stopDialling(dropped)
 	}
-	return false
-}
-
-// removeEntry removes an address and stops its goroutine. The caller holds the lock.
-func (d *dialers) removeEntry(addr string) {
-	e := d.entries[addr]
-	if e == nil {
+	if !changed {
 		return
 	}
-	if e.cancel != nil {
-		e.cancel()
+	if isNew {
+		event.Log(d.runner.log, event.PeerLearned, "entry", p.Addr, "data_centre", p.DataCentre)
 	}
-	delete(d.entries, addr)
 	d.scheduleSelection()
 }
 
+// stopDialling stops the goroutine of an address, which ends its session. The caller holds the
+// lock.
+func (d *dialers) stopDialling(addr string) {
+	if conn := d.conns[addr]; conn != nil {
+		conn.cancel()
+		delete(d.conns, addr)
+	}
+}
+
 // scheduleSelection schedules applySelection after selectionDelay, unless it is scheduled
 // already. The caller holds the lock.
 func (d *dialers) scheduleSelection() {
@@ -216,91 +206,64 @@
 	if d.ctx.Err() != nil {
 		return
 	}
-	for _, e := range d.entries {
-		e.selected = false
-	}
-	for _, addr := range d.selectedAddrs() {
-		d.entries[addr].selected = true
-	}
-	for _, e := range d.entries {
+	d.known.Select(time.Now())
+	for _, e := range d.known.Entries() {
+		conn := d.conns[e.Addr]
 		switch {
-		case e.selected && e.cancel == nil:
+		case e.Selected && conn == nil:
 			d.dial(e)
-		case !e.selected && e.cancel != nil && !e.down:
-			d.retireSession(e)
+		case !e.Selected && conn != nil && !e.Down:
+			d.retireSession(conn)
 		}
 	}
 }
 
-// selectedAddrs returns the addresses of the entries with which to keep sessions. The caller
-// holds the lock.
-func (d *dialers) selectedAddrs() []string {
-	return subset.Choose(d.runner.options.Host, d.runner.options.DataCentre, d.candidates(), maxEntrySessions)
-}
-
-// candidates returns the known entries. If fewer than maxEntrySessions are reachable, the
-// unreachable ones count as reachable too: after a power failure all entries return together.
-// The caller holds the lock.
-func (d *dialers) candidates() []subset.Candidate {
-	candidates := make([]subset.Candidate, 0, len(d.entries))
-	up := 0
-	for _, e := range d.entries {
-		if !e.down {
-			up++
-		}
-	}
-	for _, e := range d.entries {
-		candidates = append(candidates, subset.Candidate{Addr: e.addr, DataCentre: e.dataCentre, Down: e.down && up >= maxEntrySessions})
-	}
-	return candidates
-}
-
 // dial starts the goroutine that connects to an entry. The caller holds the lock.
-func (d *dialers) dial(e *entryAddr) {
+func (d *dialers) dial(e *membership.Entry) {
 	ctx, cancel := context.WithCancel(d.ctx)
-	e.cancel = cancel
-	event.Log(d.runner.log, event.EntryChosen, "entry", e.addr, "data_centre", e.dataCentre, "known", len(d.entries))
-	d.goroutines.Go(func() { d.maintainSession(ctx, e) })
+	conn := &entryConn{addr: e.Addr, cancel: cancel}
+	d.conns[e.Addr] = conn
+	event.Log(d.runner.log, event.EntryChosen, "entry", e.Addr, "data_centre", e.DataCentre, "known", len(d.known.Entries()))
+	d.goroutines.Go(func() { d.maintainSession(ctx, conn) })
 }
 
 // retireSession closes the session with an entry after the work that the entry has on the
 // target is finished. Without a session, it stops dialling. The caller holds the lock.
-func (d *dialers) retireSession(e *entryAddr) {
-	id := e.connID
+func (d *dialers) retireSession(conn *entryConn) {
+	id := conn.connID
 	if id == 0 {
-		e.cancel()
-		e.cancel = nil
+		d.stopDialling(conn.addr)
 		return
 	}
-	event.Log(d.runner.log, event.SessionRetired, "entry", e.addr, "conn", uint64(id), "reason", "another entry ranks higher")
-	go d.runner.enqueue(func(now time.Time, s *state) { s.table.Retire(now, id) })
+	event.Log(d.runner.log, event.SessionRetired, "entry", conn.addr, "conn", uint64(id), "reason", "another entry ranks higher")
+	go d.retire(id)
 }
 
 // maintainSession keeps a session with an entry and reconnects after failures, until the entry
 // is deselected or removed or the context ends.
-func (d *dialers) maintainSession(ctx context.Context, e *entryAddr) {
+func (d *dialers) maintainSession(ctx context.Context, conn *entryConn) {
 	retry := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(initialRetryDelay), backoff.WithMaxInterval(maxRetryDelay), backoff.WithMaxElapsedTime(0),
 	)
 	lastReached := time.Now()
 	for ctx.Err() == nil {
 		startedAt := time.Now()
-		err := d.runner.runSession(ctx, e.addr)
+		err := d.runSession(ctx, conn.addr)
 		if time.Since(startedAt) > stableAfter {
 			retry.Reset()
 			lastReached = time.Now()
 		}
 		var alias *aliasError
 		switch delay := retry.NextBackOff(); {
-		case d.stopIfDeselected(e):
+		case d.stopIfDeselected(conn):
 			return
-		case time.Since(lastReached) > unrecordedTTL && d.removeUnrecorded(e.addr):
-			event.Log(d.runner.log, event.SessionRetired, "entry", e.addr, "error", err.Error())
+		case time.Since(lastReached) > unrecordedTTL && d.removeUnrecorded(conn.addr):
+			event.Log(d.runner.log, event.SessionRetired, "entry", conn.addr, "error", err.Error())
 			return
 		case errors.As(err, &alias):
 			clock.Sleep(ctx, aliasRetryDelay)
 		case time.Since(lastReached) > downAfter:
-			d.markDown(e)
+			d.markDown(conn.addr)
 			clock.Sleep(ctx, downRetryDelay)
 		default:
 			clock.Sleep(ctx, delay)
@@ -310,26 +273,27 @@
 
 // stopIfDeselected stops dialling an entry that is no longer selected, and reports whether it
 // did. Entries that are down are still dialled, to detect their return.
-func (d *dialers) stopIfDeselected(e *entryAddr) bool {
+func (d *dialers) stopIfDeselected(conn *entryConn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e.selected || e.down || e.cancel == nil {
+	e := d.known.Entry(conn.addr)
+	if e == nil || e.Selected || e.Down || d.conns[conn.addr] != conn {
 		return false
 	}
-	e.cancel()
-	e.cancel = nil
+	d.stopDialling(conn.addr)
 	return true
 }
 
 // markDown marks an entry as down and schedules the selection of a replacement.
-func (d *dialers) markDown(e *entryAddr) {
+func (d *dialers) markDown(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e.down {
+	e := d.known.Entry(addr)
+	if e == nil || e.Down {
 		return
 	}
-	e.down = true
-	event.Log(d.runner.log, event.EntryLost, "entry", e.addr, "after_ms", downAfter.Milliseconds())
+	e.Down = true
+	event.Log(d.runner.log, event.EntryLost, "entry", addr, "after_ms", downAfter.Milliseconds())
 	d.scheduleSelection()
 }
 
@@ -337,20 +301,45 @@
 func (d *dialers) removeUnrecorded(addr string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.hasRecord(addr) {
+	if e := d.known.Entry(addr); e == nil || e.Recorded() {
 		return false
 	}
-	d.removeEntry(addr)
+	d.known.Remove(addr)
+	d.stopDialling(addr)
+	d.scheduleSelection()
 	return true
 }
 
-// knownPeers returns all known addresses, to be passed on to entries.
-func (d *dialers) knownPeers() []wire.Peer {
+// setSeeds sets the addresses in the settings.
+func (d *dialers) setSeeds(addrs []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.SetSeeds(addrs)
+}
+
+// dialNextSeed adds the next address of the settings, if there is one left.
+func (d *dialers) dialNextSeed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr, ok := d.known.NextSeed(); ok {
+		d.learn(membership.Peer{Addr: addr})
+	}
+}
+
+// lists returns the data centres whose lists of entries are to be followed.
+func (d *dialers) lists() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Lists()
+}
+
+// selectedPeers returns the selected entries, to be named to an entry.
+func (d *dialers) selectedPeers() []wire.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	peers := make([]wire.Peer, 0, len(d.entries))
-	for _, e := range d.entries {
-		peers = append(peers, wire.Peer{Addr: e.addr, DataCentre: e.dataCentre})
+	var peers []wire.Peer
+	for _, p := range d.known.Selected() {
+		peers = append(peers, wire.Peer(p))
 	}
 	return peers
 }
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -49,6 +49,11 @@
 	return err
 }
 
+// retire closes a session after the work that its entry has on the target is finished.
+func (r *Runner) retire(id runs.ConnID) {
+	r.enqueue(func(now time.Time, s *state) { s.table.Retire(now, id) })
+}
+
 // receive handles a frame of the dispatcher. An error closes the connection.
 func (s *entrySession) receive(f *wire.ToAgent) error {
 	if !s.opened {
@@ -86,7 +91,7 @@
 	}
 	s.opened, s.owner = true, w.Incarnation
 	s.conn.Send(&wire.ToEntry{Hello: &wire.Hello{
-		Version: wire.Version, Incarnation: s.incarnation, Worker: s.options.Host, DataCentre: s.options.DataCentre, Entries: s.dialers.knownPeers(),
+		Version: wire.Version, Incarnation: s.incarnation, Worker: s.options.Host, DataCentre: s.options.DataCentre, Entries: s.dialers.selectedPeers(),
 	}})
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.enqueue(func(now time.Time, st *state) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -42,8 +42,10 @@
 // Options are the settings and dependencies of the daemon.
 type Options struct {
 	Host, DataCentre string
-	TargetsAddr      string // address for the target's announcements
+	DataCentres      []string // of the whole deployment, as far as they are known
+	TargetsAddr      string   // address for the target's announcements
 	MetricsAddr      string
+	FirstStart       bool          // the whole deployment starts for the first time
 	EntryAddrs       []string      // session addresses of hosts that may run a dispatcher
 	Grace            time.Duration // time to finish running tasks on shutdown
 	LeaseLimit       time.Duration // longest lease
@@ -215,38 +217,14 @@
 func (r *Runner) Start() {
 	go r.loop.Run()
 	r.servers.Serve()
-	r.AddEntryAddrs(r.options.EntryAddrs)
 	go r.restoreTarget(r.ctx)
-	go platformlog.Watch(r.ctx, r.log, r.options.Store, leased.EntriesTopic, platformlog.ObserverFunc(r.handleEntryRecord))
+	r.SetSeeds(r.options.EntryAddrs)
+	go r.discoverEntries(r.ctx)
 	go r.renewLoop(r.ctx)
 	event.Log(r.log, event.ProcessStarted, "host", r.options.Host, "data_centre", r.options.DataCentre,
 		"incarnation", r.incarnation.String(), "memory_mb", r.options.MemoryMB)
 }
 
-// AddEntryAddrs adds addresses that may be those of dispatchers. Each is dialled if it is
-// selected, and removed if it stays unreachable and no record names it.
-func (r *Runner) AddEntryAddrs(addrs []string) {
-	peers := make([]wire.Peer, len(addrs))
-	for i, addr := range addrs {
-		peers[i].Addr = addr
-	}
-	r.dialers.addPeers(peers)
-}
-
-// handleEntryRecord handles a new, changed or deleted record of a dispatcher.
-func (r *Runner) handleEntryRecord(e platformlog.Entry) {
-	if len(e.Value) == 0 {
-		r.dialers.updateRecord(e.Key, "", "")
-		return
-	}
-	record, err := leased.ParseRecord(e.Value)
-	if err != nil {
-		event.Log(r.log, event.BadFrame, "topic", leased.EntriesTopic, "key", e.Key, "error", err.Error())
-		return
-	}
-	r.dialers.updateRecord(e.Key, record.Addr, record.DataCentre)
-}
-
 // Announce handles an announcement of the target. It stores a new incarnation, a departure or a
 // changed capacity for the next start of the daemon, and requests a renewal of the lease.
 func (r *Runner) Announce(a runs.Announcement) {
--- a/internal/runner/targetrecord.go
+++ b/internal/runner/targetrecord.go
@@ -35,11 +35,15 @@
 	DataCentre string `json:"data_centre,omitempty"`
 }
 
-// recordTopic returns the topic of a host's record.
-func recordTopic(host string) string {
+// recordPartition returns the partition of a host's record.
+func recordPartition(host string, _ int) platformlog.Partition {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(host)) // never fails
-	return "camphorrack-targets-" + strconv.Itoa(int(h.Sum32()%recordTopics))
+	return platformlog.Partition{Topic: "camphorrack-targets-" + strconv.Itoa(int(h.Sum32()%recordTopics))}
+}
+
+func (r *Runner) recordPartition() platformlog.Partition {
+	return recordPartition(r.options.Host, r.options.Store.Partitions())
 }
 
 // storeTarget writes the target's record in the background, after a new incarnation, a
@@ -51,19 +55,20 @@
 	}
 	value, err := json.Marshal(m)
 	if err != nil {
-		event.Log(r.log, event.BadFrame, "topic", recordTopic(r.options.Host), "error", err.Error())
+		event.Log(r.log, event.BadFrame, "topic", r.recordPartition().Topic, "error", err.Error())
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.cancelOlderWrite = cancel
-	go platformlog.PutWithRetry(ctx, r.log, r.options.Store, recordTopic(r.options.Host), r.options.Host, value)
+	go platformlog.PutWithRetry(ctx, r.log, r.options.Store, r.recordPartition(), r.options.Host, value)
 }
 
 // restoreTarget reads the target's record and restores it into the control state. If the
 // store does not answer, it is not retried: the target's next announcement replaces it.
 func (r *Runner) restoreTarget(ctx context.Context) {
-	topic := recordTopic(r.options.Host)
-	entries, _, err := r.options.Store.Newest(ctx, topic)
+	partition := r.recordPartition()
+	topic := partition.Topic
+	entries, _, err := r.options.Store.Newest(ctx, partition)
 	if err != nil {
 		event.Log(r.log, event.LogUnreachable, "topic", topic, "error", err.Error())
 		return
