Sessions: an entry turns runners away from the limit of its host on, and names others

Cause: nothing bounds the sessions of an entry. While the store is away, all runners that restart come to the three entries of their settings: some 270 each of a fleet with 804 runners, 1,540 with 4,626, on hosts of 0.144 cores and 144 MB.

The frame is an existing one, so earlier runners ignore it and get no orders.

--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -33,12 +33,14 @@
 	*Dispatcher
 	sessionOptions session.Options
 	runners        map[dispatch.ConnID]*runnerSession
+	limit          int // of open sessions
 	lastID         atomic.Uint64
 }
 
 func newSessions(d *Dispatcher) *sessions {
 	return &sessions{
 		Dispatcher: d, sessionOptions: leased.SessionOptions(d.metrics.Sessions), runners: map[dispatch.ConnID]*runnerSession{},
+		limit: membership.SessionLimit(d.options.ProcessorShare),
 	}
 }
 
@@ -119,6 +121,10 @@
 	r.opened, r.host, r.dataCentre = true, h.Worker, h.DataCentre
 	event.Log(r.log, event.SessionOpened, "conn", uint64(r.id), "host", h.Worker, "peer", r.conn.RemoteAddr())
 	return r.loop.Push(func(now time.Time, s *state) {
+		if len(r.runners) >= r.limit {
+			r.turnAway(s)
+			return
+		}
 		r.runners[r.id] = r
 		s.directory.Name(membership.Source(r.id), fromWire(h.Entries))
 		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
@@ -129,6 +135,14 @@
 	})
 }
 
+// turnAway names other dispatchers to a runner and asks it to leave. The session is not registered:
+// nothing is sent on it any more, and a runner that stays gets no orders.
+func (r *runnerSession) turnAway(s *state) {
+	named := s.directory.For(r.host, r.dataCentre)
+	event.Log(r.log, event.EntryFull, "conn", uint64(r.id), "host", r.host, "sessions", len(r.runners), "named", len(named))
+	r.conn.Send(&wire.ToAgent{Leaving: true, Entries: toWire(named)})
+}
+
 // announceEntries tells each runner of the dispatchers that have become known since the last call and
 // that it prefers to this one, in one frame, and passes all changes on to the hand-over.
 func (s *sessions) announceEntries(st *state) {
@@ -193,6 +207,9 @@
 	}
 	// Push fails only if the control loop has stopped; its state is not used any more.
 	_ = r.loop.Push(func(now time.Time, s *state) {
+		if r.runners[r.id] == nil {
+			return // turned away
+		}
 		delete(r.runners, r.id)
 		s.directory.Forget(now, membership.Source(r.id))
 		s.core.Disconnect(now, r.id)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	EntryLost       ID = 411
 	ReportsPaced    ID = 412
 	EntrySession    ID = 413
+	EntryFull       ID = 414
 	PeerDropped     ID = 415
 
 	ConfigApplied  ID = 501
@@ -156,6 +157,7 @@
 	{EntryLost, "entry_lost", "an entry has been unreachable for seconds; the agent keeps a session with another one instead"},
 	{ReportsPaced, "reports_paced", "an entry requested another load report interval from its agents, based on its host's processor and their number"},
 	{EntrySession, "entry_session", "a session between two entries for the hand-over of submissions was opened or closed"},
+	{EntryFull, "entry_full", "an entry has as many sessions as its host can serve; it names others to the agent, which selects one of them"},
 	{PeerDropped, "peer_dropped", "an entry's address was dropped: its host has another one, or too many are known that no record names"},
 	{ConfigApplied, "config_applied", "a configuration version is in force on this process"},
 	{ConfigStale, "config_stale", "this process has received no confirmation of its configuration for too long"},
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -75,6 +75,9 @@
 // Error implements error.
 func (e *aliasError) Error() string { return "already connected to entry " + e.owner.String() }
 
+// errFull reports that an entry has turned the runner away because it has too many.
+var errFull = errors.New("the entry has too many sessions")
+
 func newDialers(r *Runner) *dialers {
 	ctx, stop := context.WithCancel(context.Background())
 	return &dialers{
@@ -260,6 +263,9 @@
 		case time.Since(lastReached) > unrecordedTTL && d.removeUnrecorded(conn.addr):
 			event.Log(d.runner.log, event.SessionRetired, "entry", conn.addr, "error", err.Error())
 			return
+		case errors.Is(err, errFull):
+			d.replaceFull(conn)
+			return
 		case errors.As(err, &alias):
 			clock.Sleep(ctx, aliasRetryDelay)
 		case time.Since(lastReached) > downAfter:
@@ -284,6 +290,26 @@
 	return true
 }
 
+// replaceFull stops dialling an entry that has too many sessions, selects another, and selects again
+// when the entry may have room.
+func (d *dialers) replaceFull(conn *entryConn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns[conn.addr] != conn {
+		return
+	}
+	wait := d.known.SetFull(time.Now(), conn.addr)
+	event.Log(d.runner.log, event.EntryFull, "entry", conn.addr, "retry_after_ms", wait.Milliseconds())
+	d.stopDialling(conn.addr)
+	d.scheduleSelection()
+	d.goroutines.Go(func() {
+		clock.Sleep(d.ctx, wait)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.scheduleSelection()
+	})
+}
+
 // markDown marks an entry as down and schedules the selection of a replacement.
 func (d *dialers) markDown(addr string) {
 	d.mu.Lock()
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -60,6 +60,9 @@
 		return s.handleWelcome(f.Welcome)
 	}
 	s.dialers.addPeers(f.Entries)
+	if f.Leaving {
+		return errFull
+	}
 	if f.IsHeartbeat() || f.Leased == nil {
 		return nil
 	}
--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -42,9 +42,10 @@
 	// firstStart states that the whole fleet starts for the first time.
 	firstStart bool
 
-	mu        sync.Mutex
-	nameBytes int // of the frames that name entries
-	lastConn  runs.ConnID
+	mu         sync.Mutex
+	nameBytes  int // of the frames that name entries
+	turnedAway int
+	lastConn   runs.ConnID
 }
 
 // fleetSize is the size of a fleet: runners and entries are spread evenly over the data centres.
@@ -229,6 +230,12 @@
 	f.nameBytes += len(data)
 }
 
+func (f *simFleet) countTurnedAway() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turnedAway++
+}
+
 func (f *simFleet) nextConn() runs.ConnID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -251,12 +258,14 @@
 	dialers := runner.dialers
 	hello := &wire.ToEntry{Hello: &wire.Hello{Worker: h.host, DataCentre: h.dataCentre, Entries: dialers.selectedPeers()}}
 	id := h.fleet.nextConn()
-	process, owner, names := e.accept(id, h, hello.Hello)
+	process, owner, names, full := e.accept(id, h, hello.Hello)
 	if process == nil {
 		return errRefused
 	}
 	countNames(h.fleet, hello)
-	h.receive(names)
+	if h.receive(names); full {
+		return errFull
+	}
 	if err := dialers.registerSession(owner, id); err != nil {
 		e.disconnect(id)
 		return err
@@ -286,11 +295,15 @@
 }
 
 // accept handles the hello of a runner as a dispatcher does. process is nil while the entry is down.
-func (e *simEntry) accept(id runs.ConnID, h *simHost, hello *wire.Hello) (process context.Context, owner job.Incarnation, names []membership.Peer) {
+func (e *simEntry) accept(id runs.ConnID, h *simHost, hello *wire.Hello) (process context.Context, owner job.Incarnation, names []membership.Peer, full bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ctx == nil {
-		return nil, owner, nil
+		return nil, owner, nil, false
+	}
+	if len(e.sessions) >= membership.SessionLimit(e.cores) {
+		e.fleet.countTurnedAway()
+		return e.ctx, e.owner, e.directory.For(h.host, h.dataCentre), true
 	}
 	e.sessions[id] = h
 	e.peak = max(e.peak, len(e.sessions))
@@ -299,7 +312,7 @@
 		peers = append(peers, membership.Peer(p))
 	}
 	e.directory.Name(membership.Source(id), peers)
-	return e.ctx, e.owner, e.directory.For(h.host, h.dataCentre)
+	return e.ctx, e.owner, e.directory.For(h.host, h.dataCentre), false
 }
 
 func (e *simEntry) disconnect(id runs.ConnID) {
@@ -518,3 +531,42 @@
 		})
 	}
 }
+
+// Guards against all runners of a fleet at the three entries that the settings name, while the store is
+// away: each tries one of them at a time, is told of others and leaves the one that it does not select.
+// One of the three is down, and all entries turn runners away from twice their share on.
+func TestSeedsAreNotOverrun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newSimFleet(sizeOf(80, 4), 7)
+		defer f.close()
+		for _, e := range f.entries {
+			e.cores = 0.05
+		}
+		f.start(300 * time.Millisecond)
+		time.Sleep(15 * time.Second)
+		f.costs(g)
+		f.firstStart = false
+		f.store.setDown(true)
+		f.byAddr[f.seeds[0]].kill()
+		for _, h := range f.hosts {
+			h.kill()
+			go h.start()
+		}
+		time.Sleep(10 * time.Second)
+		restarted := f.costs(g)
+		t.Logf("%+v", restarted)
+		g.Expect(restarted.peakSessions).To(BeNumerically("<=", 4))
+		g.Expect(f.turnedAway).To(BeNumerically(">", 0))
+		for _, seed := range f.seeds[1:] {
+			e := f.byAddr[seed]
+			g.Expect(len(e.sessions)).To(BeNumerically("<", 3*membership.AgentSessions*len(f.hosts)/len(f.entries)))
+		}
+	})
+}
+
+func (s *simStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
