Warm-up: submissions wait for the configuration and the first sessions after a start

Change: for half a second after its start, or after it lost its last session, an entry keeps a submission that no target can take until targets connect, as long as its answer can be of use, and decides on the kept ones by urgency. One that has become late is admitted only to idle capacity. Requests wait as long for the first configuration; their objective counts from their arrival. The rule is internal/scheduler/warmup.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -82,14 +82,18 @@
 
 // coreState is the blackboard that the controllers share.
 type coreState struct {
-	options       Options
-	log           logr.Logger
-	now           time.Time
-	jobs          table
-	agents        map[ConnID]*agent
-	agentsByAge   []*agent   // in the order in which their sessions opened
-	lostAttempts  []*attempt // of ended sessions, ordered by latestEnd
-	draining      bool
+	options      Options
+	log          logr.Logger
+	now          time.Time
+	jobs         table
+	agents       map[ConnID]*agent
+	agentsByAge  []*agent   // in the order in which their sessions opened
+	lostAttempts []*attempt // of ended sessions, ordered by latestEnd
+	draining     bool
+	// warmingSince is when the first call was made, or the last session ended; awaiting are the jobs
+	// that wait for targets since.
+	warmingSince  time.Time
+	awaiting      []*awaitingJob
 	lastRun       uint64 // highest run number of this entry so far, without any runOffset
 	counts        Counts
 	calibrations  map[string]*calibration.Regression // corrections of estimates, by queue
@@ -215,10 +219,14 @@
 // overdue tasks and the expiry of kept answers.
 func (c *Core) Tick(now time.Time) {
 	c.now = now
+	if c.warmingSince.IsZero() {
+		c.warmingSince = now
+	}
 	c.updatePressure()
 	c.settleLostAttempts()
 	c.giveUpOnDownTargets()
 	c.mergeRunTimes()
+	c.admitAwaiting()
 	for _, l := range slices.Collect(c.jobs.unsettled.Keys()) {
 		c.advanceJob(l)
 		c.recallOverdueTasks(l)
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -73,9 +73,10 @@
 	j = c.calibrated(submitted)
 	paths, longestPath := j.criticalPaths()
 	objective := j.Queue.Objective(longestPath)
+	received := c.now.Add(-j.Held)
 	l := &liveJob{
 		Job: j, submitted: submitted, arrived: c.now, criticalPaths: paths, callbacks: []AnswerFunc{callback},
-		objective: c.now.Add(objective), usefulUntil: c.now.Add(usefulFactor * objective),
+		objective: received.Add(objective), usefulUntil: received.Add(usefulFactor * objective),
 		stepTasksLeft: make([]int, len(j.Steps)), unfinished: j.TaskCount(), level: 1,
 	}
 	l.tasks = make([]task, 0, l.unfinished)
@@ -98,16 +99,25 @@
 		c.refuse(l, fault.Refused(fault.Suspected, "targets that ran a task of it don't answer", quarantineRetryAfter), 0)
 		return
 	}
-	if f, predicted := c.checkAdmission(l); f != nil {
+	f, predicted := c.checkAdmission(l)
+	switch {
+	case f == nil:
+		c.jobs.add(l)
+		c.admit(l)
+	case f.Code == fault.Overloaded && !c.reachesTarget(j.Queue.Service) && c.awaitTargets(l):
+		c.jobs.add(l)
+	default:
 		c.refuse(l, f, predicted)
-		return
 	}
-	c.jobs.add(l)
+}
+
+// admit places the first tasks of a job that is admitted.
+func (c *Core) admit(l *liveJob) {
 	c.retrySchedule.RecordAdmission(c.now)
 	c.counts.Accepted++
-	event.Log(c.log, event.JobAccepted, "job", j.ID, "queue", j.Queue.Name, "config", j.ConfigVersion, "tasks", len(l.tasks),
-		"chain_ms", longestPath.Milliseconds(), "estimate_trust", c.calibration(j.Queue.Name).Reliability(),
-		"objective_ms", objective.Milliseconds(), "caller_waits_ms", j.Deadline.Sub(c.now).Milliseconds())
+	event.Log(c.log, event.JobAccepted, "job", l.ID, "queue", l.Queue.Name, "config", l.ConfigVersion, "tasks", len(l.tasks),
+		"chain_ms", l.longestPath().Milliseconds(), "estimate_trust", c.calibration(l.Queue.Name).Reliability(), "held_ms", l.heldMs(c.now),
+		"objective_ms", clock.Millis(l.objective.Sub(c.now)), "caller_waits_ms", l.Deadline.Sub(c.now).Milliseconds())
 	c.placeWaitingTasks(l)
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -29,6 +29,7 @@
 	Steps         []Step
 	Timeout       time.Duration // how long the caller waits, counted from its request
 	Deadline      time.Time     // end of Timeout, by the clock of the control state
+	Held          time.Duration // how long it has waited for the configuration; its objective counts from before that
 }
 
 // JobState is the state of a job.
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -48,6 +48,7 @@
 		c.giveUp(at.job, fault.New(fault.OutcomeUnknown, "the host that ran a task of it can't be reached"))
 	}
 	c.dropSessionReservations(a)
+	c.noteSessionLost()
 }
 
 // settleLostAttempts settles the attempts of ended sessions whose runs have certainly ended.
@@ -91,6 +92,9 @@
 		c.handleOutcome(a, &f.Outcomes[i])
 	}
 	c.handleOffers(a, f.Offers)
+	if a.usable() {
+		c.admitAwaiting()
+	}
 }
 
 // updateLoad stores a load report and drops the uncounted orders that it includes.
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -12,11 +12,28 @@
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/routing"
 	"github.com/camphorrack/camphorrack/internal/scheduler/peerchoice"
+	"github.com/camphorrack/camphorrack/internal/scheduler/warmup"
 )
 
 // Routes returns the routing table of the configuration in force, or nil if there is none yet.
 func (d *Dispatcher) Routes() *routing.Table { return d.routes.Load() }
 
+// AwaitRoutes is like Routes, but waits for the first configuration shortly after the start, in which
+// time the store sends it.
+func (d *Dispatcher) AwaitRoutes(ctx context.Context) *routing.Table {
+	if table := d.Routes(); table != nil {
+		return table
+	}
+	timer := time.NewTimer(time.Until(d.startedAt.Add(warmup.Limit)))
+	defer timer.Stop()
+	select {
+	case <-d.routesKnown:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.Routes()
+}
+
 // Draining reports whether the daemon is shutting down.
 func (d *Dispatcher) Draining() bool { return d.draining.Load() }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -102,7 +102,9 @@
 	sessions     *sessions
 	handover     *handover.Endpoint
 	exitAt       atomic.Pointer[time.Time] // when a drain ends; nil: not draining
+	startedAt    time.Time
 	routes       atomic.Pointer[routing.Table]
+	routesKnown  chan struct{} // closed when the first configuration is in force
 	usableAgents atomic.Int64
 	draining     atomic.Bool
 	servers      leased.Servers
@@ -115,6 +117,7 @@
 	leased.LimitMemory(o.MemoryMB)
 	d := &Dispatcher{
 		options: o, log: log, clock: clock.NewAnchored(), stall: clock.NewStallDetector(clock.StallThreshold), incarnation: job.NewIncarnation(),
+		startedAt: time.Now(), routesKnown: make(chan struct{}),
 	}
 	d.metrics = newCounters(func() int { return d.loop.QueuedCommands() })
 	d.sessions = newSessions(d)
@@ -156,7 +159,9 @@
 		return err
 	}
 	event.Log(d.log, event.ConfigApplied, "version", version, "routes", table.Len(), "was", d.configVersion())
-	d.routes.Store(table)
+	if d.routes.Swap(table) == nil {
+		close(d.routesKnown)
+	}
 	d.callerServer.SetLimits(connLimits(table.Limits))
 	return nil
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,19 +25,20 @@
 	EntryStarting   ID = 112
 	ProcessStarved  ID = 113
 
-	JobAccepted     ID = 201
-	JobRefused      ID = 202
-	JobComplete     ID = 203
-	JobFailed       ID = 204
-	JobAttached     ID = 205
-	JobForwarded    ID = 206
-	JobUndecided    ID = 207
-	JobShed         ID = 208
-	JobAbandoned    ID = 209
-	AnswerWithdrawn ID = 210
-	JobHandedOver   ID = 211
-	QueuePressure   ID = 212
-	HandoverFailed  ID = 213
+	JobAccepted      ID = 201
+	JobRefused       ID = 202
+	JobComplete      ID = 203
+	JobFailed        ID = 204
+	JobAttached      ID = 205
+	JobForwarded     ID = 206
+	JobUndecided     ID = 207
+	JobShed          ID = 208
+	JobAbandoned     ID = 209
+	AnswerWithdrawn  ID = 210
+	JobHandedOver    ID = 211
+	QueuePressure    ID = 212
+	HandoverFailed   ID = 213
+	JobAwaitsTargets ID = 214
 
 	TaskPlaced      ID = 301
 	TaskReported    ID = 302
@@ -135,6 +136,7 @@
 	{JobHandedOver, "job_handed_over", "a submission was handed over to another entry, which answers it through this one; the reason is in the line"},
 	{QueuePressure, "queue_pressure", "a queue's share of late tasks, or its place under or over its share of the capacity, has changed clearly; or an agent's report of queue loads was rejected"},
 	{HandoverFailed, "handover_failed", "a hand-over to another entry did not lead to an answer: it was refused there, or the session with it ended"},
+	{JobAwaitsTargets, "job_awaits_targets", "no session is open yet, shortly after the start or a loss of all sessions; the job waits for targets"},
 	{TaskPlaced, "task_placed", "a task was sent to a target"},
 	{TaskReported, "task_reported", "the outcome of a task was received from its target"},
 	{TaskReplaced, "task_replaced", "a task that certainly did not run is placed on another target"},
--- a/internal/leased/replay_test.go
+++ b/internal/leased/replay_test.go
@@ -31,6 +31,7 @@
 	step      int
 	entries   []*dispatch.Core
 	hosts     []*replayHost
+	firstJob  int                  // step at which jobs begin to arrive; by then the first loads have
 	workMs    map[string]float64   // of each task, by job
 	submitted map[string]time.Time // by job
 	waitsMs   []float64            // from the submission to the start of a task
@@ -143,7 +144,7 @@
 
 func newReplay(mode reservation.Mode, entries, hosts int, seed uint64) *replay {
 	r := &replay{now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 6)), due: map[int][]func(){},
-		workMs: map[string]float64{}, submitted: map[string]time.Time{}, trace: xxhash.New()}
+		firstJob: 200, workMs: map[string]float64{}, submitted: map[string]time.Time{}, trace: xxhash.New()}
 	for range entries {
 		r.entries = append(r.entries, dispatch.New(dispatch.Options{Log: logr.Discard(), Outbox: replayEntryOutbox{r}, DataCentre: "a",
 			LeaseLimit: lease, RemoteFactor: 1.5, Waiting: mode, Now: func() time.Time { return r.now }}))
@@ -155,14 +156,26 @@
 		h.table.Announce(r.now, runs.Announcement{Incarnation: runs.Incarnation{Name: fmt.Sprint("t", n), StartedMs: 1}, Service: "s",
 			Capacity: h.capacity, ClockMs: r.now.UnixMilli(), Seq: 1})
 		r.hosts = append(r.hosts, h)
-		for e, entry := range r.entries {
-			entry.Connect(r.now, dispatch.ConnID(100*e+n), &wire.Hello{Worker: fmt.Sprint(n), DataCentre: "a"}, true)
-			h.table.Connect(r.now, runs.ConnID(100*e+n), true)
+	}
+	return r
+}
+
+// connectAll opens the sessions of all entries with all hosts.
+func (r *replay) connectAll() *replay {
+	for n := range r.hosts {
+		for e := range r.entries {
+			r.connect(e, n, 100*e+n)
 		}
 	}
 	return r
 }
 
+// connect opens a session of an entry with a host.
+func (r *replay) connect(entry, host, id int) {
+	r.entries[entry].Connect(r.now, dispatch.ConnID(id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: "a"}, true)
+	r.hosts[host].table.Connect(r.now, runs.ConnID(id), true)
+}
+
 // submit submits a job of a random queue to a random entry.
 func (r *replay) submit() {
 	pick, q := r.random.Float64()*(206+600+37.5), &replayQueues[0]
@@ -203,7 +216,7 @@
 		work, rate = work+q.rate*float64(q.tasks)*q.workMs*math.Exp(0.08)*replayCPUMilli, rate+q.rate
 	}
 	perStep := share * capacity / (work / rate)
-	next := 200.0 // the first loads have arrived
+	next := float64(r.firstJob)
 	for r.step = 1; r.step < steps+3000; r.step++ {
 		r.now = r.now.Add(time.Millisecond)
 		for _, f := range r.due[r.step] {
@@ -288,7 +301,7 @@
 	for _, mode := range []reservation.Mode{reservation.Predicted, reservation.LateBinding, reservation.WhileShort} {
 		var reports []string
 		for range 2 {
-			r := newReplay(mode, 6, 12, 5)
+			r := newReplay(mode, 6, 12, 5).connectAll()
 			for n := range r.hosts {
 				r.after(300+20*n, func() { r.reconnect(n%len(r.entries), n) })
 			}
@@ -304,9 +317,30 @@
 	id := 100*entry + host
 	r.hosts[host].table.Disconnect(r.now, runs.ConnID(id))
 	r.entries[entry].Disconnect(r.now, dispatch.ConnID(id))
-	id += 100 * len(r.entries) // numbers of sessions are never used again
-	r.entries[entry].Connect(r.now, dispatch.ConnID(id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: "a"}, true)
-	r.hosts[host].table.Connect(r.now, runs.ConnID(id), true)
+	r.connect(entry, host, id+100*len(r.entries)) // numbers of sessions are never used again
+}
+
+// Guards against refusals in the first quarter of a second after a loss of power of all hosts: entries
+// are up, and callers come, before the sessions of the runners are open, and all targets are idle. A
+// refused job would be lost, and one in three is still in time with a target that comes 0.1 s later.
+func TestReplayOfPowerOn(t *testing.T) {
+	g := NewWithT(t)
+	jobs, served, inTime := 0, 0, 0
+	for seed := range uint64(3) {
+		r := newReplay(reservation.WhileShort, 6, 12, seed+5)
+		r.firstJob = 20
+		for n := range r.hosts {
+			for e := range r.entries {
+				r.after(165+r.random.IntN(95), func() { r.connect(e, n, 100*e+n) })
+			}
+		}
+		r.run(0.4, 165)
+		jobs, served, inTime = jobs+r.jobs, served+r.jobs-r.refused, inTime+r.inTime
+	}
+	t.Logf("%d jobs before the first session, %d served, %d in time", jobs, served, inTime)
+	g.Expect(jobs).To(BeNumerically(">", 50))
+	g.Expect(served).To(BeNumerically(">", jobs*9/10))
+	g.Expect(inTime).To(BeNumerically(">", jobs/3))
 }
 
 // replayTotals are sums over replays.
@@ -319,7 +353,7 @@
 
 // add adds a replay.
 func (sum *replayTotals) add(t *testing.T, mode reservation.Mode, share float64, steps int, seed uint64) {
-	r := newReplay(mode, 6, 12, seed)
+	r := newReplay(mode, 6, 12, seed).connectAll()
 	r.run(share, steps)
 	t.Log("mode", mode, "seed", seed, r.report())
 	if sum.jobs == 0 {
