--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -171,7 +171,7 @@
 	return func() {
 		select {
 		case <-p.Exited():
-			if code := p.Wait(); code != 0 {
+			if code := p.Wait(); code != 0 && p.HasServed() {
 				r.addBreach("process", p.Name, fmt.Sprintf("SIGTERM ends it with %d", code))
 			}
 		case <-time.After(terminationTimeout):
