Discovery: few entries a data centre are found in two steps; a first start reads complete lists

And when the whole deployment starts for the first time, the lists are incomplete: most sessions were opened twice, and reads were ended by the records that followed.

Change: lists that are not read yet count as long as those that are, so all that are needed are followed at once; the selection is made when they are read and not 25 ms later. At the first start of a deployment, which the settings announce, a runner waits a second before it reads.

--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -352,11 +352,11 @@
 	}
 }
 
-// lists returns the data centres whose lists of entries are to be followed.
-func (d *dialers) lists() []string {
+// lists returns the data centres whose lists of entries are to be followed; see membership.Agent.Lists.
+func (d *dialers) lists(read int) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.known.Lists()
+	return d.known.Lists(read)
 }
 
 // selectedPeers returns the selected entries, to be named to an entry.
--- a/internal/runner/discovery.go
+++ b/internal/runner/discovery.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/leased"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
@@ -13,18 +14,17 @@
 )
 
 const (
-	// initialLists is the number of lists that are followed from the start.
-	initialLists = 2
 	// emptyListDelay is how long the runner waits after an empty list before it follows further ones.
 	emptyListDelay = time.Second
-	// firstStartDelay is how long it waits when the whole deployment starts for the first time: the
-	// lists that are read then are incomplete, and are read again after platformlog.PatientPace.Pause.
-	firstStartDelay = 4 * time.Second
+	// firstStartDelay is how long the runner waits before it reads a list when the whole deployment
+	// starts for the first time. Until then the lists are incomplete: with the entries that start
+	// first alone, most sessions would be moved a moment later.
+	firstStartDelay = time.Second
 	// seedDelay is the time without any session after which the runner dials an address of the
 	// settings. Reads of the store and dials take some tens of milliseconds.
 	seedDelay = 400 * time.Millisecond
 	// trimDelay is the time from the start after which lists that are not needed are no longer
-	// followed: the first lists that a starting fleet reads are incomplete.
+	// followed: those that were read first may have been incomplete.
 	trimDelay = 10 * time.Second
 )
 
@@ -35,12 +35,14 @@
 }
 
 // discovery follows the store's lists of dispatchers and dials the addresses in the settings. All
-// fields but progress belong to the goroutine of run.
+// fields but progress and unread belong to the goroutine of discoverEntries.
 type discovery struct {
 	*Runner
 	startedAt time.Time
+	read      int           // lists that count as read, the first ones
 	lists     []*entryList  // of the data centres in the order of dialers.lists
 	progress  chan struct{} // has an element after a list was read for the first time
+	unread    atomic.Int32  // followed lists that were not read yet
 }
 
 // entryList follows the records of the dispatchers of a data centre. It implements
@@ -55,11 +57,15 @@
 
 // discoverEntries learns of dispatchers until the context ends.
 func (r *Runner) discoverEntries(ctx context.Context) {
+	if r.options.FirstStart {
+		clock.Sleep(ctx, firstStartDelay)
+	}
 	d := &discovery{Runner: r, startedAt: time.Now(), progress: make(chan struct{}, 1)}
 	ticker := time.NewTicker(seedDelay)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		d.trim()
+		d.updateRead()
 		for dataCentre, ok := d.next(); ok; dataCentre, ok = d.next() {
 			d.follow(ctx, dataCentre)
 		}
@@ -76,27 +82,29 @@
 
 // trim ends the following of lists that are not needed.
 func (d *discovery) trim() {
-	needed := max(len(d.dialers.lists()), min(initialLists, len(d.lists)))
+	needed := len(d.dialers.lists(len(d.lists)))
 	for time.Since(d.startedAt) > trimDelay && len(d.lists) > needed {
 		d.lists[len(d.lists)-1].cancel()
 		d.lists = d.lists[:len(d.lists)-1]
+		d.read = len(d.lists)
 	}
 }
 
 // next returns the data centre whose list is to be followed now. ok is false if no further one is
 // needed, or if those before it are still incomplete.
 func (d *discovery) next() (dataCentre string, ok bool) {
-	n, needed := len(d.lists), d.dialers.lists()
-	switch {
-	case n >= len(needed):
-		return "", false
-	case n < initialLists:
-	case d.options.FirstStart && time.Since(d.startedAt) < firstStartDelay:
-		return "", false
-	case slices.ContainsFunc(d.lists, func(l *entryList) bool { return !l.settled() }):
+	needed := d.dialers.lists(d.read)
+	if len(d.lists) >= len(needed) {
 		return "", false
 	}
-	return needed[n], true
+	return needed[len(d.lists)], true
+}
+
+// updateRead sets read to the number of followed lists once all of them are complete.
+func (d *discovery) updateRead() {
+	if !slices.ContainsFunc(d.lists, func(l *entryList) bool { return !l.settled() }) {
+		d.read = len(d.lists)
+	}
 }
 
 // follow starts to follow the list of a data centre.
@@ -104,6 +112,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	list := &entryList{discovery: d, topic: membership.ListTopic(dataCentre), cancel: cancel}
 	d.lists = append(d.lists, list)
+	d.unread.Add(1)
 	go platformlog.Watch(ctx, d.log, d.options.Store, platformlog.Partition{Topic: list.topic}, platformlog.PatientPace, list)
 }
 
@@ -124,6 +133,9 @@
 	now := time.Now()
 	l.empty.Store(len(entries) == 0)
 	l.readAt.Store(&now)
+	if l.unread.Add(-1) == 0 {
+		l.dialers.applySelection()
+	}
 	select {
 	case l.progress <- struct{}{}:
 	default:
--- a/internal/scheduler/membership/agent.go
+++ b/internal/scheduler/membership/agent.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// initialLists is the number of lists that an agent reads from the start: that of its data centre,
+	// and one more for a session outside.
+	initialLists = 2
 	// maxUnrecorded is the number of addresses that an agent keeps although no record names them and
 	// it has not selected them. Entries name MaxNames each.
 	maxUnrecorded = 8 * MaxNames
@@ -184,10 +187,11 @@
 	return peers
 }
 
-// Lists returns the data centres whose lists are to be followed, in the order of their reading: the
-// agent's own first, and others while the entries in those before them do not fill its sessions, or
-// none of them is outside.
-func (a *Agent) Lists() []string {
+// Lists returns the data centres whose lists are to be followed, in the order of their reading, when
+// the first lists of them were read: the agent's own first, and others while the entries in those before
+// them do not fill its sessions, or none of them is outside. Lists that are not read yet count as long
+// as the mean of those that are, so that a fleet with few entries a data centre is found in two steps.
+func (a *Agent) Lists(read int) []string {
 	recorded := map[string]int{}
 	for e := range a.entries.Values() {
 		if e.Recorded() {
@@ -195,13 +199,20 @@
 		}
 	}
 	sum := 0
-	for i, dataCentre := range a.ranked {
+	for i, dataCentre := range a.ranked[:min(read, len(a.ranked))] {
 		sum += recorded[dataCentre]
 		if outside := sum > recorded[a.dataCentre]; outside && sum >= AgentSessions {
 			return a.ranked[:i+1]
 		}
 	}
-	return a.ranked
+	further := initialLists
+	if read >= initialLists {
+		further = read + 1
+		if sum > 0 {
+			further = max(further, (AgentSessions*read+sum-1)/sum)
+		}
+	}
+	return a.ranked[:min(further, len(a.ranked))]
 }
 
 // SetSeeds sets the addresses in the settings that may be those of entries. They are tried in an
