Dispatcher: a drain ends with answers, not with closed connections

Cause: at the end of its grace period a draining entry closes the connections of jobs that have no answer, own ones and those handed over. A hand-over is decided by the predicted end at the peer; one run in thirty takes seven times as long there.

Change: before the connections close, all jobs without an answer are given up: callers get "not run" where that is proved, and otherwise that the outcome is unknown, at the same moment.

--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -230,6 +231,15 @@
 	c.finish(l, Answer{Kind: AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")})
 }
 
+// GiveUpAll ends every job without an answer before the process exits. A job of which no order has begun
+// is answered as not run once that is proved, the others with an unknown outcome.
+func (c *Core) GiveUpAll(now time.Time) {
+	c.now = now
+	for _, l := range slices.Collect(c.jobs.unsettled.Keys()) {
+		c.giveUp(l, fault.New(fault.Draining, "this entry exits before the job has ended"))
+	}
+}
+
 // Cancel ends a job at its caller's request. It returns false for an unknown ID.
 func (c *Core) Cancel(now time.Time, id string) bool {
 	c.now = now
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -256,6 +256,14 @@
 	return d.callerServer.Shutdown(ctx)
 }
 
+// giveUpUnanswered ends the jobs that have no answer when the process exits, those handed over
+// included. Their callers are told whether they have not run, or that the outcome is unknown, in place
+// of finding their connection closed.
+func (d *Dispatcher) giveUpUnanswered() {
+	d.handover.CancelAll()
+	_ = d.loop.Push(func(now time.Time, s *state) { s.core.GiveUpAll(now) }) // fails only if the loop has stopped
+}
+
 // Stop drains and stops the daemon. The balancer sends no new connections once its readiness
 // check fails. New jobs on open connections are handed over to other entries from the start, and
 // those that no entry takes are served here until drainReserve is left of the grace period. Then
@@ -274,6 +282,7 @@
 		}
 		clock.Sleep(ctx, tickInterval)
 	}
+	d.giveUpUnanswered()
 	err := d.closeConnections(ctx, deadline.Add(exitReserve/2))
 	d.stop()
 	d.handover.Close()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -163,6 +163,22 @@
 	return 0, false
 }
 
+// CancelAll ends all hand-overs without a result, before the process exits. Their outcome is unknown.
+func (e *Endpoint) CancelAll() {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.flights {
+		if f.finished {
+			continue
+		}
+		e.cancelAtPeer(now, f)
+		e.finishLocked(now, f, verdict{true, dispatch.Answer{
+			Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.OutcomeUnknown, "this entry exits before the entry that has the job has answered"),
+		}})
+	}
+}
+
 // Pending returns how many jobs of a queue are handed over and have no answer.
 func (e *Endpoint) Pending(queue string) (n int) {
 	e.mu.Lock()
