Entries also write the record that runners of earlier builds read

Cause: a runner of a build before the lists by data centre reads one topic of all entries, and finds an entry that no host of its settings knows only there: while runners are upgraded after their entries, that entry has none.

Change: an entry writes its record to that topic too, without reading it. Nobody of this build follows it, so the cost is one write a start.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -233,7 +233,9 @@
 	go d.loop.Run()
 	d.servers.Serve()
 	go platformlog.Watch(ctx, d.log, d.options.Store, platformlog.Partition{Topic: d.options.Operator.Name}, platformlog.PromptPace, operatorReader{d})
-	go leased.PublishRecord(ctx, d.log, d.options.Store, d.options.Host, leased.Record{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre},
+	record := leased.Record{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre}
+	go leased.PublishForEarlierBuilds(ctx, d.log, d.options.Store, d.options.Host, record)
+	go leased.PublishRecord(ctx, d.log, d.options.Store, d.options.Host, record,
 		func(peers []membership.Peer) {
 			// Push fails only if the control loop has stopped, when the process exits.
 			_ = d.loop.Push(func(_ time.Time, s *state) { s.directory.Name(membership.FromStore, peers) })
--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -146,7 +146,9 @@
 	e.directory = membership.NewDirectory(membership.Peer{Addr: e.addr, DataCentre: e.dataCentre})
 	directory := e.directory
 	e.mu.Unlock()
-	go leased.PublishRecord(ctx, logr.Discard(), e.fleet.store, e.host, leased.Record{Addr: e.addr, DataCentre: e.dataCentre}, func(peers []membership.Peer) {
+	record := leased.Record{Addr: e.addr, DataCentre: e.dataCentre}
+	go leased.PublishForEarlierBuilds(ctx, logr.Discard(), e.fleet.store, e.host, record)
+	go leased.PublishRecord(ctx, logr.Discard(), e.fleet.store, e.host, record, func(peers []membership.Peer) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		directory.Name(membership.FromStore, peers)
