--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,8 @@
 type Counts struct {
 	// Jobs; Repeated counts submissions of a known job.
 	Accepted, Refused, Complete, Failed, Unknown, Abandoned, Repeated uint64
+	// AwaitedTargets counts the jobs that waited for targets after a start or a loss of all sessions.
+	AwaitedTargets uint64
 	// Orders; Moved counts those that ended without a result while their job needed one.
 	Orders, Recalls, NotRun, Stopped, Moved uint64
 	// Runs past the usual limit, and revised estimates of jobs.
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -28,6 +28,7 @@
 	}
 	w.until = until
 	c.awaiting = append(c.awaiting, w)
+	c.counts.AwaitedTargets++
 	event.Log(c.log, event.JobAwaitsTargets, "job", l.ID, "queue", l.Queue.Name, "for_ms", clock.Millis(until.Sub(c.now)), "waiting", len(c.awaiting))
 	return true
 }
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -43,6 +43,7 @@
 	c.SetGauge("dispatch.jobs_unknown", n.Unknown)
 	c.SetGauge("dispatch.jobs_abandoned", n.Abandoned)
 	c.SetGauge("dispatch.jobs_repeated", n.Repeated)
+	c.SetGauge("dispatch.jobs_awaited_targets", n.AwaitedTargets)
 	c.SetGauge("dispatch.orders", n.Orders)
 	c.SetGauge("dispatch.recalls", n.Recalls)
 	c.SetGauge("dispatch.orders_not_run", n.NotRun)
@@ -57,6 +58,14 @@
 	c.updateQueues(core)
 }
 
+// updateSessions copies the figures of the sessions with runners.
+func (c *counters) updateSessions(s *sessions, knownEntries int) {
+	c.SetGauge("sessions.open", uint64(len(s.runners)))
+	c.SetGauge("sessions.limit", uint64(s.limit))
+	c.SetGauge("sessions.turned_away", s.turnedAway)
+	c.SetGauge("membership.entries_known", uint64(knownEntries))
+}
+
 // updateHandover copies the counters and gauges of the hand-over into the registry.
 func (c *counters) updateHandover(h *handover.Endpoint) {
 	sent := h.Counts()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -199,7 +199,10 @@
 
 func (d *Dispatcher) refreshMetrics() error {
 	d.metrics.updateHandover(d.handover)
-	return d.loop.Do(leased.MetricsTimeout, func(_ time.Time, s *state) { d.metrics.update(s.core) })
+	return d.loop.Do(leased.MetricsTimeout, func(_ time.Time, s *state) {
+		d.metrics.update(s.core)
+		d.metrics.updateSessions(d.sessions, s.directory.Len())
+	})
 }
 
 // listen binds the addresses of all endpoints; Start serves them.
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -28,12 +28,14 @@
 // Error implements error.
 func (e *helloError) Error() string { return "hello: " + e.reason }
 
-// sessions serves the connections of runners. runners is owned by the control goroutine.
+// sessions serves the connections of runners. runners and turnedAway are owned by the control
+// goroutine.
 type sessions struct {
 	*Dispatcher
 	sessionOptions session.Options
 	runners        map[dispatch.ConnID]*runnerSession
-	limit          int // of open sessions
+	limit          int    // of open sessions
+	turnedAway     uint64 // runners, because of the limit
 	lastID         atomic.Uint64
 }
 
@@ -138,6 +140,7 @@
 // turnAway names other dispatchers to a runner and asks it to leave. The session is not registered:
 // nothing is sent on it any more, and a runner that stays gets no orders.
 func (r *runnerSession) turnAway(s *state) {
+	r.turnedAway++
 	named := s.directory.For(r.host, r.dataCentre)
 	event.Log(r.log, event.EntryFull, "conn", uint64(r.id), "host", r.host, "sessions", len(r.runners), "named", len(named))
 	r.conn.Send(&wire.ToAgent{Leaving: true, Entries: toWire(named)})
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -166,7 +166,7 @@
 // address that was dropped. The caller holds the lock.
 func (d *dialers) handleChange(p membership.Peer, changed, isNew bool, dropped string) {
 	if dropped != "" {
-		event.Log(d.runner.log, event.PeerDropped, "entry", dropped, "known", len(d.known.Entries()))
+		event.Log(d.runner.log, event.PeerDropped, "entry", dropped, "known", d.known.Len())
 		d.stopDialling(dropped)
 	}
 	if !changed {
@@ -226,7 +226,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	conn := &entryConn{addr: e.Addr, cancel: cancel}
 	d.conns[e.Addr] = conn
-	event.Log(d.runner.log, event.EntryChosen, "entry", e.Addr, "data_centre", e.DataCentre, "known", len(d.known.Entries()))
+	event.Log(d.runner.log, event.EntryChosen, "entry", e.Addr, "data_centre", e.DataCentre, "known", d.known.Len())
 	d.goroutines.Go(func() { d.maintainSession(ctx, conn) })
 }
 
--- a/internal/scheduler/membership/agent.go
+++ b/internal/scheduler/membership/agent.go
@@ -68,6 +68,9 @@
 	return all
 }
 
+// Len returns the number of known entries.
+func (a *Agent) Len() int { return a.entries.Len() }
+
 // Learn adds an entry that an entry or the settings have named, or sets its data centre. It reports
 // whether anything has changed. To make room it may drop the entry that was named the longest time
 // ago and that no record names; Learn returns its address, or "".
