Dispatcher: a drain gives jobs up only at the end of the grace period

TestRollingStopHandsSubmissionsOver was red for it: 9 answers 504, 58 refusals and one reset connection beside 4,142 completed jobs.

Change: connections get until the end of the grace period to be answered; only what is left then is given up.

Measured: TestRollingStopHandsSubmissionsOver and TestDrainAnswersWhatItCannotFinish pass.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -287,8 +287,11 @@
 		}
 		clock.Sleep(ctx, tickInterval)
 	}
-	d.giveUpUnanswered()
-	err := d.closeConnections(ctx, deadline.Add(exitReserve/2))
+	err := d.closeConnections(ctx, deadline)
+	if err != nil {
+		d.giveUpUnanswered()
+		err = d.closeConnections(ctx, deadline.Add(exitReserve/2))
+	}
 	d.stop()
 	d.handover.Close()
 	d.servers.Close()
