Lists of data centres lie in 16 topics x all partitions

Cause: with 34 data centres on 32 topics a runner reads two data centres' records in one list: 10.8 kB a host at a first start of 5,692 hosts, where two lists as long as those of 185 entries in six take 5.7 kB.

Change: the hash of a data centre chooses a topic and a partition, 384 of them with 24 partitions.

--- a/internal/leased/record.go
+++ b/internal/leased/record.go
@@ -26,7 +26,7 @@
 // at the same address. It retries until it succeeds or ctx ends. known receives the entries of the list
 // before that, those with invalid records excepted.
 func PublishRecord(ctx context.Context, log logr.Logger, store platformlog.KeyedLog, host string, r Record, known func([]membership.Peer)) {
-	list := platformlog.Partition{Topic: membership.ListTopic(r.DataCentre)}
+	list := membership.List(r.DataCentre, store.Partitions())
 	entries, err := readList(ctx, log, store, list)
 	if err != nil {
 		return
--- a/internal/runner/discovery.go
+++ b/internal/runner/discovery.go
@@ -49,10 +49,10 @@
 // platformlog.Observer.
 type entryList struct {
 	*discovery
-	topic  string
-	cancel context.CancelFunc
-	readAt atomic.Pointer[time.Time] // when it was first read; nil: not yet
-	empty  atomic.Bool               // it had no record then
+	partition platformlog.Partition
+	cancel    context.CancelFunc
+	readAt    atomic.Pointer[time.Time] // when it was first read; nil: not yet
+	empty     atomic.Bool               // it had no record then
 }
 
 // discoverEntries learns of dispatchers until the context ends.
@@ -110,10 +110,10 @@
 // follow starts to follow the list of a data centre.
 func (d *discovery) follow(ctx context.Context, dataCentre string) {
 	ctx, cancel := context.WithCancel(ctx)
-	list := &entryList{discovery: d, topic: membership.ListTopic(dataCentre), cancel: cancel}
+	list := &entryList{discovery: d, partition: membership.List(dataCentre, d.options.Store.Partitions()), cancel: cancel}
 	d.lists = append(d.lists, list)
 	d.unread.Add(1)
-	go platformlog.Watch(ctx, d.log, d.options.Store, platformlog.Partition{Topic: list.topic}, platformlog.PatientPace, list)
+	go platformlog.Watch(ctx, d.log, d.options.Store, list.partition, platformlog.PatientPace, list)
 }
 
 // settled reports whether the list was read, and if it was empty had time to fill.
@@ -150,7 +150,7 @@
 	}
 	record, err := leased.ParseRecord(e.Value)
 	if err != nil {
-		event.Log(l.log, event.BadFrame, "topic", l.topic, "key", e.Key, "error", err.Error())
+		event.Log(l.log, event.BadFrame, "topic", l.partition.Topic, "key", e.Key, "error", err.Error())
 		return
 	}
 	l.dialers.updateRecord(e.Key, membership.Peer{Addr: record.Addr, DataCentre: record.DataCentre})
--- a/internal/scheduler/membership/membership.go
+++ b/internal/scheduler/membership/membership.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/scheduler/subset"
 )
 
@@ -37,9 +38,10 @@
 	// MaxNames is the number of entries that an entry names to an agent which connects: those that
 	// it selects, and some in place of those that it can't reach.
 	MaxNames = AgentSessions + 4
-	// listTopics is the number of topics to which the lists of data centres are assigned by hash. The
-	// store limits the topics of all programs together. Lists that share a topic are read together.
-	listTopics = 32
+	// listTopics is the number of topics to whose partitions the lists of data centres are assigned by
+	// hash. The store limits the topics of all programs together. Lists that share a partition are
+	// read together.
+	listTopics = 16
 	// sessionsPerCore is the number of sessions that an entry with one core serves. Each costs it at
 	// least seven frames a second in both directions.
 	sessionsPerCore = 1400
@@ -47,9 +49,11 @@
 	minSessionLimit = 100
 )
 
-// ListTopic returns the topic with the records of the entries of a data centre.
-func ListTopic(dataCentre string) string {
-	return "camphorrack-entries-" + strconv.FormatUint(xxhash.Sum64String(dataCentre)%listTopics, 10)
+// List returns the partition with the records of the entries of a data centre, in a store whose topics
+// have so many partitions.
+func List(dataCentre string, partitions int) platformlog.Partition {
+	slot := xxhash.Sum64String(dataCentre) % uint64(listTopics*partitions)
+	return platformlog.Partition{Topic: "camphorrack-entries-" + strconv.FormatUint(slot%listTopics, 10), Index: int(slot / listTopics)}
 }
 
 // SessionLimit returns the number of agents that an entry serves whose host has so many cores; 0:
--- a/internal/scheduler/membership/membership_test.go
+++ b/internal/scheduler/membership/membership_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/platformlog"
 	. "github.com/onsi/gomega"
 )
 
@@ -46,11 +47,15 @@
 // Guards against a topic for each data centre: the store limits their number.
 func TestListTopicsAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	topics := map[string]bool{}
+	topics, shared := map[string]bool{}, map[platformlog.Partition]int{}
 	for i := range 1000 {
-		topics[ListTopic(fmt.Sprint("dc", i))] = true
+		list := List(fmt.Sprint("dc", i), 24)
+		topics[list.Topic] = true
+		shared[list]++
 	}
 	g.Expect(len(topics)).To(BeNumerically("<=", listTopics))
+	g.Expect(len(shared)).To(BeNumerically(">", 300), "few lists share a partition")
+	g.Expect(List("dc0", 1).Index).To(BeZero())
 }
 
 // Guards against a runner that knows as many addresses as it was ever told, and against one that drops
