Lists: the common list of earlier builds is read where the others are not enough

Change: the common list ranks after the lists of all data centres. Small deployments follow it as one list more; a large fleet reads it only while its own lists are short, as during an upgrade.

--- a/internal/leased/record.go
+++ b/internal/leased/record.go
@@ -12,13 +12,10 @@
 	"github.com/camphorrack/camphorrack/internal/scheduler/membership"
 )
 
-// commonList is the list of all data centres, which runners of earlier builds read.
-const commonList = "camphorrack-entries"
-
-// PublishForEarlierBuilds writes a dispatcher's record to the list that runners of earlier builds read. No
-// process of this build reads it, so its cost does not depend on their number.
+// PublishForEarlierBuilds writes a dispatcher's record to membership.CommonList, which runners of earlier
+// builds read.
 func PublishForEarlierBuilds(ctx context.Context, log logr.Logger, store platformlog.KeyedLog, host string, r Record) {
-	platformlog.PutWithRetry(ctx, log, store, platformlog.Partition{Topic: commonList}, host, r.Encode())
+	platformlog.PutWithRetry(ctx, log, store, membership.List(membership.CommonList, store.Partitions()), host, r.Encode())
 }
 
 // PublishRecord writes a dispatcher's record to the store's list of its data centre, unless it is there
--- a/internal/scheduler/membership/agent.go
+++ b/internal/scheduler/membership/agent.go
@@ -204,7 +204,8 @@
 	sum := 0
 	for i, dataCentre := range a.ranked[:min(read, len(a.ranked))] {
 		sum += recorded[dataCentre]
-		if outside := sum > recorded[a.dataCentre]; outside && sum >= AgentSessions {
+		outside := sum > recorded[a.dataCentre] || len(a.ranked) == 2 // its own and CommonList
+		if outside && sum >= AgentSessions {
 			return a.ranked[:i+1]
 		}
 	}
--- a/internal/scheduler/membership/membership.go
+++ b/internal/scheduler/membership/membership.go
@@ -49,9 +49,16 @@
 	minSessionLimit = 100
 )
 
-// List returns the partition with the records of the entries of a data centre, in a store whose topics
-// have so many partitions.
+// CommonList stands for the list of the entries of all data centres, which earlier builds write and read.
+// It comes after all data centres, so a large fleet reads it only while it has entries of such a build.
+const CommonList = ""
+
+// List returns the partition with the records of the entries of a data centre, or CommonList, in a store
+// whose topics have so many partitions.
 func List(dataCentre string, partitions int) platformlog.Partition {
+	if dataCentre == CommonList {
+		return platformlog.Partition{Topic: "camphorrack-entries"}
+	}
 	slot := xxhash.Sum64String(dataCentre) % uint64(listTopics*partitions)
 	return platformlog.Partition{Topic: "camphorrack-entries-" + strconv.FormatUint(slot%listTopics, 10), Index: int(slot / listTopics)}
 }
@@ -75,7 +82,8 @@
 }
 
 // rankDataCentres returns the data centres in the order in which a host reads their lists: its own
-// first, the others by a hash, so that each is read outside by its share of the fleet.
+// first, the others by a hash, so that each is read outside by its share of the fleet, and last
+// CommonList.
 func rankDataCentres(host, own string, all []string) []string {
 	ranked := slices.Clone(all)
 	if !slices.Contains(ranked, own) {
@@ -91,5 +99,5 @@
 		}
 		return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
 	})
-	return slices.Compact(ranked)
+	return append(slices.Compact(ranked), CommonList)
 }
--- a/internal/scheduler/membership/membership_test.go
+++ b/internal/scheduler/membership/membership_test.go
@@ -41,7 +41,14 @@
 			small.SetRecord(fmt.Sprint(i), p)
 		}
 	}
-	g.Expect(small.Lists(2)).To(ConsistOf("dc0", "dc1", "dc2", "dc3"), "found in two steps")
+	g.Expect(small.Lists(2)).To(ConsistOf("dc0", "dc1", "dc2", "dc3", CommonList), "found in two steps")
+	single := NewAgent("host", "dc0", []string{"dc0"})
+	for i, p := range fleetOf(20, 1) {
+		single.SetRecord(fmt.Sprint(i), p)
+	}
+	g.Expect(single.Lists(2)).To(Equal([]string{"dc0"}))
+	ofEarlierBuild := newTestAgent()
+	g.Expect(ofEarlierBuild.Lists(4)).To(HaveLen(5), "the common list is read if the others are empty")
 }
 
 // Guards against a topic for each data centre: the store limits their number.
