--- a/internal/platformlog/keyed.go
+++ b/internal/platformlog/keyed.go
@@ -30,20 +30,6 @@
 	OnChange(Entry)
 }
 
-// ObserverFunc is an Observer that handles every entry in the same way, whether it is part of a
-// snapshot or a change.
-type ObserverFunc func(Entry)
-
-// OnSnapshot implements Observer.
-func (f ObserverFunc) OnSnapshot(entries []Entry, _ uint64) {
-	for _, e := range entries {
-		f(e)
-	}
-}
-
-// OnChange implements Observer.
-func (f ObserverFunc) OnChange(e Entry) { f(e) }
-
 // Partition is a partition of a keyed topic.
 type Partition struct {
 	Topic string
--- a/internal/runner/discovery.go
+++ b/internal/runner/discovery.go
@@ -82,8 +82,10 @@
 
 // trim ends the following of lists that are not needed.
 func (d *discovery) trim() {
-	needed := len(d.dialers.lists(len(d.lists)))
-	for time.Since(d.startedAt) > trimDelay && len(d.lists) > needed {
+	if time.Since(d.startedAt) <= trimDelay {
+		return
+	}
+	for needed := len(d.dialers.lists(len(d.lists))); len(d.lists) > needed; {
 		d.lists[len(d.lists)-1].cancel()
 		d.lists = d.lists[:len(d.lists)-1]
 		d.read = len(d.lists)
