Operator's topic: the reads of a fleet don't grow with its entries

Change: a read waits longer the more others would pass a change on over sessions, up to the 30 s that the log allows. One read in the fleet still ends within 2 s, so the time to the first notice after a lost response stays (platformlog.SharedPace).

--- a/internal/clock/sleep.go
+++ b/internal/clock/sleep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -15,6 +16,10 @@
 	}
 }
 
+// Jitter returns a random time with the given mean, half of it at the least, so that processes that
+// started together don't act together.
+func Jitter(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
+
 // Millis converts a duration to milliseconds.
 func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -106,10 +106,12 @@
 	routes       atomic.Pointer[routing.Table]
 	routesKnown  chan struct{} // closed when the first configuration is in force
 	usableAgents atomic.Int64
-	draining     atomic.Bool
-	servers      leased.Servers
-	callerServer *leased.Server
-	stop         context.CancelFunc
+	// informedPeers is the number of other dispatchers that would pass a configuration on to this one.
+	informedPeers atomic.Int64
+	draining      atomic.Bool
+	servers       leased.Servers
+	callerServer  *leased.Server
+	stop          context.CancelFunc
 }
 
 // New returns a daemon that listens on its addresses but does not serve yet.
@@ -195,6 +197,7 @@
 	d.updateHandover(now, s)
 	d.sessions.updateLoadInterval(s)
 	d.usableAgents.Store(int64(s.core.UsableAgents()))
+	d.informedPeers.Store(int64(min(s.directory.Len(), len(d.sessions.runners))))
 }
 
 func (d *Dispatcher) refreshMetrics() error {
@@ -235,7 +238,8 @@
 	d.stop = cancel
 	go d.loop.Run()
 	d.servers.Serve()
-	go platformlog.Watch(ctx, d.log, d.options.Store, platformlog.Partition{Topic: d.options.Operator.Name}, platformlog.PromptPace, operatorReader{d})
+	go platformlog.Watch(ctx, d.log, d.options.Store, platformlog.Partition{Topic: d.options.Operator.Name},
+		platformlog.SharedPace(func() int { return int(d.informedPeers.Load()) }), operatorReader{d})
 	record := leased.Record{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre}
 	go leased.PublishForEarlierBuilds(ctx, d.log, d.options.Store, d.options.Host, record)
 	go leased.PublishRecord(ctx, d.log, d.options.Store, d.options.Host, record,
--- a/internal/platformlog/keyed.go
+++ b/internal/platformlog/keyed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -58,14 +57,19 @@
 	maxRetryDelay     = time.Second
 	// maxPollWait is the longest wait that the platform's log allows.
 	maxPollWait = 30 * time.Second
+	// promptWait is the time within which some process reads a change after a lost response, and
+	// promptReaders the number of processes whose reads end within it: some of them may be cut off from
+	// the log.
+	promptWait    = 2 * time.Second
+	promptReaders = 4
 )
 
 // Pace is how often Watch calls the log. A change is passed on at once if none came before it for
 // the length of a pause.
 type Pace struct {
-	// Wait is how long a read waits for new records, at most 30 s. A read whose response is lost
+	// Wait returns how long a read waits for new records, at most 30 s. A read whose response is lost
 	// ends only after that, so it also is how long changes are missed then.
-	Wait time.Duration
+	Wait func() time.Duration
 	// Pause is the mean time from a change to the next read, half of it at the least. A fleet whose
 	// hosts restart one after the other writes many records, each of which would otherwise end a
 	// read of every process that watches the topic.
@@ -74,28 +78,45 @@
 	MaxRetryDelay time.Duration
 }
 
-// PromptPace is for changes that have to be applied within seconds.
-var PromptPace = Pace{Wait: 2 * time.Second, MaxRetryDelay: maxRetryDelay}
+// SharedPace is for changes that have to be applied within seconds, and that processes which hear of
+// them pass on to the others. peers returns the number of other processes that would, as far as is known.
+func SharedPace(peers func() int) Pace {
+	return Pace{Wait: func() time.Duration { return sharedWait(peers()) }, MaxRetryDelay: maxRetryDelay}
+}
+
+// sharedWait returns the wait with which a fleet makes as many calls as a few processes, so that the
+// first of its reads still ends within promptWait.
+func sharedWait(peers int) time.Duration {
+	return min(promptWait*time.Duration(max(1, peers/promptReaders)), maxPollWait)
+}
 
 // PatientPace is for changes that the processes also learn from each other. The calls of a process
 // don't depend on the number of changes.
-var PatientPace = Pace{Wait: maxPollWait, Pause: 2 * time.Second, MaxRetryDelay: 4 * time.Second}
+var PatientPace = Pace{Wait: func() time.Duration { return maxPollWait }, Pause: 2 * time.Second, MaxRetryDelay: 4 * time.Second}
 
 // Watch passes a snapshot of a keyed topic and then each change to observer, until ctx ends. It
 // logs when the log becomes unreachable and when it is reachable again, and passes another
 // snapshot after each failure and each truncation.
 func Watch(ctx context.Context, log logr.Logger, k KeyedLog, p Partition, pace Pace, observer Observer) {
+	watch(ctx, log, k, p, pace, observer, 0, true)
+}
+
+// WatchFrom is like Watch after a snapshot that the caller has read: it begins with the changes from the
+// offset next on.
+func WatchFrom(ctx context.Context, log logr.Logger, k KeyedLog, p Partition, next uint64, pace Pace, observer Observer) {
+	watch(ctx, log, k, p, pace, observer, next, false)
+}
+
+func watch(ctx context.Context, log logr.Logger, k KeyedLog, p Partition, pace Pace, observer Observer, next uint64, needSnapshot bool) {
 	outages := &outageLogger{log: log, topic: p.Topic}
 	backOff := newBackOff(pace.MaxRetryDelay)
-	var next uint64
-	needSnapshot := true
 	for ctx.Err() == nil {
 		var entries []Entry
 		var err error
 		if needSnapshot {
 			entries, next, err = k.Newest(ctx, p)
 		} else {
-			entries, next, err = k.Follow(ctx, p, next, pace.Wait)
+			entries, next, err = k.Follow(ctx, p, next, pace.Wait())
 		}
 		var truncated *TruncatedError
 		if errors.As(err, &truncated) {
@@ -120,7 +141,7 @@
 			observer.OnChange(e)
 		}
 		if len(entries) > 0 && pace.Pause > 0 {
-			clock.Sleep(ctx, pace.Pause/2+rand.N(pace.Pause))
+			clock.Sleep(ctx, clock.Jitter(pace.Pause))
 		}
 	}
 }
