Membership: shards of the lists, names told later, records of gone entries deleted

Changes: a list with more than 48 records is split into shards by the hash of the host; a runner reads the root, which has the depth, and one shard, and prefers the entries in it. A runner deletes the record of an entry that it has not reached for 15 minutes. Further selected entries are named over open sessions; only those in a list or reached are named.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -245,7 +245,7 @@
 	go leased.PublishRecord(ctx, d.log, d.options.Store, d.options.Host, record,
 		func(peers []membership.Peer) {
 			// Push fails only if the control loop has stopped, when the process exits.
-			_ = d.loop.Push(func(_ time.Time, s *state) { s.directory.Name(membership.FromStore, peers) })
+			_ = d.loop.Push(func(now time.Time, s *state) { s.directory.Replace(now, membership.FromStore, peers) })
 		})
 	event.Log(d.log, event.ProcessStarted, "host", d.options.Host, "data_centre", d.options.DataCentre, "callers", d.options.CallerAddr,
 		"inner", d.options.SessionAddr, "incarnation", d.incarnation.String(), "memory_mb", d.options.MemoryMB)
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -93,6 +93,9 @@
 		return nil // the session has recorded it
 	}
 	return r.loop.Push(func(now time.Time, s *state) {
+		if len(f.Entries) > 0 && r.runners[r.id] != nil {
+			s.directory.Name(now, membership.Source(r.id), fromWire(f.Entries))
+		}
 		if f.Leased == nil {
 			return
 		}
@@ -128,7 +131,7 @@
 			return
 		}
 		r.runners[r.id] = r
-		s.directory.Name(membership.Source(r.id), fromWire(h.Entries))
+		s.directory.Name(now, membership.Source(r.id), fromWire(h.Entries))
 		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
 		s.core.Connect(now, r.id, h, r.conn.Extended())
 		s.core.QueueLoadInterval(r.id, s.loadInterval)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,6 +75,8 @@
 	LogTruncated   ID = 507
 	RecordWritten  ID = 508
 	ConfigBad      ID = 509
+	ListSplit      ID = 513
+	RecordRemoved  ID = 514
 
 	EvacuationBegun  ID = 510
 	EvacuationLifted ID = 511
@@ -173,6 +175,8 @@
 	{EvacuationBegun, "evacuation_begun", "a data centre is evacuated: no task starts there until the evacuation is lifted"},
 	{EvacuationLifted, "evacuation_lifted", "tasks may start in a data centre again"},
 	{EvacuationBad, "evacuation_bad", "a record of an evacuation names no data centre and was ignored"},
+	{ListSplit, "list_split", "an entry has split the list of its data centre in the platform's log, because a shard has too many records"},
+	{RecordRemoved, "record_removed", "an agent has deleted the record of an entry that it has not reached for many minutes"},
 	{TargetAnnounced, "target_announced", "a target announced itself"},
 	{TargetSilent, "target_silent", "a target stopped announcing itself"},
 	{TargetLeaving, "target_leaving", "a target announced its departure"},
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -32,6 +32,9 @@
 	downAfter = 5 * time.Second
 	// downRetryDelay is the retry delay for an entry that has been replaced.
 	downRetryDelay = time.Second
+	// goneAfter is how long an entry may be unreachable before its record is deleted: its host no longer
+	// exists. One that does exist writes its record again when it looks at its list.
+	goneAfter = 15 * time.Minute
 	// unrecordedTTL is how long an address that no record names may be unreachable before it
 	// is removed: it was learned from an entry or the settings, and its host no longer exists.
 	unrecordedTTL = 2 * time.Minute
@@ -48,6 +51,24 @@
 	addr   string
 	cancel context.CancelFunc // stops the goroutine
 	connID runs.ConnID        // of its open session; 0: none
+	// named holds the entries that the session has named to the entry, and name names further ones.
+	named map[string]struct{}
+	name  func([]wire.Peer)
+}
+
+// unnamed returns those of the peers that the session has not named yet, and marks them as named.
+func (c *entryConn) unnamed(peers []membership.Peer) []wire.Peer {
+	if c.named == nil {
+		c.named = map[string]struct{}{}
+	}
+	var further []wire.Peer
+	for _, p := range peers {
+		if _, ok := c.named[p.Addr]; !ok {
+			c.named[p.Addr] = struct{}{}
+			further = append(further, wire.Peer(p))
+		}
+	}
+	return further
 }
 
 // dialers keeps sessions with the entries that membership.Agent selects, and runs a goroutine
@@ -100,19 +121,21 @@
 }
 
 // sessionOpened records the session of an address. Call it after adding the session to the
-// control state, and sessionEnded when it ends.
-func (d *dialers) sessionOpened(addr, dataCentre string, id runs.ConnID) {
+// control state, and sessionEnded when it ends. name sends the entry the names of entries that
+// helloNames has not returned; it must not block.
+func (d *dialers) sessionOpened(addr, dataCentre string, id runs.ConnID, name func([]wire.Peer)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, conn := d.known.Entry(addr), d.conns[addr]
 	if e == nil || conn == nil {
 		return
 	}
-	conn.connID = id
+	conn.connID, conn.name = id, name
+	wasDown, wasReached := e.Down, e.Reached
 	d.known.SetOpen(addr)
-	if e.Down {
-		e.Down = false
-		d.scheduleSelection()
+	d.nameSelection(conn)
+	if wasDown || !wasReached && !e.Recorded() {
+		d.scheduleSelection() // which also names the entry to others
 	}
 	d.learn(membership.Peer{Addr: addr, DataCentre: dataCentre})
 }
@@ -125,7 +148,7 @@
 		delete(d.sessionByOwner, owner)
 	}
 	if conn := d.conns[addr]; conn != nil && conn.connID == id {
-		conn.connID = 0
+		conn.connID, conn.name = 0, nil
 	}
 }
 
@@ -152,16 +175,28 @@
 	d.handleChange(p, changed, isNew, dropped)
 }
 
-// updateRecord sets the entry in the record of a host's dispatcher; an empty address means that
-// the record was deleted.
-func (d *dialers) updateRecord(host string, p membership.Peer) {
+// updateRecord sets the entry in the record of a host's dispatcher in a shard; an empty address means
+// that the record was deleted.
+func (d *dialers) updateRecord(shard membership.Shard, host string, p membership.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	isNew := p.Addr != "" && d.known.Entry(p.Addr) == nil
-	changed, dropped := d.known.SetRecord(host, p)
+	changed, dropped := d.known.SetRecord(shard, host, p)
 	d.handleChange(p, changed, isNew, dropped)
 }
 
+// retainRecords removes the records of a shard whose hosts are not in the list.
+func (d *dialers) retainRecords(shard membership.Shard, hosts map[string]struct{}) {
+	d.mu.Lock()
+	recorded := d.known.Hosts(shard)
+	d.mu.Unlock()
+	for _, host := range recorded {
+		if _, ok := hosts[host]; !ok {
+			d.updateRecord(shard, host, membership.Peer{})
+		}
+	}
+}
+
 // handleChange logs a change of the known entries, schedules a selection, and stops dialling an
 // address that was dropped. The caller holds the lock.
 func (d *dialers) handleChange(p membership.Peer, changed, isNew bool, dropped string) {
@@ -219,6 +254,21 @@
 			d.retireSession(conn)
 		}
 	}
+	for _, conn := range d.conns {
+		d.nameSelection(conn)
+	}
+}
+
+// nameSelection names the selected entries to the entry of an open session, except for those that
+// it has been told. An entry that starts first would otherwise not know the others, to which it
+// hands submissions over. The caller holds the lock.
+func (d *dialers) nameSelection(conn *entryConn) {
+	if conn.name == nil {
+		return
+	}
+	if further := conn.unnamed(d.known.Named()); len(further) > 0 {
+		conn.name(further)
+	}
 }
 
 // dial starts the goroutine that connects to an entry. The caller holds the lock.
@@ -263,6 +313,9 @@
 		case time.Since(lastReached) > unrecordedTTL && d.removeUnrecorded(conn.addr):
 			event.Log(d.runner.log, event.SessionRetired, "entry", conn.addr, "error", err.Error())
 			return
+		case time.Since(lastReached) > goneAfter && d.removeGone(conn.addr):
+			lastReached = time.Now() // the next attempt is due if the record is written again
+			clock.Sleep(ctx, downRetryDelay)
 		case errors.Is(err, errFull):
 			d.replaceFull(conn)
 			return
@@ -318,7 +371,7 @@
 	if e == nil || e.Down {
 		return
 	}
-	e.Down = true
+	d.known.SetDown(addr)
 	event.Log(d.runner.log, event.EntryLost, "entry", addr, "after_ms", downAfter.Milliseconds())
 	d.scheduleSelection()
 }
@@ -336,6 +389,25 @@
 	return true
 }
 
+// removeGone deletes the records that name an entry from the store. It returns false if the runner has
+// no session with another entry either: it may be cut off itself.
+func (d *dialers) removeGone(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.sessionByOwner) == 0 {
+		return false
+	}
+	store := d.runner.options.Store
+	for _, r := range d.known.Records(addr) {
+		event.Log(d.runner.log, event.RecordRemoved, "entry", addr, "host", r.Host, "data_centre", r.Shard.DataCentre, "shard", r.Shard.Index)
+		d.goroutines.Go(func() {
+			// After an error the record is deleted goneAfter later.
+			_ = store.Put(d.ctx, r.Shard.Partition(store.Partitions()), r.Host, nil)
+		})
+	}
+	return true
+}
+
 // setSeeds sets the addresses in the settings.
 func (d *dialers) setSeeds(addrs []string) {
 	d.mu.Lock()
@@ -359,15 +431,39 @@
 	return d.known.Lists(read)
 }
 
-// selectedPeers returns the selected entries, to be named to an entry.
-func (d *dialers) selectedPeers() []wire.Peer {
+// shards returns the shards of a data centre's list that are to be followed; see
+// membership.Agent.Shards.
+func (d *dialers) shards(dataCentre string, read func(membership.Shard) bool) []membership.Shard {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Shards(dataCentre, read)
+}
+
+// setDepth sets the depth of the list of a data centre.
+func (d *dialers) setDepth(dataCentre string, depth int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.SetDepth(dataCentre, depth)
+}
+
+// dropShard removes the records of a shard that is not followed any more.
+func (d *dialers) dropShard(shard membership.Shard) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.DropShard(shard)
+}
+
+// helloNames returns the selected entries, to be named in the hello of a session with the entry at
+// an address.
+func (d *dialers) helloNames(addr string) []wire.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var peers []wire.Peer
-	for _, p := range d.known.Selected() {
-		peers = append(peers, wire.Peer(p))
+	conn := d.conns[addr]
+	if conn == nil {
+		return nil
 	}
-	return peers
+	conn.named = nil
+	return conn.unnamed(d.known.Named())
 }
 
 // shutdown ends all sessions and waits for the goroutines.
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -94,7 +94,7 @@
 	}
 	s.opened, s.owner = true, w.Incarnation
 	s.conn.Send(&wire.ToEntry{Hello: &wire.Hello{
-		Version: wire.Version, Incarnation: s.incarnation, Worker: s.options.Host, DataCentre: s.options.DataCentre, Entries: s.dialers.selectedPeers(),
+		Version: wire.Version, Incarnation: s.incarnation, Worker: s.options.Host, DataCentre: s.options.DataCentre, Entries: s.dialers.helloNames(s.addr),
 	}})
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.enqueue(func(now time.Time, st *state) {
@@ -103,7 +103,7 @@
 		st.evacuations.PeerUp(evacuation.PeerID(s.id))
 		st.config.PeerUp(confsync.PeerID(s.id))
 	})
-	s.dialers.sessionOpened(s.addr, w.DataCentre, s.id)
+	s.dialers.sessionOpened(s.addr, w.DataCentre, s.id, func(peers []wire.Peer) { s.conn.Send(&wire.ToEntry{Entries: peers}) })
 	return nil
 }
 
--- a/internal/scheduler/membership/agent.go
+++ b/internal/scheduler/membership/agent.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/elliotchance/orderedmap/v3"
@@ -26,6 +28,7 @@
 	Peer
 	Down     bool // it has been unreachable for so long that another one replaces it
 	Selected bool // a session with it is to be kept
+	Reached  bool // a session with it was opened, and it was not Down since
 
 	records   int       // hosts whose record names it
 	fullUntil time.Time // it has too many agents until then
@@ -39,7 +42,8 @@
 type Agent struct {
 	host, dataCentre string
 	entries          *orderedmap.OrderedMap[string, *Entry] // by address
-	addrByHost       map[string]string                      // as in the hosts' records
+	records          map[Shard]map[string]string            // addresses by host, as in the shards that are followed
+	depths           map[string]int                         // of the lists, by data centre
 	ranked           []string                               // data centres in the order of their reading
 	seeds            []string                               // addresses of the settings that are not tried yet
 }
@@ -48,7 +52,7 @@
 // the whole deployment, as far as they are known.
 func NewAgent(host, dataCentre string, dataCentres []string) *Agent {
 	return &Agent{
-		host: host, dataCentre: dataCentre, ranked: rankDataCentres(host, dataCentre, dataCentres), addrByHost: map[string]string{},
+		host: host, dataCentre: dataCentre, ranked: rankDataCentres(host, dataCentre, dataCentres), records: map[Shard]map[string]string{}, depths: map[string]int{},
 		entries: orderedmap.NewOrderedMap[string, *Entry](),
 	}
 }
@@ -111,29 +115,71 @@
 	return oldest
 }
 
-// SetRecord sets the entry in the record of a host; an empty address means that the record was
-// deleted. It returns the host's previous address if it is dropped, because another host may get it.
-func (a *Agent) SetRecord(host string, p Peer) (changed bool, dropped string) {
-	previous := a.addrByHost[host]
+// SetRecord sets the entry in the record of a host in a shard; an empty address means that the record was
+// deleted. It returns the host's previous address if it is dropped, because another host may get it. The
+// entry of a deleted record is kept while it is selected: an entry deletes its record when it moves to
+// another shard.
+func (a *Agent) SetRecord(shard Shard, host string, p Peer) (changed bool, dropped string) {
+	addrs := a.records[shard]
+	if addrs == nil {
+		addrs = map[string]string{}
+		a.records[shard] = addrs
+	}
+	previous := addrs[host]
 	if previous == p.Addr {
 		changed, _ = a.Learn(p)
 		return changed, ""
 	}
-	a.addrByHost[host] = p.Addr
 	if p.Addr == "" {
-		delete(a.addrByHost, host)
+		delete(addrs, host)
 	} else {
+		addrs[host] = p.Addr
 		changed, _ = a.Learn(p)
 		a.Entry(p.Addr).records++
 	}
-	if e := a.Entry(previous); e != nil {
-		e.records--
-		if !e.Recorded() {
-			a.entries.Delete(previous)
-			return true, previous
+	e := a.Entry(previous)
+	if e == nil {
+		return changed, ""
+	}
+	e.records--
+	if e.Recorded() || p.Addr == "" && e.Selected {
+		return changed, ""
+	}
+	a.entries.Delete(previous)
+	return true, previous
+}
+
+// Hosts returns the hosts with a record in a shard that is followed.
+func (a *Agent) Hosts(shard Shard) []string { return slices.Sorted(maps.Keys(a.records[shard])) }
+
+// HostRecord is the record of a host in a shard.
+type HostRecord struct {
+	Shard Shard
+	Host  string
+}
+
+// Records returns the records that name an entry, in the shards that are followed.
+func (a *Agent) Records(addr string) []HostRecord {
+	var records []HostRecord
+	for shard, addrs := range a.records {
+		for host, named := range addrs {
+			if named == addr {
+				records = append(records, HostRecord{shard, host})
+			}
+		}
+	}
+	return records
+}
+
+// DropShard removes the records of a shard that is not followed any more. Their entries stay known, like
+// those that other entries have named.
+func (a *Agent) DropShard(shard Shard) {
+	for _, addr := range a.records[shard] {
+		if e := a.Entry(addr); e != nil {
+			e.records--
 		}
 	}
-	return changed, ""
+	delete(a.records, shard)
 }
 
 // Remove removes an entry.
@@ -155,6 +201,14 @@
 func (a *Agent) SetOpen(addr string) {
 	if e := a.Entry(addr); e != nil {
 		e.fullTime, e.fullUntil = 0, time.Time{}
+		e.Reached, e.Down = true, false
+	}
+}
+
+// SetDown records that an entry has been unreachable for so long that another one replaces it.
+func (a *Agent) SetDown(addr string) {
+	if e := a.Entry(addr); e != nil {
+		e.Reached, e.Down = false, true
 	}
 }
 
@@ -171,6 +225,7 @@
 	candidates := make([]subset.Candidate, 0, a.entries.Len())
 	for e := range a.entries.Values() {
 		c := e.candidate()
+		c.Unlisted = !e.Recorded()
 		c.Down = now.Before(e.fullUntil) || e.Down && usable >= AgentSessions
 		candidates = append(candidates, c)
 	}
@@ -179,17 +234,48 @@
 	}
 }
 
-// Selected returns the selected entries, to be named to other entries.
-func (a *Agent) Selected() []Peer {
+// Named returns the selected entries that are named to other entries: those in a list, and those that the
+// agent has reached itself. An address that was only heard of is not passed on, or that of an entry that is
+// gone would be passed on for ever.
+func (a *Agent) Named() []Peer {
+	return a.selected(func(e *Entry) bool { return !e.Down && (e.Recorded() || e.Reached) })
+}
+
+// Selected returns the selected entries.
+func (a *Agent) Selected() []Peer { return a.selected(func(*Entry) bool { return true }) }
+
+func (a *Agent) selected(include func(*Entry) bool) []Peer {
 	var peers []Peer
 	for e := range a.entries.Values() {
-		if e.Selected {
+		if e.Selected && include(e) {
 			peers = append(peers, e.Peer)
 		}
 	}
 	return peers
 }
 
+// SetDepth sets the depth of the list of a data centre.
+func (a *Agent) SetDepth(dataCentre string, depth int) { a.depths[dataCentre] = depth }
+
+// Shards returns the shards of a data centre's list that are to be followed, in the order of their reading:
+// that of the agent's host, and those of lower depths while the ones before, which read reports as read,
+// hold too few entries.
+func (a *Agent) Shards(dataCentre string, read func(Shard) bool) []Shard {
+	shards := ShardsOf(dataCentre, a.host, a.depths[dataCentre])
+	found := 0
+	for i, s := range shards {
+		for _, addr := range a.records[s] {
+			if a.Entry(addr).DataCentre == dataCentre { // lists may share a partition
+				found++
+			}
+		}
+		if !read(s) || found >= minShardEntries {
+			return shards[:i+1]
+		}
+	}
+	return shards
+}
+
 // Lists returns the data centres whose lists are to be followed, in the order of their reading, when
 // the first lists of them were read: the agent's own first, and others while the entries in those before
 // them do not fill its sessions, or none of them is outside. Lists that are not read yet count as long
@@ -209,8 +295,8 @@
 			return a.ranked[:i+1]
 		}
 	}
-	further := initialLists
-	if read >= initialLists {
+	further := min(initialLists, len(a.ranked)-1) // CommonList only after the others
+	if read >= further {
 		further = read + 1
 		if sum > 0 {
 			further = max(further, (AgentSessions*read+sum-1)/sum)
--- a/internal/scheduler/membership/directory.go
+++ b/internal/scheduler/membership/directory.go
@@ -42,15 +42,20 @@
 	return &Directory{own: own, entries: orderedmap.NewOrderedMap[string, *listed](), bySource: map[Source][]string{}}
 }
 
-// Name adds entries that a source names. At most MaxNames of an agent are taken.
-func (d *Directory) Name(source Source, peers []Peer) {
+// Name adds entries that a source names. At most MaxNames of an agent are taken at a time, and of all
+// that it has named the newest MaxNames count.
+func (d *Directory) Name(now time.Time, source Source, peers []Peer) {
 	if source != FromStore {
-		peers = peers[:min(len(peers), MaxNames-min(len(d.bySource[source]), MaxNames))]
+		peers = peers[:min(len(peers), MaxNames)]
 	}
 	for _, p := range peers {
 		if p.Addr == "" || p.Addr == d.own.Addr {
 			continue
 		}
+		if named := d.bySource[source]; source != FromStore && len(named) >= MaxNames {
+			d.release(now, named[0])
+			d.bySource[source] = named[1:]
+		}
 		d.bySource[source] = append(d.bySource[source], p.Addr)
 		e, known := d.entries.Get(p.Addr)
 		if !known {
@@ -65,18 +70,29 @@
 	}
 }
 
+// Replace sets the entries that a source names.
+func (d *Directory) Replace(now time.Time, source Source, peers []Peer) {
+	d.Forget(now, source)
+	d.Name(now, source, peers)
+}
+
 // Forget records that a source names nothing any more, at the end of its session.
 func (d *Directory) Forget(now time.Time, source Source) {
 	for _, addr := range d.bySource[source] {
-		e, _ := d.entries.Get(addr)
-		if e.sources--; e.sources == 0 {
-			e.unnamedAt = now
-			d.unnamed = append(d.unnamed, e)
-		}
+		d.release(now, addr)
 	}
 	delete(d.bySource, source)
 }
 
+// release records that one source less names an entry.
+func (d *Directory) release(now time.Time, addr string) {
+	e, _ := d.entries.Get(addr)
+	if e.sources--; e.sources == 0 {
+		e.unnamedAt = now
+		d.unnamed = append(d.unnamed, e)
+	}
+}
+
 // Expire removes the entries that nobody has named for unnamedTTL.
 func (d *Directory) Expire(now time.Time) {
 	for len(d.unnamed) > 0 && now.Sub(d.unnamed[0].unnamedAt) >= unnamedTTL {
--- a/internal/scheduler/membership/membership.go
+++ b/internal/scheduler/membership/membership.go
@@ -9,6 +9,8 @@
 //   - The store's list of entries is split by data centre. An agent reads the list of its own data
 //     centre, and those of others only until it knows as many entries as it keeps sessions with and
 //     one outside.
+//   - The list of a large data centre is split into shards of some tens of records, of which an agent
+//     reads the one that its own name selects.
 //   - An entry names only the entries that an agent would select, and tells it of a new one only if
 //     the agent prefers that one to the entry itself. Whoever displaces an entry is so announced by
 //     the entry that it displaces.
@@ -22,11 +24,9 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/scheduler/subset"
 )
 
@@ -38,10 +38,6 @@
 	// MaxNames is the number of entries that an entry names to an agent which connects: those that
 	// it selects, and some in place of those that it can't reach.
 	MaxNames = AgentSessions + 4
-	// listTopics is the number of topics to whose partitions the lists of data centres are assigned by
-	// hash. The store limits the topics of all programs together. Lists that share a partition are
-	// read together.
-	listTopics = 16
 	// sessionsPerCore is the number of sessions that an entry with one core serves. Each costs it at
 	// least seven frames a second in both directions.
 	sessionsPerCore = 1400
@@ -49,20 +45,6 @@
 	minSessionLimit = 100
 )
 
-// CommonList stands for the list of the entries of all data centres, which earlier builds write and read.
-// It comes after all data centres, so a large fleet reads it only while it has entries of such a build.
-const CommonList = ""
-
-// List returns the partition with the records of the entries of a data centre, or CommonList, in a store
-// whose topics have so many partitions.
-func List(dataCentre string, partitions int) platformlog.Partition {
-	if dataCentre == CommonList {
-		return platformlog.Partition{Topic: "camphorrack-entries"}
-	}
-	slot := xxhash.Sum64String(dataCentre) % uint64(listTopics*partitions)
-	return platformlog.Partition{Topic: "camphorrack-entries-" + strconv.FormatUint(slot%listTopics, 10), Index: int(slot / listTopics)}
-}
-
 // SessionLimit returns the number of agents that an entry serves whose host has so many cores; 0:
 // unknown.
 func SessionLimit(cores float64) int {
--- a/internal/scheduler/subset/subset.go
+++ b/internal/scheduler/subset/subset.go
@@ -13,6 +13,8 @@
 //     that joins takes over only the agents that rank it high enough.
 //   - Entries of the agent's data centre come first: their round trip is shorter, and a
 //     region that is cut off from the others keeps working with the entries it reaches.
+//   - Of the entries of a data centre, those in the lists that the agent follows come first. Where it
+//     follows a part of a list, sessions would otherwise move whenever it hears of entries in others.
 //   - One session goes to an entry outside, where there is one. If all were inside, the loss
 //     of the few entries of the data centre would disconnect its workers until they had
 //     found others.
@@ -35,6 +37,7 @@
 	Addr       string
 	DataCentre string // empty until it is known
 	Down       bool   // cannot be reached, or is shutting down
+	Unlisted   bool   // others have named it, but it is not in the lists that the agent follows
 }
 
 // Choose returns the addresses of at most n entries with which the worker's agent keeps
@@ -62,8 +65,9 @@
 
 // ranked is the address of an entry with its hash.
 type ranked struct {
-	addr  string
-	score uint64
+	addr     string
+	score    uint64
+	unlisted bool
 }
 
 // Prefers reports whether the worker's agent prefers the entry a to b.
@@ -71,7 +75,7 @@
 	if aGroup, bGroup := locality(dataCentre, a), locality(dataCentre, b); aGroup != bGroup {
 		return aGroup < bGroup
 	}
-	return compareRanked(ranked{a.Addr, score(worker, a.Addr)}, ranked{b.Addr, score(worker, b.Addr)}) < 0
+	return compareRanked(rank(worker, a), rank(worker, b)) < 0
 }
 
 // locality returns the group of an entry: 0 for those of the data centre, 1 for those whose data centre
@@ -97,12 +101,16 @@
 			continue
 		}
 		group := locality(dataCentre, e)
-		groups[group] = append(groups[group], ranked{e.Addr, score(worker, e.Addr)})
+		groups[group] = append(groups[group], rank(worker, e))
 	}
 	return rankedAddrs(groups[0]), rankedAddrs(groups[1]), rankedAddrs(groups[2])
 }
 
-// rankedAddrs returns the addresses by descending hash.
+func rank(worker string, e Candidate) ranked {
+	return ranked{e.Addr, score(worker, e.Addr), e.Unlisted}
+}
+
+// rankedAddrs returns the addresses, best first.
 func rankedAddrs(group []ranked) []string {
 	slices.SortFunc(group, compareRanked)
 	addrs := make([]string, len(group))
@@ -112,8 +120,14 @@
 	return addrs
 }
 
-// compareRanked orders addresses by descending hash.
+// compareRanked orders listed addresses before others, and then by descending hash.
 func compareRanked(a, b ranked) int {
+	if a.unlisted != b.unlisted {
+		if b.unlisted {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.addr, b.addr))
 }
 
