Limits of queues: 140 teams don't pass those of reports and of run times

Causes: the reports of queue loads kept 64 queues and dropped the one used longest ago, also if its task still ran: with 140 teams a target passes 64 queues within 2 s, and the processor of long tasks was in no report. A dispatcher kept 64 distributions of run times, so that with 140 queues in turn each was dropped before its next use.

Changes: a report drops queues without an order only, so that its limit is one of orders at a target. The number of distributions follows the configuration.

Nothing measured at 140 teams.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -150,7 +150,7 @@
 func New(o Options) *Core {
 	return &Core{&coreState{
 		options: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, calibrations: map[string]*calibration.Regression{}, margins: map[string]*headroom.Margin{},
-		fairness: newFairness(), evacuated: map[string]struct{}{}, crashes: crashloop.New(), runTimes: runTimesState{queues: runtimes.NewByQueue[*runtimes.Distribution](maxRunTimeQueues)},
+		fairness: newFairness(), evacuated: map[string]struct{}{}, crashes: crashloop.New(), runTimes: newRunTimesState(),
 		link: uplink.New(o.LinkMbps),
 	}}
 }
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// maxRunTimeQueues limits the number of distributions, of 16 kB each and 8 kB more with
-	// summaries of agents. At the limit the least recently used one is dropped.
-	maxRunTimeQueues = 64
+	// minRunTimeQueues limits the number of distributions while the configuration has fewer queues. One
+	// takes 16 kB, and 8 kB more with summaries of agents.
+	minRunTimeQueues = 64
 	// revisionStep is the least relative growth of a job's estimate that revises it.
 	revisionStep = 0.2
 	// Summaries of agents are merged mergeInterval after a change at the earliest, and otherwise
@@ -32,11 +32,23 @@
 // runTimesState is what the entry knows about run times.
 type runTimesState struct {
 	queues        *runtimes.ByQueue[*runtimes.Distribution]
+	limit         int  // of the queues; beyond it the least recently used one is dropped
 	summariesNew  bool // a summary has arrived since the last merge
 	summariesKept bool // an agent has sent a summary
 	mergedAt      time.Time
 }
 
+func newRunTimesState() runTimesState {
+	return runTimesState{queues: runtimes.NewByQueue[*runtimes.Distribution](minRunTimeQueues), limit: minRunTimeQueues}
+}
+
+// SetQueueCount sets the number of queues that the configuration has. With fewer distributions than queues
+// in use, each would be dropped before it is used again.
+func (c *Core) SetQueueCount(n int) {
+	c.runTimes.limit = max(n, minRunTimeQueues)
+	c.runTimes.queues.Resize(c.runTimes.limit)
+}
+
 // runTimesOf returns the distribution of a queue, and creates it if needed.
 func (c *Core) runTimesOf(queue string) *runtimes.Distribution {
 	d, known := c.runTimes.queues.Get(queue)
@@ -269,7 +281,7 @@
 		}
 	}
 	for _, queue := range slices.Sorted(maps.Keys(byQueue)) {
-		if c.runTimes.queues.Contains(queue) || c.runTimes.queues.Len() < maxRunTimeQueues {
+		if c.runTimes.queues.Contains(queue) || c.runTimes.queues.Len() < c.runTimes.limit {
 			c.runTimesOf(queue).SetMerged(byQueue[queue])
 		}
 	}
--- a/internal/dispatch/runtimes_test.go
+++ b/internal/dispatch/runtimes_test.go
@@ -155,10 +155,24 @@
 	h.advance(mergeInterval)
 	h.Expect(h.runTimesOf("q0").HasTail()).To(BeTrue())
 	h.Expect(h.agents[1].runTimes).To(And(HaveLen(wire.MaxRunTimes), Not(HaveKey("")), Not(HaveKey("falling"))))
-	for i := range 3 * maxRunTimeQueues {
+	for i := range 3 * minRunTimeQueues {
 		h.runTimesOf(fmt.Sprint("other-", i))
 	}
-	h.Expect(h.runTimes.queues.Len()).To(BeNumerically("<=", maxRunTimeQueues))
+	h.Expect(h.runTimes.queues.Len()).To(BeNumerically("<=", minRunTimeQueues))
+}
+
+// Guards against distributions that are dropped before they are used again: 140 teams have more queues than
+// the limit for small configurations.
+func TestDistributionsOfAllQueuesAreKept(t *testing.T) {
+	h := newHarness(t, 1)
+	h.SetQueueCount(140)
+	first := h.runTimesOf("q0")
+	for i := range 140 {
+		h.runTimesOf(fmt.Sprint("q", i))
+	}
+	h.Expect(h.runTimesOf("q0")).To(BeIdenticalTo(first))
+	h.SetQueueCount(3)
+	h.Expect(h.runTimes.queues.Len()).To(Equal(minRunTimeQueues))
 }
 
 // Guards against a hung run that is found late because its job's estimate was raised by mistake:
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -145,7 +145,13 @@
 		Log: d.log, Outbox: d.sessions, DataCentre: d.options.DataCentre, LeaseLimit: d.options.LeaseLimit,
 		RemoteFactor: d.options.RemoteFactor, LinkMbps: d.options.LinkMbps, Now: time.Now,
 	})
-	s.config = &confsync.Replica{Apply: d.applyConfig}
+	s.config = &confsync.Replica{Apply: func(_ time.Time, version uint64, body []byte) error {
+		if err := d.applyConfig(version, body); err != nil {
+			return err
+		}
+		s.core.SetQueueCount(d.routes.Load().Len())
+		return nil
+	}}
 	s.config.Send = func(id confsync.PeerID, note configNote) { s.core.QueueConfigNote(dispatch.ConnID(id), note) }
 	s.evacuations = leased.NewEvacuationReplica(d.log, func(id evacuation.PeerID, list []evacuation.Record) {
 		s.core.QueueEvacuations(dispatch.ConnID(id), list)
@@ -154,7 +160,7 @@
 }
 
 // applyConfig puts a configuration into force. If it is invalid, the previous one stays.
-func (d *Dispatcher) applyConfig(_ time.Time, version uint64, body []byte) error {
+func (d *Dispatcher) applyConfig(version uint64, body []byte) error {
 	table, err := d.options.ParseConfig(body)
 	if err != nil {
 		event.Log(d.log, event.ConfigBad, "version", version, "error", err.Error())
--- a/internal/runs/queueload.go
+++ b/internal/runs/queueload.go
@@ -129,31 +129,46 @@
 	if q == nil {
 		q = l.create(now, r.order.Queue)
 	}
+	if q == nil {
+		return
+	}
 	r.queueLoad = q
 	q.advance(now)
 	q.usedAt = now
 	q.queuedMilli += r.queuedMilli()
 }
 
-// create adds a queue; at the limit the one that was not used for the longest time is dropped.
+// create adds a queue. At the limit it drops the one that was not used for the longest time among those
+// without an order; it returns nil if all have one. So the limit is one of orders at the target, and not of
+// the queues that the fleet has.
 func (l *queueLoads) create(now time.Time, name string) *queueLoad {
 	if l.byName == nil {
 		l.byName = map[string]*queueLoad{}
 	}
 	if len(l.byName) >= fairshare.MaxQueues {
-		var oldest *queueLoad
-		for _, name := range slices.Sorted(maps.Keys(l.byName)) {
-			if q := l.byName[name]; oldest == nil || q.usedAt.Before(oldest.usedAt) {
-				oldest = q
-			}
+		unused := l.longestUnused()
+		if unused == nil {
+			return nil
 		}
-		delete(l.byName, oldest.name)
+		delete(l.byName, unused.name)
 	}
 	q := &queueLoad{name: name, bucketStart: now, updatedAt: now, createdAt: now}
 	l.byName[name] = q
 	return q
 }
 
+// longestUnused returns the queue without an order that was not used for the longest time; nil if there is
+// none.
+func (l *queueLoads) longestUnused() (unused *queueLoad) {
+	for _, name := range slices.Sorted(maps.Keys(l.byName)) {
+		q := l.byName[name]
+		if q.inUseMilli == 0 && q.queuedMilli == 0 && (unused == nil || q.usedAt.Before(unused.usedAt)) {
+			unused = q
+		}
+	}
+	return unused
+}
+
 // queuedMilli returns the processor that an order or a reservation counts for while it waits. A
 // reservation counts for its share of the task, also while capacity is held for its offer.
 func (r *run) queuedMilli() int64 {
--- a/internal/runs/queueload_test.go
+++ b/internal/runs/queueload_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// Guards against processor in use that no report shows because 140 teams have more queues than a report
+// holds: a queue with a running task is not dropped for others.
+func TestQueueInUseOutlivesTheLimit(t *testing.T) {
+	h := newHarness(t)
+	h.orderOf("long", 1)
+	for seq := uint64(2); seq <= 140; seq++ {
+		h.orderOf("q"+strconv.Itoa(int(seq)), seq)
+		h.Receive(h.now, testConn, &wire.LeasedToAgent{Recalls: []uint64{seq}})
+		h.pass(10 * time.Millisecond)
+	}
+	sent := h.queueLoadsSent(testConn)
+	h.Expect(sent[len(sent)-1]).To(ContainElement(And(HaveField("Queue", "long"), HaveField("InUseMilli", BeNumerically("~", 4000, 1)))))
+}
+
 // Guards against allocations for each task.
 func TestRecordingATaskDoesNotAllocate(t *testing.T) {
 	g := NewWithT(t)
