--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	// goneAfter is how long an entry may be unreachable before its record is deleted: its host no longer
 	// exists. One that does exist writes its record again when it looks at its list.
 	goneAfter = 15 * time.Minute
+	// goneSpread is the time over which runners delete such a record: the first of them is enough.
+	goneSpread = 5 * time.Minute
 	// unrecordedTTL is how long an address that no record names may be unreachable before it
 	// is removed: it was learned from an entry or the settings, and its host no longer exists.
 	unrecordedTTL = 2 * time.Minute
@@ -51,23 +54,22 @@
 	addr   string
 	cancel context.CancelFunc // stops the goroutine
 	connID runs.ConnID        // of its open session; 0: none
-	// named holds the entries that the session has named to the entry, and name names further ones.
+	// named holds the selected entries that the session has named to the entry, and name names further ones.
 	named map[string]struct{}
 	name  func([]wire.Peer)
 }
 
 // unnamed returns those of the peers that the session has not named yet, and marks them as named.
 func (c *entryConn) unnamed(peers []membership.Peer) []wire.Peer {
-	if c.named == nil {
-		c.named = map[string]struct{}{}
-	}
+	named := make(map[string]struct{}, len(peers))
 	var further []wire.Peer
 	for _, p := range peers {
+		named[p.Addr] = struct{}{}
 		if _, ok := c.named[p.Addr]; !ok {
-			c.named[p.Addr] = struct{}{}
 			further = append(further, wire.Peer(p))
 		}
 	}
+	c.named = named
 	return further
 }
 
@@ -298,7 +300,7 @@
 	retry := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(initialRetryDelay), backoff.WithMaxInterval(maxRetryDelay), backoff.WithMaxElapsedTime(0),
 	)
-	lastReached := time.Now()
+	lastReached, goneAfter := time.Now(), goneAfter+rand.N(goneSpread)
 	for ctx.Err() == nil {
 		startedAt := time.Now()
 		err := d.runSession(ctx, conn.addr)
