Configuration: announced in batches, so that one link does not carry all bodies

Cause: a process announced a new version to all its peers at once, and each asked the first that it heard of. An entry on a link of 20 Mbit/s then sent 52 bodies one after the other, which also takes longer than the 200 ms after which a peer asks another one. The time to reach all followed the runners of an entry.

Change: four peers are told at once, and twice as many with each tick; those that have announced the version themselves are left out.

The test fails with the earlier rule by the bodies of the first entry.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -12,8 +12,14 @@
 package confsync
 
 import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -22,6 +28,11 @@
 // peer is closed only after several hundred.
 const requestTimeout = 200 * time.Millisecond
 
+// announceBatch is the number of peers to which a new version is announced at once. The number doubles with
+// each Tick. If all peers were told at the same time, all would request the body from the first process
+// that has it, whose link may be the slowest; so the first ones pass it on to the others.
+const announceBatch = 4
+
 // PeerID identifies the session with a peer; it is never reused.
 type PeerID uint64
 
@@ -39,6 +50,8 @@
 	peers         map[PeerID]uint64 // highest version that each has announced; 0: none
 	requestedFrom PeerID
 	requestedAt   time.Time
+	unannounced   []PeerID // peers to which the version in effect is still to be announced
+	batch         int      // number of them to be told at the next Tick
 }
 
 // Version returns the version in effect, or 0 if there is none.
@@ -84,7 +97,7 @@
 	return nil
 }
 
-// Update applies a body from the store or from a peer, and announces its version to the
+// Update applies a body from the store or from a peer, and begins to announce its version to the
 // peers that have not announced it themselves. A body whose version is not higher than
 // the current one is ignored. The error is that of Apply.
 func (r *Replica) Update(now time.Time, version uint64, body []byte) error {
@@ -95,17 +108,43 @@
 		return err
 	}
 	r.version, r.body, r.requestedFrom = version, body, 0
-	for id, announced := range r.peers {
-		if announced < version {
-			r.Send(id, wire.ConfigNote{Version: version})
+	r.unannounced, r.batch = r.peersInTurn(), announceBatch
+	r.announce()
+	return nil
+}
+
+// peersInTurn returns the peers in an order that differs between versions, so that it is not always the
+// same ones that request a body first.
+func (r *Replica) peersInTurn() []PeerID {
+	hash := func(id PeerID) uint64 {
+		var key [16]byte
+		binary.LittleEndian.PutUint64(key[:8], r.version)
+		binary.LittleEndian.PutUint64(key[8:], uint64(id))
+		return xxhash.Sum64(key[:])
+	}
+	return slices.SortedFunc(maps.Keys(r.peers), func(a, b PeerID) int { return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b)) })
+}
+
+// announce announces the version in effect to the next batch of the peers that have not announced it
+// themselves.
+func (r *Replica) announce() {
+	told := 0
+	for ; len(r.unannounced) > 0 && told < r.batch; r.unannounced = r.unannounced[1:] {
+		id := r.unannounced[0]
+		if announced, up := r.peers[id]; up && announced < r.version {
+			r.Send(id, wire.ConfigNote{Version: r.version})
+			told++
 		}
 	}
-	return nil
+	r.batch *= 2
 }
 
-// Tick requests the body from another peer if a request has timed out. It must be called
-// regularly.
-func (r *Replica) Tick(now time.Time) { r.requestBody(now) }
+// Tick requests the body from another peer if a request has timed out, and announces the version in
+// effect to further peers. It must be called regularly.
+func (r *Replica) Tick(now time.Time) {
+	r.requestBody(now)
+	r.announce()
+}
 
 // requestBody requests the body from a peer that has announced a higher version, unless a
 // request is pending. A peer other than the last one asked is preferred, and among those
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -21,15 +21,21 @@
 	simTick      = 20 * time.Millisecond
 )
 
-// simNode is a process with its link, and its sessions by the peer's number.
+// simNode is a process with its link and its sessions.
 type simNode struct {
 	Replica
 	bytesPerMs float64
 	linkFree   time.Time
-	peers      map[PeerID]*simNode
+	sessions   map[PeerID]simSession
 	appliedAt  time.Time
 }
 
+// simSession is the other end of a session, and the number of the session there.
+type simSession struct {
+	peer *simNode
+	id   PeerID
+}
+
 // simEvent is something that happens at a time.
 type simEvent struct {
 	at    time.Time
@@ -59,6 +65,7 @@
 	scheduled     int
 	nodes         []*simNode
 	bodies, notes int
+	firstBodies   int // sent by the entry that hears of the change
 }
 
 func newSimNetwork(entries int) *simNetwork {
@@ -81,18 +88,20 @@
 }
 
 func (n *simNetwork) add(bytesPerMs float64) int {
-	node := &simNode{bytesPerMs: bytesPerMs, peers: map[PeerID]*simNode{}}
+	node := &simNode{bytesPerMs: bytesPerMs, sessions: map[PeerID]simSession{}}
 	node.Apply = func(now time.Time, _ uint64, _ []byte) error { node.appliedAt = now; return nil }
-	id := PeerID(len(n.nodes) + 1)
-	node.Send = func(to PeerID, note wire.ConfigNote) { n.send(node, id, node.peers[to], note) }
+	node.Send = func(to PeerID, note wire.ConfigNote) { n.send(node, node.sessions[to], note) }
 	n.nodes = append(n.nodes, node)
 	return len(n.nodes) - 1
 }
 
-func (n *simNetwork) connect(a, b int) {
-	n.nodes[a].peers[PeerID(b+1)], n.nodes[b].peers[PeerID(a+1)] = n.nodes[b], n.nodes[a]
-	n.nodes[a].PeerUp(PeerID(b + 1))
-	n.nodes[b].PeerUp(PeerID(a + 1))
+// connect opens a session. Each process numbers its sessions itself.
+func (n *simNetwork) connect(i, j int) {
+	a, b := n.nodes[i], n.nodes[j]
+	atA, atB := PeerID(len(a.sessions)+1), PeerID(len(b.sessions)+1)
+	a.sessions[atA], b.sessions[atB] = simSession{b, atB}, simSession{a, atA}
+	a.PeerUp(atA)
+	b.PeerUp(atB)
 }
 
 func (n *simNetwork) at(t time.Time, do func()) {
@@ -100,16 +109,19 @@
 	heap.Push(&n.events, simEvent{t, n.scheduled, do})
 }
 
-func (n *simNetwork) send(from *simNode, id PeerID, to *simNode, note wire.ConfigNote) {
+func (n *simNetwork) send(from *simNode, to simSession, note wire.ConfigNote) {
 	n.notes++
 	if len(note.Body) > 0 {
 		n.bodies++
+		if from == n.nodes[0] {
+			n.firstBodies++
+		}
 	}
 	if from.linkFree.Before(n.now) {
 		from.linkFree = n.now
 	}
 	from.linkFree = from.linkFree.Add(time.Duration(float64(simNoteBytes+len(note.Body)) / from.bytesPerMs * float64(time.Millisecond)))
-	n.at(from.linkFree.Add(simHop), func() { _ = to.HandleNote(n.now, id, &note) }) // Apply never fails
+	n.at(from.linkFree.Add(simHop), func() { _ = to.peer.HandleNote(n.now, to.id, &note) }) // Apply never fails
 }
 
 // spread gives a configuration to one entry and returns the time until all processes have it.
@@ -119,7 +131,7 @@
 	for i, node := range n.nodes {
 		var tick func()
 		tick = func() {
-			if node.Tick(n.now); node.Version() == 0 {
+			if node.Tick(n.now); node.Version() == 0 || len(node.unannounced) > 0 {
 				n.at(n.now.Add(simTick), tick)
 			}
 		}
@@ -140,7 +152,8 @@
 }
 
 // Guards against a configuration that reaches a larger fleet later than by the logarithm of its size, and
-// against messages that grow faster than the sessions. The worst case: the store serves one entry alone, on
+// against messages that grow faster than the sessions, and against one process whose link carries the body to
+// each of its peers. The worst case: the store serves one entry alone, on
 // a link of 20 Mbit/s.
 func TestConfigurationSpreadsInLogarithmicTime(t *testing.T) {
 	g := NewWithT(t)
@@ -154,6 +167,7 @@
 			g.Expect(node.Version()).To(Equal(uint64(1)))
 		}
 		g.Expect(n.bodies).To(BeNumerically("<=", 2*len(n.nodes)))
+		g.Expect(n.firstBodies).To(BeNumerically("<=", len(n.nodes[0].sessions)/2), "others pass the body on")
 		g.Expect(n.notes).To(BeNumerically("<=", 3*sessions))
 		if before > 0 {
 			growth := math.Log(float64(len(n.nodes))) / math.Log(float64(len(n.nodes))/2)
