Runner: the record of an entry connected at another address is kept; names are taken back

Causes, both found on reading the diff: a runner counted an entry as unreachable that only answers at another address, and would have deleted its record after 15 minutes. And what a session had named stayed in the entry's directory, so that an entry that is gone was still named to others, and dialled again for two minutes.

Change: an answer counts as one at whichever address. A session names the whole selection when it changes, in place of what it named before.

--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -94,7 +94,7 @@
 	}
 	return r.loop.Push(func(now time.Time, s *state) {
 		if len(f.Entries) > 0 && r.runners[r.id] != nil {
-			s.directory.Name(now, membership.Source(r.id), fromWire(f.Entries))
+			s.directory.Replace(now, membership.Source(r.id), fromWire(f.Entries))
 		}
 		if f.Leased == nil {
 			return
--- a/internal/runner/dialers.go
+++ b/internal/runner/dialers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,25 +56,11 @@
 	addr   string
 	cancel context.CancelFunc // stops the goroutine
 	connID runs.ConnID        // of its open session; 0: none
-	// named holds the selected entries that the session has named to the entry, and name names further ones.
-	named map[string]struct{}
+	// named are the entries that the session has named last, and name names others in their place.
+	named []wire.Peer
 	name  func([]wire.Peer)
 }
 
-// unnamed returns those of the peers that the session has not named yet, and marks them as named.
-func (c *entryConn) unnamed(peers []membership.Peer) []wire.Peer {
-	named := make(map[string]struct{}, len(peers))
-	var further []wire.Peer
-	for _, p := range peers {
-		named[p.Addr] = struct{}{}
-		if _, ok := c.named[p.Addr]; !ok {
-			further = append(further, wire.Peer(p))
-		}
-	}
-	c.named = named
-	return further
-}
-
 // dialers keeps sessions with the entries that membership.Agent selects, and runs a goroutine
 // for each of them, which reconnects whenever the session ends. Its methods are safe for
 // concurrent use, except for those whose caller must hold the lock.
@@ -123,8 +111,8 @@
 }
 
 // sessionOpened records the session of an address. Call it after adding the session to the
-// control state, and sessionEnded when it ends. name sends the entry the names of entries that
-// helloNames has not returned; it must not block.
+// control state, and sessionEnded when it ends. name sends the entry the names of entries in place of
+// those that helloNames has returned; it must not block.
 func (d *dialers) sessionOpened(addr, dataCentre string, id runs.ConnID, name func([]wire.Peer)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -261,18 +249,29 @@
 	}
 }
 
-// nameSelection names the selected entries to the entry of an open session, except for those that
-// it has been told. An entry that starts first would otherwise not know the others, to which it
-// hands submissions over. The caller holds the lock.
+// nameSelection names the selected entries to the entry of an open session, if they are not those that it
+// was told last. An entry that starts first would otherwise not know the others, to which it hands
+// submissions over, and would name those that are gone. The caller holds the lock.
 func (d *dialers) nameSelection(conn *entryConn) {
 	if conn.name == nil {
 		return
 	}
-	if further := conn.unnamed(d.known.Named()); len(further) > 0 {
-		conn.name(further)
+	if peers := d.namedPeers(); !slices.Equal(peers, conn.named) {
+		conn.named = peers
+		conn.name(peers)
 	}
 }
 
+// namedPeers returns the entries to be named to others, sorted by address. The caller holds the lock.
+func (d *dialers) namedPeers() []wire.Peer {
+	var peers []wire.Peer
+	for _, p := range d.known.Named() {
+		peers = append(peers, wire.Peer(p))
+	}
+	slices.SortFunc(peers, func(a, b wire.Peer) int { return strings.Compare(a.Addr, b.Addr) })
+	return peers
+}
+
 // dial starts the goroutine that connects to an entry. The caller holds the lock.
 func (d *dialers) dial(e *membership.Entry) {
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -300,28 +299,32 @@
 	retry := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(initialRetryDelay), backoff.WithMaxInterval(maxRetryDelay), backoff.WithMaxElapsedTime(0),
 	)
-	lastReached, goneAfter := time.Now(), goneAfter+rand.N(goneSpread)
+	lastReached, lastAnswer := time.Now(), time.Now()
+	removeAfter := goneAfter + rand.N(goneSpread)
 	for ctx.Err() == nil {
 		startedAt := time.Now()
 		err := d.runSession(ctx, conn.addr)
 		if time.Since(startedAt) > stableAfter {
 			retry.Reset()
-			lastReached = time.Now()
+			lastReached, lastAnswer = time.Now(), time.Now()
 		}
 		var alias *aliasError
+		if errors.As(err, &alias) {
+			lastAnswer = time.Now()
+		}
 		switch delay := retry.NextBackOff(); {
 		case d.stopIfDeselected(conn):
 			return
 		case time.Since(lastReached) > unrecordedTTL && d.removeUnrecorded(conn.addr):
 			event.Log(d.runner.log, event.SessionRetired, "entry", conn.addr, "error", err.Error())
 			return
-		case time.Since(lastReached) > goneAfter && d.removeGone(conn.addr):
-			lastReached = time.Now() // the next attempt is due if the record is written again
+		case time.Since(lastAnswer) > removeAfter && d.removeGone(conn.addr):
+			lastAnswer = time.Now() // the next attempt is due if the record is written again
 			clock.Sleep(ctx, downRetryDelay)
 		case errors.Is(err, errFull):
 			d.replaceFull(conn)
 			return
-		case errors.As(err, &alias):
+		case alias != nil:
 			clock.Sleep(ctx, aliasRetryDelay)
 		case time.Since(lastReached) > downAfter:
 			d.markDown(conn.addr)
@@ -464,8 +467,8 @@
 	if conn == nil {
 		return nil
 	}
-	conn.named = nil
-	return conn.unnamed(d.known.Named())
+	conn.named = d.namedPeers()
+	return conn.named
 }
 
 // shutdown ends all sessions and waits for the goroutines.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -146,7 +146,7 @@
 	Credits *Credits       `cbor:"6,keyasint,omitempty"`
 	Config  []byte         `cbor:"7,keyasint,omitempty"` // encoded configuration, if newer than the entry's
 	Version uint64         `cbor:"8,keyasint,omitempty"` // configuration version in force at the agent
-	Entries []Peer         `cbor:"9,keyasint,omitempty"` // entries that the agent has connected to since the previous frame
+	Entries []Peer         `cbor:"9,keyasint,omitempty"` // entries that the agent has connected to since the previous frame; of a runner: all that it selects
 	Leased  *LeasedToEntry `cbor:"10,keyasint,omitempty"`
 	// Handover is sent on session.EntryPath only, which older entries do not serve.
 	Handover *HandoverRequest `cbor:"11,keyasint,omitempty"`
