--- a/internal/leased/record.go
+++ b/internal/leased/record.go
@@ -39,10 +39,9 @@
 }
 
 // PublishRecord keeps a dispatcher's record in the store's list of its data centre until ctx ends. It is
-// written only if the list has another one: each write ends a read of every runner that follows the list,
-// and most starts are restarts at the same address. The list is looked at again from time to time: it may
-// have been split, or the record be deleted because a runner took the dispatcher for gone. known receives
-// the entries of the list after each look.
+// written only if the list has another one: each write ends a read of every runner that follows the list.
+// Later looks find that the list was split, or that a runner took the dispatcher for gone. known receives
+// the entries after each look.
 func PublishRecord(ctx context.Context, log logr.Logger, store platformlog.KeyedLog, host string, r Record, known func([]membership.Peer)) {
 	p := &publisher{log, store, host, r, known}
 	retry := platformlog.NewBackOff()
