Review: a job without an estimate ends the runners

A job without estimateMs, which is valid, runs on a target at which some jobs of its queue have taken over four times their estimate. The runner computes a remaining time for the ratio +Inf, indexes the curve with the least int and panics; all runs of its target go with it.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 
 // cases by name. Each returns the breaches of its rule.
 var cases = map[string]func(*recorder, string, bool) ([]string, error){
+	"missing-estimates":  missingEstimates,
 	"silent-connections": silentConnections,
 }
 
@@ -75,9 +76,12 @@
 
 // jobBody returns a job of one step that needs not be kept.
 func jobBody(tasks, cpuMilli, workMs, estimateMs int) []byte {
+	step := map[string]any{"count": tasks, "cpu": cpuMilli, "memMb": 64}
+	if estimateMs > 0 { // fields whose value is 0 are omitted
+		step["estimateMs"] = estimateMs
+	}
 	body, _ := json.Marshal(map[string]any{
-		"spec": fmt.Sprintf("work %d %d", workMs, cpuMilli), "bestEffort": true,
-		"pipeline": []any{map[string]any{"count": tasks, "cpu": cpuMilli, "memMb": 64, "estimateMs": estimateMs}},
+		"spec": fmt.Sprintf("work %d %d", workMs, cpuMilli), "bestEffort": true, "pipeline": []any{step},
 	})
 	return body
 }
