Lease: ends before a job can be sent again, whichever messages are lost

What callers saw: a job was answered 504 when the connections of the runner of its task went silent.

Cause: that the first run was over by then rested on a stop that arrives. The stops went out on silent idle connections, one after the other, and each renewal, which got through, extended the lease for the run that was being stopped.

Evidence: the runner logs runs_stopped 0.6 s after the silence; the target gets its first stop 1.65 s later, on the 17th connection, and the run neither lapses nor ends until then, though leases last 1 s.

Change: package scheduler/lease. The lease is requested up to a time after the last proof that the entries of all runs in progress still wanted them, on the slowest clock that the target may have. The proof is the time of sending of the newest frame that the entry has acknowledged, 100 ms after the acknowledgement has come, by when an entry that was paused has sent its recalls. Orders wait while the lease in force is too long for them. Runs of an earlier runner are not renewed, also while orders wait; a renewal without an answer counts as granted; a dispatcher reckons the end of lost runs from the same terms. A renewal of an idle target waits 150 ms, less than the shortest lease, so that a run that starts meanwhile does not lapse.

Why it works: the last thing that a runner can know of an entry bounds the lease by itself; no stop, recall or answer has to arrive.

TestRunsOfAnUnreachableTargetEndWithTheLease expected the end of a lease counted from the last answer; unanswered renewals may have extended it, and it now asks that nothing is reported before that end.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -25,7 +25,7 @@
 		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
 			now := time.Unix(1_800_000_000, 0)
 			out := &frameSink{orders: map[ConnID][]wire.Order{}}
-			c := New(Options{Log: logr.Discard(), Outbox: out, LeaseLimit: time.Second, Now: func() time.Time { return now }})
+			c := New(Options{Log: logr.Discard(), Outbox: out, LostRunLimit: 1200 * time.Millisecond, Now: func() time.Time { return now }})
 			capacity := job.Demand{CPUMilli: 64_000, MemoryMB: 256_000}
 			for i := range agents {
 				id := ConnID(i + 1)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,9 +53,9 @@
 	Log        logr.Logger
 	Outbox     Outbox
 	DataCentre string
-	// LeaseLimit is the longest lease of a target. The runs that a lost agent left
-	// behind end within it.
-	LeaseLimit time.Duration
+	// LostRunLimit is the time after the end of an agent's session by which its runs have
+	// certainly ended.
+	LostRunLimit time.Duration
 	// RemoteFactor is how many times longer a task takes on a target outside the rack of
 	// its data.
 	RemoteFactor float64
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -43,7 +43,7 @@
 	h := &harness{WithT: NewWithT(t), now: time.Unix(1_800_000_000, 0),
 		out: &fakeOutbox{orders: map[ConnID][]wire.Order{}, recalls: map[ConnID][]uint64{},
 			reservations: map[ConnID][]wire.Reservation{}, releases: map[ConnID][]uint64{}}}
-	h.Core = New(Options{Log: logr.Discard(), Outbox: h.out, DataCentre: "a", LeaseLimit: time.Second, RemoteFactor: 1.5,
+	h.Core = New(Options{Log: logr.Discard(), Outbox: h.out, DataCentre: "a", LostRunLimit: 1200 * time.Millisecond, RemoteFactor: 1.5,
 		Now: func() time.Time { return h.now }})
 	for i := range agents {
 		h.connect(ConnID(i + 1))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
@@ -261,10 +260,3 @@
 	end := c.now.Add(l.criticalPaths[t.step])
 	return end.Before(l.usefulUntil) && end.Before(l.Deadline)
 }
-
-// lostRunLimit is the time after the end of an agent's session by which its runs have
-// certainly ended. The lease must expire, by a clock that may run 2 % slow, and the stop
-// takes some time.
-func (c *Core) lostRunLimit() time.Duration {
-	return c.options.LeaseLimit + c.options.LeaseLimit/20 + 60*time.Millisecond
-}
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -39,7 +39,7 @@
 	c.joinFleet(a, "", false)
 	c.agentsByAge = slices.DeleteFunc(c.agentsByAge, func(o *agent) bool { return o == a })
 	event.Log(c.log, event.AgentGone, "conn", uint64(conn), "host", a.host, "target", a.targetName(), "open", len(a.attempts))
-	latestEnd := now.Add(c.lostRunLimit())
+	latestEnd := now.Add(c.options.LostRunLimit)
 	for _, seq := range slices.Sorted(maps.Keys(a.attempts)) {
 		at := a.attempts[seq]
 		at.agent, at.latestEnd = nil, latestEnd
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -41,7 +41,7 @@
 	SessionAddr      string // sessions with runners
 	MetricsAddr      string
 	Grace            time.Duration // between SIGTERM and SIGKILL
-	LeaseLimit       time.Duration // longest lease that targets grant
+	LostRunLimit     time.Duration // see dispatch.Options
 	RemoteFactor     float64       // see dispatch.Options
 	MemoryMB         int           // memory limit of the host; see leased.LimitMemory
 	ProcessorShare   float64       // processor time available to the process, in cores
@@ -142,7 +142,7 @@
 func (d *Dispatcher) newState() *state {
 	s := &state{directory: membership.NewDirectory(membership.Peer{Addr: d.options.SessionAddr, DataCentre: d.options.DataCentre})}
 	s.core = dispatch.New(dispatch.Options{
-		Log: d.log, Outbox: d.sessions, DataCentre: d.options.DataCentre, LeaseLimit: d.options.LeaseLimit,
+		Log: d.log, Outbox: d.sessions, DataCentre: d.options.DataCentre, LostRunLimit: d.options.LostRunLimit,
 		RemoteFactor: d.options.RemoteFactor, LinkMbps: d.options.LinkMbps, Now: time.Now,
 	})
 	s.config = &confsync.Replica{Apply: func(_ time.Time, version uint64, body []byte) error {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -101,6 +101,8 @@
 	TargetCrashed     ID = 616
 	TaskCrashLoop     ID = 617
 	TargetResized     ID = 618
+	LeaseWithheld     ID = 619
+	LeaseUnsafe       ID = 620
 )
 
 // Entry is the description of an event in Catalogue.
@@ -195,6 +197,8 @@
 	{TargetCrashed, "target_crashed", "a target's incarnation ended without announcement while tasks were active, or the target stopped responding, or it responded again after that"},
 	{TaskCrashLoop, "task_crash_loop", "targets crashed while running a task; it is not started again, and its job fails"},
 	{TargetResized, "target_resized", "a target's capacity changed while it was running"},
+	{LeaseWithheld, "lease_withheld", "the lease of a target is not extended, because a run that no owner is known to want has not been stopped; all its runs end with the lease"},
+	{LeaseUnsafe, "lease_unsafe", "callers send jobs again so soon that the runs of a lost owner may not have ended by then"},
 }
 
 var names = func() map[ID]string {
--- a/internal/leased/replay_test.go
+++ b/internal/leased/replay_test.go
@@ -83,6 +83,8 @@
 type replayHostOutbox struct{ *replay }
 
 func (o replayHostOutbox) Close(runs.ConnID) {}
+
+func (o replayHostOutbox) WantedAt(_ runs.ConnID, now time.Time) time.Time { return now }
 func (o replayHostOutbox) Send(id runs.ConnID, f *wire.ToEntry) {
 	fmt.Fprintln(o.trace, id, f.Leased.Outcomes, f.Leased.Offers)
 	for _, out := range f.Leased.Outcomes {
@@ -147,12 +149,12 @@
 		firstJob: 200, workMs: map[string]float64{}, submitted: map[string]time.Time{}, trace: xxhash.New()}
 	for range entries {
 		r.entries = append(r.entries, dispatch.New(dispatch.Options{Log: logr.Discard(), Outbox: replayEntryOutbox{r}, DataCentre: "a",
-			LeaseLimit: lease, RemoteFactor: 1.5, Waiting: mode, Now: func() time.Time { return r.now }}))
+			LostRunLimit: terms.SettleLimit, RemoteFactor: 1.5, Waiting: mode, Now: func() time.Time { return r.now }}))
 	}
 	for n := range hosts {
 		h := &replayHost{replay: r, running: map[runs.RunID]int{}, speed: 1 / []float64{0.7, 0.7, 1.7}[n%3],
 			capacity: job.Demand{CPUMilli: []int{32_000, 32_000, 48_000}[n/3%3], MemoryMB: 1000}}
-		h.table = runs.New(runs.Options{Log: logr.Discard(), Target: h, Outbox: replayHostOutbox{r}, DataCentre: "a", LeaseLimit: lease})
+		h.table = runs.New(runs.Options{Log: logr.Discard(), Target: h, Outbox: replayHostOutbox{r}, DataCentre: "a", Lease: terms})
 		h.table.Announce(r.now, runs.Announcement{Incarnation: runs.Incarnation{Name: fmt.Sprint("t", n), StartedMs: 1}, Service: "s",
 			Capacity: h.capacity, ClockMs: r.now.UnixMilli(), Seq: 1})
 		r.hosts = append(r.hosts, h)
--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -16,6 +16,7 @@
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/routing"
 	"github.com/camphorrack/camphorrack/internal/runs"
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/scheduler/reservation"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -32,15 +33,19 @@
 	maxDetectionDelay = 750 * time.Millisecond // until an end detects the loss of the other
 	entryCount        = 2
 	hostCount         = 3
-	lease             = time.Second
+	maxLease          = time.Second
+	heartbeatInterval = 150 * time.Millisecond
 )
 
+var terms, _ = lease.NewTerms(maxLease, resendDelay)
+
 // simSession is a session between an entry and a host; its two ends close independently.
 type simSession struct {
 	id              uint64
 	entry, host     int
 	entryUp, hostUp bool
 	broken          bool // no frame is delivered any more
+	proof           lease.Proof
 }
 
 // simWorld is the state of one simulated schedule.
@@ -164,12 +169,24 @@
 }
 func (o hostOutbox) Close(id runs.ConnID) { o.w.disconnect(o.w.sessions[uint64(id)], 0, 0) }
 
+func (o hostOutbox) WantedAt(id runs.ConnID, now time.Time) time.Time {
+	return o.w.sessions[uint64(id)].proof.Time(now)
+}
+
+// heartbeat makes an entry acknowledge what the host has sent one heartbeat interval before.
+func (s *simSession) heartbeat(w *simWorld) {
+	if s.entryUp && s.hostUp && !s.broken && w.entries[s.entry].suspendedUntil <= w.elapsed {
+		s.proof.Acknowledge(w.now, w.now.Add(-heartbeatInterval-2*step))
+	}
+}
+
 func (w *simWorld) connect(entry, host int) {
 	w.lastID++
 	s := &simSession{id: w.lastID, entry: entry, host: host, entryUp: true, hostUp: true}
 	w.sessions[s.id] = s
 	w.entries[entry].Connect(w.now, dispatch.ConnID(s.id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: dataCentre(host)}, w.extended(host))
 	w.entries[entry].evacuations.PeerUp(evacuation.PeerID(s.id))
+	s.proof.Acknowledge(w.now, w.now)
 	w.hosts[host].table.Connect(w.now, runs.ConnID(s.id), w.extended(host))
 	w.hosts[host].evacuations.PeerUp(evacuation.PeerID(s.id))
 }
@@ -209,14 +226,14 @@
 }
 
 func (w *simWorld) newEntry(n int) *simEntry {
-	e := &simEntry{Core: dispatch.New(dispatch.Options{Log: logr.Discard(), Outbox: entryOutbox{w, n}, LeaseLimit: lease, RemoteFactor: 1.5, Waiting: w.waiting(),
+	e := &simEntry{Core: dispatch.New(dispatch.Options{Log: logr.Discard(), Outbox: entryOutbox{w, n}, LostRunLimit: terms.SettleLimit, RemoteFactor: 1.5, Waiting: w.waiting(),
 		Now: func() time.Time { return w.now.Add(time.Duration(n) * time.Millisecond) }}), needsSnapshot: true}
 	e.resetEvacuations()
 	return e
 }
 
 func (w *simWorld) newTable(h *simHost) {
-	h.table = runs.New(runs.Options{Log: logr.Discard(), Target: h, Outbox: hostOutbox{w}, DataCentre: dataCentre(h.n), LeaseLimit: lease})
+	h.table = runs.New(runs.Options{Log: logr.Discard(), Target: h, Outbox: hostOutbox{w}, DataCentre: dataCentre(h.n), Lease: terms})
 	h.resetEvacuations()
 	h.announce()
 }
@@ -276,7 +293,11 @@
 
 // injectFault injects one random fault or change.
 func (w *simWorld) injectFault() {
-	switch w.draw(12) {
+	switch w.draw(13) {
+	case 12: // the calls that start and stop runs on a target are lost, and renewals get through
+		h := w.hosts[w.draw(hostCount)]
+		h.ordersLostUntil = w.elapsed + time.Duration(1000+w.draw(4000))*time.Millisecond
+		w.logf("", "orders to target %d are lost until %s", h.n, h.ordersLostUntil)
 	case 11: // an entry is suspended, for less time than its agents take to detect that
 		w.entries[w.draw(entryCount)].suspendedUntil = w.elapsed + time.Duration(w.draw(300))*time.Millisecond
 	case 10: // a target's capacity changes and is announced
@@ -358,6 +379,11 @@
 	for _, action := range due {
 		action()
 	}
+	if w.elapsed%heartbeatInterval == 0 {
+		for _, s := range w.sessions {
+			s.heartbeat(w)
+		}
+	}
 	for _, h := range w.hosts {
 		h.target.advance()
 		h.table.Tick(w.now)
--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -19,7 +19,8 @@
 	seq         uint64
 	evacuations *evacuation.Replica
 	// evacuated are the data centres that are evacuated according to the runner's replica.
-	evacuated map[string]bool
+	evacuated       map[string]bool
+	ordersLostUntil time.Duration // since the start of the schedule
 }
 
 // Start implements runs.Target.
@@ -35,7 +36,7 @@
 			}
 		})
 	}
-	if h.target.down {
+	if h.target.down || h.w.elapsed < h.ordersLostUntil {
 		h.w.schedule(10*time.Millisecond, func() { answer(runs.NoAnswer) })
 		return
 	}
@@ -65,7 +66,7 @@
 			}
 		})
 	}
-	if h.target.down || h.w.draw(10) == 0 {
+	if h.target.down || h.w.elapsed < h.ordersLostUntil || h.w.draw(10) == 0 {
 		h.w.schedule(40*time.Millisecond, func() { answer(runs.NoAnswer) })
 		return
 	}
--- a/internal/leased/simtarget_test.go
+++ b/internal/leased/simtarget_test.go
@@ -77,7 +77,7 @@
 
 // extendLease extends the lease up to a time of the target's clock, at most by the lease duration.
 func (s *simTarget) extendLease(untilMs int64) {
-	until := s.w.now.Add(min(time.Duration(untilMs-s.clock())*time.Millisecond, lease))
+	until := s.w.now.Add(min(time.Duration(untilMs-s.clock())*time.Millisecond, maxLease))
 	if until.After(s.leaseUntil) {
 		s.leaseUntil = until
 	}
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/leased"
 	"github.com/camphorrack/camphorrack/internal/runs"
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/session"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -30,6 +32,9 @@
 	conn   *session.ToEntryConn
 	owner  job.Incarnation // the dispatcher's process; set once opened
 	opened bool            // the welcome was received
+
+	mu    sync.Mutex
+	proof lease.Proof // that the dispatcher wants its runs
 }
 
 // runSession connects to the dispatcher at addr, serves the session until it ends, and
@@ -56,6 +61,7 @@
 
 // receive handles a frame of the dispatcher. An error closes the connection.
 func (s *entrySession) receive(f *wire.ToAgent) error {
+	s.recordAcknowledgement()
 	if !s.opened {
 		return s.handleWelcome(f.Welcome)
 	}
@@ -79,6 +85,26 @@
 	return nil
 }
 
+// recordAcknowledgement records how much of what was sent the dispatcher has received, as of the frame
+// received last.
+func (s *entrySession) recordAcknowledgement() {
+	sentAt := s.conn.AcknowledgedAt()
+	if sentAt.IsZero() {
+		return
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proof.Acknowledge(now, now.Add(-time.Since(sentAt)))
+}
+
+// wantedAt returns the time up to which the dispatcher is known to have wanted its runs.
+func (s *entrySession) wantedAt(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proof.Time(now)
+}
+
 // handleWelcome opens the session: it answers with a hello and adds the session to the
 // control state. The error is a *welcomeError or an *aliasError.
 func (s *entrySession) handleWelcome(w *wire.Welcome) error {
@@ -122,8 +148,8 @@
 	}
 	s.dialers.sessionEnded(s.addr, s.owner, s.id)
 	s.enqueue(func(now time.Time, st *state) {
-		delete(st.sessions, s.id)
 		st.table.Disconnect(now, s.id)
+		delete(st.sessions, s.id)
 		st.evacuations.PeerDown(evacuation.PeerID(s.id))
 		st.config.PeerDown(confsync.PeerID(s.id))
 	})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/camphorrack/camphorrack/internal/leased"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/runs"
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -48,8 +49,9 @@
 	FirstStart       bool          // the whole deployment starts for the first time
 	EntryAddrs       []string      // session addresses of hosts that may run a dispatcher
 	Grace            time.Duration // time to finish running tasks on shutdown
-	LeaseLimit       time.Duration // longest lease
-	MemoryMB         int           // the host's memory limit for the process
+	Lease            lease.Terms
+	LeaseUnsafe      bool // Lease can't prevent that runs overlap; see lease.NewTerms
+	MemoryMB         int  // the host's memory limit for the process
 
 	Store              platformlog.KeyedLog
 	Target             Target
@@ -133,7 +135,7 @@
 // newState returns the control state. Configurations are only replicated, not used.
 func (r *Runner) newState() *state {
 	s := &state{sessions: map[runs.ConnID]*entrySession{}}
-	s.table = runs.New(runs.Options{Log: r.log, Target: (*targetCalls)(r), Outbox: s, DataCentre: r.options.DataCentre, LeaseLimit: r.options.LeaseLimit})
+	s.table = runs.New(runs.Options{Log: r.log, Target: (*targetCalls)(r), Outbox: s, DataCentre: r.options.DataCentre, Lease: r.options.Lease})
 	s.config = &confsync.Replica{Apply: func(_ time.Time, version uint64, _ []byte) error {
 		event.Log(r.log, event.ConfigApplied, "version", version, "kept_for", "entries")
 		return nil
@@ -172,7 +174,7 @@
 		return
 	}
 	event.Log(r.log, event.ProcessStalled, "ms", gap.Milliseconds(), "runs", s.table.Runs())
-	s.table.DisconnectAll(now)
+	s.table.DisconnectAll(now, gap)
 }
 
 // enqueue queues a command for the control goroutine, and blocks while the queue is full.
@@ -198,6 +200,14 @@
 	}
 }
 
+// WantedAt implements runs.Outbox.
+func (s *state) WantedAt(conn runs.ConnID, now time.Time) time.Time {
+	if session := s.sessions[conn]; session != nil {
+		return session.wantedAt(now)
+	}
+	return time.Time{}
+}
+
 func (r *Runner) refreshMetrics() error {
 	return r.loop.Do(leased.MetricsTimeout, func(_ time.Time, s *state) { r.metrics.update(s.table) })
 }
@@ -221,6 +231,9 @@
 	r.SetSeeds(r.options.EntryAddrs)
 	go r.discoverEntries(r.ctx)
 	go r.renewLoop(r.ctx)
+	if r.options.LeaseUnsafe {
+		event.Log(r.log, event.LeaseUnsafe, "limit_ms", r.options.Lease.Limit.Milliseconds(), "run_limit_ms", r.options.Lease.RunLimit.Milliseconds())
+	}
 	event.Log(r.log, event.ProcessStarted, "host", r.options.Host, "data_centre", r.options.DataCentre,
 		"incarnation", r.incarnation.String(), "memory_mb", r.options.MemoryMB)
 }
--- a/internal/runner/tick_test.go
+++ b/internal/runner/tick_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/runs"
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/scheduler/reservation"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -21,12 +22,14 @@
 func (discard) Send(runs.ConnID, *wire.ToEntry) {}
 func (discard) Close(runs.ConnID)               {}
 
+func (discard) WantedAt(_ runs.ConnID, now time.Time) time.Time { return now }
+
 // Guards against capacity that is held for longer than its offer states, because the next regular
 // tick comes later.
 func TestTickFollowsTheNextLapse(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_800_000_000, 0)
-	s := &state{table: runs.New(runs.Options{Log: logr.Discard(), Target: discard{}, Outbox: discard{}, LeaseLimit: time.Second})}
+	s := &state{table: runs.New(runs.Options{Log: logr.Discard(), Target: discard{}, Outbox: discard{}, Lease: lease.Terms{Limit: time.Second, RunLimit: 2 * time.Second}})}
 	capacity := job.Demand{CPUMilli: 1000, MemoryMB: 1000}
 	s.table.Announce(now, runs.Announcement{Incarnation: runs.Incarnation{Name: "t", StartedMs: 1}, Service: "s", Capacity: capacity, ClockMs: 1, Seq: 1})
 	call, _ := s.table.NextRenewal(now)
--- a/internal/runs/bench_test.go
+++ b/internal/runs/bench_test.go
@@ -16,7 +16,7 @@
 func BenchmarkOrder(b *testing.B) {
 	now := time.Unix(1_800_000_000, 0)
 	target := &fakeTarget{}
-	t := New(Options{Log: logr.Discard(), Target: target, Outbox: discard{}, LeaseLimit: time.Second})
+	t := New(Options{Log: logr.Discard(), Target: target, Outbox: discard{}, Lease: testLease})
 	t.Announce(now, Announcement{Incarnation: Incarnation{Name: "t"}, Service: "s", Capacity: job.Demand{CPUMilli: 64_000, MemoryMB: 1 << 20}, ClockMs: 5000, Seq: 1})
 	call, _ := t.NextRenewal(now)
 	t.Renewed(now, now, call, Listing{ClockMs: 5000})
@@ -51,3 +51,5 @@
 
 func (discard) Send(ConnID, *wire.ToEntry) {}
 func (discard) Close(ConnID)               {}
+
+func (discard) WantedAt(_ ConnID, now time.Time) time.Time { return now }
--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -139,7 +139,7 @@
 // agent knows the target only from a record that may be older than its last change.
 func TestTargetIgnoringCapacityStartsNothingBeforeItsAnnouncement(t *testing.T) {
 	h := newHarness(t)
-	h.Table = New(Options{Log: h.log, Target: h.target, Outbox: h.outbox, LeaseLimit: time.Second})
+	h.Table = New(Options{Log: h.log, Target: h.target, Outbox: h.outbox, Lease: testLease})
 	h.Restore(h.now, Announcement{Incarnation: h.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}})
 	h.renewWith() // initializes the fencing token
 	h.renewWith()
--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
@@ -24,6 +25,7 @@
 type fakeOutbox struct {
 	sent   map[ConnID][]*wire.LeasedToEntry
 	closed []ConnID
+	wanted map[ConnID]time.Time // by session; without an entry, it is wanted until now
 }
 
 func (f *fakeOutbox) Send(conn ConnID, frame *wire.ToEntry) {
@@ -31,6 +33,16 @@
 }
 func (f *fakeOutbox) Close(conn ConnID) { f.closed = append(f.closed, conn) }
 
+func (f *fakeOutbox) WantedAt(conn ConnID, now time.Time) time.Time {
+	if at, known := f.wanted[conn]; known {
+		return at
+	}
+	return now
+}
+
+// testLease is longer than NewTerms allows, for the tests that don't concern the end of a lease.
+var testLease = lease.Terms{Limit: time.Second, RunLimit: 2 * time.Second}
+
 // harness is a table with a target of ten cores, one session and a clock of its own.
 type harness struct {
 	*WithT
@@ -45,9 +57,9 @@
 const testConn ConnID = 1
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{WithT: NewWithT(t), target: &fakeTarget{}, outbox: &fakeOutbox{sent: map[ConnID][]*wire.LeasedToEntry{}},
+	h := &harness{WithT: NewWithT(t), target: &fakeTarget{}, outbox: &fakeOutbox{sent: map[ConnID][]*wire.LeasedToEntry{}, wanted: map[ConnID]time.Time{}},
 		now: time.Unix(1_800_000_000, 0), incarnation: Incarnation{Name: "t-1", StartedMs: 1000}}
-	h.Table = New(Options{Log: logr.Discard(), Target: h.target, Outbox: h.outbox, LeaseLimit: time.Second})
+	h.Table = New(Options{Log: logr.Discard(), Target: h.target, Outbox: h.outbox, Lease: testLease})
 	h.announce(1, false)
 	h.renewWith()
 	h.Connect(h.now, testConn, true)
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -31,7 +31,7 @@
 	}
 	previous := t.target.Capacity
 	t.target, t.restored = a, false
-	t.setTargetClock(now, a.ClockMs)
+	t.lease.Clock.Set(now, a.ClockMs)
 	if a.Leaving {
 		t.rejectQueued(wire.NotRunLeaving)
 	}
@@ -91,7 +91,7 @@
 	t.reachable, t.failures, t.lastAnswerAt = true, 0, t.now
 	t.health = newRating()
 	t.forgetEnds()
-	t.setTargetClock(t.now, a.ClockMs)
+	t.lease.Clock.Set(t.now, a.ClockMs)
 	t.token = a.ClockMs
 	for s := range t.sessions.Values() {
 		s.sendTarget, s.sendLoad = true, true
@@ -122,7 +122,7 @@
 		t.settleGone(r)
 	}
 	t.foreignRuns = newForeignRuns()
-	t.leaseEnd = time.Time{}
+	t.lease.Forget()
 	if ended > 0 {
 		event.Log(t.log, event.RunsStopped, "runs", ended, "reason", reason, "target", t.target.Incarnation.Name)
 	}
--- /dev/null
+++ b/internal/runs/lease_test.go
@@ -0,0 +1,191 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+const (
+	resendDelay = 1300 * time.Millisecond
+	grantLimit  = time.Second
+)
+
+// leaseTarget is a target whose clock is slow by 2 %. Its stops are lost, and its renewals arrive.
+type leaseTarget struct {
+	*harness
+	running map[RunID]bool
+	end     time.Time // of the lease
+	lapsed  time.Time // when its runs ended with the lease
+	lastEnd uint64
+}
+
+func newLeaseTarget(t *testing.T) *leaseTarget {
+	h := newHarness(t)
+	o := h.options
+	o.Lease, _ = lease.NewTerms(grantLimit, resendDelay)
+	h.Table = New(o)
+	h.announce(1, false)
+	h.renewWith()
+	h.Connect(h.now, testConn, true)
+	return &leaseTarget{harness: h, running: map[RunID]bool{}}
+}
+
+func (l *leaseTarget) clockAt(at time.Time) int64 {
+	return 60_000 + at.Sub(time.Unix(1_800_000_000, 0)).Milliseconds()*98/100
+}
+
+func (l *leaseTarget) grant(untilMs int64) {
+	left := min(time.Duration(untilMs-l.clockAt(l.now))*time.Millisecond, grantLimit)
+	if end := l.now.Add(left * 100 / 98); untilMs > 0 && end.After(l.end) {
+		l.end = end
+	}
+}
+
+// accept carries out a start.
+func (l *leaseTarget) accept(n int) {
+	c := l.target.starts[n]
+	l.grant(c.LeaseUntilMs)
+	l.running[c.Run] = true
+	l.Started(l.now, c, Accepted, l.clockAt(l.now))
+}
+
+// pass passes the time: a renewal every 25 ms, which arrives but is answered only if answered is set.
+func (l *leaseTarget) pass(d time.Duration, answered bool) {
+	for until := l.now.Add(d); l.now.Before(until); {
+		c, _ := l.NextRenewal(l.now)
+		l.grant(c.LeaseUntilMs)
+		listing := Listing{ClockMs: l.clockAt(l.now), StartedMs: l.incarnation.StartedMs}
+		for run := range l.running {
+			if !l.now.Before(l.end) {
+				delete(l.running, run)
+				l.lapsed = l.now
+				l.lastEnd++
+				listing.Ended = append(listing.Ended, EndedRun{l.lastEnd, run, Stopped})
+				continue
+			}
+			listing.Running = append(listing.Running, run)
+		}
+		calledAt := l.now
+		l.now = l.now.Add(25 * time.Millisecond)
+		if answered {
+			l.Renewed(l.now, calledAt, c, listing)
+		} else {
+			l.RenewFailed(l.now, c, Unresponsive)
+		}
+		if n := len(l.target.stops); n > 0 {
+			l.Stopped(l.now, l.target.stops[n-1], NoAnswer)
+		}
+		l.Tick(l.now)
+	}
+}
+
+// Guards against two runs of one task: the stops of a run without an owner are lost, and renewals
+// keep it going until the job that was sent again runs beside it.
+func TestRunWhoseStopsAreLostEndsBeforeItsJobIsSentAgain(t *testing.T) {
+	for name, giveUp := range map[string]func(*leaseTarget){
+		"the session ends": func(l *leaseTarget) { l.Disconnect(l.now, testConn) },
+		"it is recalled": func(l *leaseTarget) {
+			l.Receive(l.now, testConn, &wire.LeasedToAgent{Recalls: []uint64{1}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLeaseTarget(t)
+			l.Connect(l.now, 2, true)
+			l.sendOrder(testConn, 1, task("a", 0), 7)
+			l.sendOrder(2, 1, task("b", 0), 7)
+			l.accept(0)
+			l.accept(1)
+			l.pass(time.Second, true)
+			wantedAt := l.now
+			l.outbox.wanted[testConn] = wantedAt
+			l.pass(600*time.Millisecond, true)
+			giveUp(l)
+			l.pass(2*time.Second, true)
+			l.Expect(l.lapsed).To(And(BeTemporally(">", wantedAt), BeTemporally("<=", wantedAt.Add(resendDelay-50*time.Millisecond))))
+			l.Expect(l.outcomes(2)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+			l.Expect(l.Counts().LeasesWithheld).To(Equal(uint64(1)))
+			l.sendOrder(2, 2, task("c", 0), 8)
+			l.Expect(l.target.starts).To(HaveLen(3), "the target works again once the runs have ended")
+		})
+	}
+}
+
+// Guards against the same after a suspension of the agent, which its clock has not counted: its
+// entries' callers have waited for that time already.
+func TestSuspensionCountsForTheEndOfALease(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	before := l.endBy(l.run(RunID{task("a", 0), 7}))
+	l.DisconnectAll(l.now, 500*time.Millisecond)
+	l.Expect(l.endBy(l.run(RunID{task("a", 0), 7}))).To(BeTemporally("<=", before.Add(-500*time.Millisecond)))
+}
+
+// Guards against runs that lapse although their owner is heard of regularly, and against a short
+// lease while nothing is wrong.
+func TestLeaseOfWantedRunsIsExtended(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	for range 5 {
+		l.outbox.wanted[testConn] = l.now.Add(-400 * time.Millisecond)
+		l.pass(100*time.Millisecond, true)
+		l.Expect(l.end.Sub(l.now)).To(BeNumerically(">=", 500*time.Millisecond))
+	}
+	l.Expect(l.Counts().LeasesWithheld).To(BeZero())
+}
+
+// Guards against a run of an entry that was not heard of for long, under a lease that was granted for
+// the runs of others and can't be shortened.
+func TestRunStartsOnlyUnderALeaseThatEndsInTime(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.Connect(l.now, 2, true)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	l.outbox.wanted[2] = l.now.Add(-800 * time.Millisecond)
+	l.sendOrder(2, 1, task("b", 0), 8)
+	l.Expect(l.target.starts).To(HaveLen(1))
+	l.Expect(l.Counts().StartsDelayed).To(Equal(uint64(1)))
+	delete(l.outbox.wanted, 2)
+	l.advance(15 * time.Millisecond)
+	l.Expect(l.target.starts).To(HaveLen(2), "the entry was heard of again")
+}
+
+// Guards against runs reported as ended while they go on: renewals arrive at the target, and their
+// answers are lost.
+func TestUnansweredRenewalCountsAsGranted(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	l.pass(1150*time.Millisecond, false)
+	l.Expect(l.end).To(BeTemporally(">", l.now), "the target has extended the lease")
+	l.Expect(l.outcomes(testConn)).To(BeEmpty())
+}
+
+// Guards against runs of an earlier agent that go on because orders wait for them to end: their
+// owners are gone, and renewals for the waiting orders would keep them going.
+func TestRunsOfAnEarlierAgentAreNotRenewed(t *testing.T) {
+	l := newLeaseTarget(t)
+	old := RunID{task("old", 0), 3}
+	l.incarnation = Incarnation{Name: "t-2", StartedMs: 2000}
+	l.announce(1, false)
+	l.renewWith(old)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	call, _ := l.NextRenewal(l.now)
+	l.Expect(call.LeaseUntilMs).To(BeZero())
+}
+
+// Guards against a run that lapses because it starts just after a renewal was sent that waits for an
+// end as long as its lease lasts.
+func TestRenewalOfAnIdleTargetReturnsBeforeALeaseEnds(t *testing.T) {
+	l := newLeaseTarget(t)
+	idle, _ := l.NextRenewal(l.now)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	l.Expect(l.now.Add(idle.Wait + idle.ReplyTimeout + 2*maxCallTimeout)).To(BeTemporally("<", l.end))
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -15,14 +15,11 @@
 	if c.Incarnation != t.target.Incarnation || l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
 		return
 	}
-	t.setTargetClock(now, l.ClockMs)
+	t.lease.Clock.Set(now, l.ClockMs)
 	if l.StaleToken || c.Token == 0 {
 		t.raiseToken()
 		return // an earlier agent can still change the listed state until this agent's token is in force
 	}
-	if c.LeaseUntilMs > 0 {
-		t.extendLease()
-	}
 	if !t.reachable {
 		event.Log(t.log, event.TargetBack, "target", t.target.Incarnation.Name, "failures", t.failures)
 		t.reportRecovered()
@@ -163,7 +160,7 @@
 // settleExpiredLease settles the runs under a lease that has expired: a target that was
 // unreachable for so long has killed them.
 func (t *Table) settleExpiredLease() {
-	if t.reachable || t.leaseEnd.IsZero() || t.now.Before(t.leaseEnd.Add(leaseStopMargin)) {
+	if t.reachable || !t.lease.Over(t.now) {
 		return
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -35,6 +35,7 @@
 	stopped := 0
 	for _, seq := range slices.Sorted(maps.Keys(s.runs)) {
 		r := s.runs[seq]
+		t.abandon(r)
 		r.session = nil
 		if r.state == queued {
 			t.dropQueued(r)
@@ -48,11 +49,16 @@
 	}
 }
 
-// DisconnectAll ends every session. Call it when the process finds that it was suspended: the
-// entries have given up their sessions meanwhile, and orders that they sent before must not start
-// now.
-func (t *Table) DisconnectAll(now time.Time) {
+// DisconnectAll ends every session. Call it when the process finds that it was suspended for the
+// time given: the entries have given up their sessions meanwhile, and orders that they sent before
+// must not start now.
+func (t *Table) DisconnectAll(now time.Time, suspended time.Duration) {
+	t.now = now
 	for _, conn := range slices.Collect(t.sessions.Keys()) {
+		for _, r := range t.session(conn).runs {
+			t.abandon(r)
+			r.wantedAt = r.wantedAt.Add(-suspended) // the clock may not have counted that time
+		}
 		t.Disconnect(now, conn)
 		t.options.Outbox.Close(conn)
 	}
@@ -101,8 +107,8 @@
 		startBy:       t.now.Add(time.Duration(order.SlackMs) * time.Millisecond),
 		queueDeadline: t.now.Add(time.Duration(order.MaxWaitMs) * time.Millisecond),
 		runDeadline:   t.now.Add(time.Duration(order.TimeoutMs) * time.Millisecond),
-		wanted:        true,
 	}
+	r.callerLeavesAt = t.wantedAt(s).Add(time.Duration(order.TimeoutMs) * time.Millisecond)
 	offerHeld := order.Reservation != 0 && t.takeOffer(r)
 	if offerHeld {
 		r.order.Movable = false // it need not wait
@@ -115,7 +121,7 @@
 	t.runs.Set(r.id, r)
 	t.tasks[r.id.Task] = r
 	t.queueLoads.recordArrival(t.now, r)
-	if offerHeld && t.mayStart() && r.order.Demand.Fits(t.freeCapacity()) {
+	if offerHeld && t.mayStart() && r.order.Demand.Fits(t.freeCapacity()) && t.leaseAllows(r) {
 		t.start(r) // before anything that waits: the capacity was held for it
 		return
 	}
@@ -206,6 +212,10 @@
 			i++
 			continue
 		}
+		if r.state == queued && !t.leaseAllows(r) {
+			i++
+			continue
+		}
 		if r.order.Demand.Fits(t.freeCapacity()) {
 			t.queue = slices.Delete(t.queue, i, i+1)
 			if r.state == reserved {
@@ -249,14 +259,14 @@
 func (t *Table) callStart(r *run) {
 	r.startCalledAt = t.now
 	t.options.Target.Start(StartCall{
-		Incarnation: t.target.Incarnation, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.leaseUntil(),
+		Incarnation: t.target.Incarnation, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.requestLease(),
 		Timeout: t.callTimeout(),
 	})
 }
 
 // recall ends an order whose outcome its owner no longer needs.
 func (t *Table) recall(r *run) {
-	r.wanted = false
+	t.abandon(r)
 	if r.state == queued {
 		t.settleNotRun(r, wire.NotRunRecalled)
 		return
@@ -274,6 +284,7 @@
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
 		if (r.state == starting || r.state == running) && t.now.After(r.runDeadline) {
+			t.abandon(r)
 			t.stop(r, wire.NotRunExpired)
 		}
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -10,7 +10,8 @@
 //
 // An order belongs to the session that sent it. When the session ends, for whatever reason, its
 // orders are stopped at once: the caller of a job whose entry is gone submits the job again after
-// a pause of its own, and the new owner can't know of the runs of the old one.
+// a pause of its own, and the new owner can't know of the runs of the old one. A stop may be lost,
+// so the lease is renewed only for as long as no run can outlast that pause (package lease).
 //
 // The package uses no network, clock or goroutine. A single goroutine calls it and passes the
 // current time.
@@ -23,6 +24,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/scheduler/queuesim"
 	"github.com/camphorrack/camphorrack/internal/scheduler/runtimes"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -158,6 +160,9 @@
 type Outbox interface {
 	Send(ConnID, *wire.ToEntry)
 	Close(ConnID)
+	// WantedAt returns the time up to which the entry is known to have wanted its runs; zero:
+	// unknown. See lease.Proof.
+	WantedAt(ConnID, time.Time) time.Time
 }
 
 // Options configures a Table.
@@ -167,8 +172,8 @@
 	Outbox Outbox
 	// DataCentre is the agent's data centre.
 	DataCentre string
-	// LeaseLimit is the longest lease that a target grants.
-	LeaseLimit time.Duration
+	// Lease limits the leases of the target.
+	Lease lease.Terms
 }
 
 // state is the state of a run.
@@ -201,11 +206,14 @@
 	startedAt                           time.Time // when the target reported its start
 	startRetries                        int       // start calls repeated for lack of an answer
 	everRan                             bool      // the start was accepted, or the run was listed
-	wanted                              bool      // the order has not been recalled
-	notRunReason                        wire.NotRunReason
-	width                               int       // of a reservation: the tasks of its job
-	offerLapsesAt                       time.Time // of a reservation for which capacity is held
-	reservationWaited                   bool      // the reservation that this order follows had to wait
+	// wantedAt is the time up to which the run is known to have been wanted, once it is being
+	// stopped; until then that of its session applies. It is never later than callerLeavesAt.
+	wantedAt, callerLeavesAt time.Time
+	startDelayed             bool // it has waited for the lease; see leaseAllows
+	notRunReason             wire.NotRunReason
+	width                    int       // of a reservation: the tasks of its job
+	offerLapsesAt            time.Time // of a reservation for which capacity is held
+	reservationWaited        bool      // the reservation that this order follows had to wait
 
 	stopInFlight    bool // a stop call is not answered yet
 	stopCalledAt    time.Time
@@ -243,6 +251,9 @@
 	closeAfter   time.Time     // the session stays open at least until then
 
 	runTimesVersion uint64 // summariesVersion when summaries were last sent
+
+	// wantedAt is the answer of Outbox.WantedAt at the time wantedAsOf.
+	wantedAt, wantedAsOf time.Time
 }
 
 // tableState is the state of a Table.
@@ -277,8 +288,8 @@
 	silentTasks []wire.TaskRef
 
 	token             int64 // 0: not yet drawn
-	clockMs           int64 // the target's clock at clockAt
-	clockAt           time.Time
+	lease             lease.Lease
+	leaseWithheld     bool         // the last renewal did not extend the lease, because of a run that is being stopped
 	meanAnswerMs      float64      // mean time to the answer to a start call
 	endCursor         uint64       // Seq of the last EndedRun that was processed
 	listed            bool         // a listing of this incarnation was processed
@@ -286,7 +297,6 @@
 	reachable         bool
 	failures          int       // consecutive failed renewals
 	lastAnswerAt      time.Time // when the target last answered a call
-	leaseEnd          time.Time // when the lease has certainly expired, on the agent's clock
 	endTimesUncertain bool      // the latest listing followed failed renewals, so its ends may be old
 
 	loadChanged  bool // the load has changed since the last Flush
@@ -307,6 +317,10 @@
 // Counts are totals since the table was created.
 type Counts struct {
 	Orders, Starts, Done, Failed, Stopped, NotRun, Unanswered, SessionsEnded, Reservations, OffersLapsed uint64
+	// StopsRepeated counts repeated calls to stop a run. StartsDelayed counts the starts that waited
+	// until the lease could end in time for them, and LeasesWithheld how often the lease was not
+	// extended because a run could not be stopped.
+	StopsRepeated, StartsDelayed, LeasesWithheld uint64
 }
 
 // Table is the agent's control state. It is not safe for concurrent use.
@@ -316,7 +330,7 @@
 func New(o Options) *Table {
 	return &Table{&tableState{
 		options: o, log: o.Log, sessions: orderedmap.NewOrderedMap[ConnID, *session](), runs: orderedmap.NewOrderedMap[RunID, *run](), tasks: map[Task]*run{},
-		foreignRuns: newForeignRuns(), evacuated: map[string]struct{}{}, health: newRating(), meanAnswerMs: initialAnswerMs,
+		lease: lease.Lease{Terms: o.Lease}, foreignRuns: newForeignRuns(), evacuated: map[string]struct{}{}, health: newRating(), meanAnswerMs: initialAnswerMs,
 		runTimes: runTimesState{queues: runtimes.NewByQueue[*queueRunTimes](wire.MaxRunTimes)},
 	}}
 }
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -154,7 +154,7 @@
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.answerStart(0, Accepted)
 	h.now = h.now.Add(4 * time.Second)
-	h.DisconnectAll(h.now)
+	h.DisconnectAll(h.now, 4*time.Second)
 	h.sendOrder(testConn, 2, task("a", 1), 7)
 	h.Expect(h.target.starts).To(HaveLen(1))
 	h.Expect(h.target.stops).To(HaveLen(1))
@@ -225,6 +225,8 @@
 	h.advance(600 * time.Millisecond)
 	h.Expect(h.outcomes(testConn)).To(HaveLen(1))
 	h.advance(300 * time.Millisecond)
+	h.Expect(h.outcomes(testConn)).To(HaveLen(1), "a renewal without an answer may have extended the lease")
+	h.advance(150 * time.Millisecond)
 	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
 }
 
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -9,7 +9,7 @@
 // raiseToken sets a fencing token above every one that an earlier agent can have presented:
 // tokens are times on the target's own clock, and an earlier agent set its tokens earlier.
 func (t *Table) raiseToken() {
-	t.token = max(t.token+1, t.clockMs+t.now.Sub(t.clockAt).Milliseconds())
+	t.token = max(t.token+1, t.lease.Clock.Ms(t.now))
 }
 
 // stop begins to stop a run. If its start was not answered, the stop fences the run off: the
@@ -24,7 +24,9 @@
 
 func (t *Table) callStop(r *run) {
 	r.stopInFlight, r.stopCalledAt = true, t.now
-	r.stopAttempts++
+	if r.stopAttempts++; r.stopAttempts > 1 {
+		t.counts.StopsRepeated++
+	}
 	t.options.Target.Stop(StopCall{Incarnation: t.target.Incarnation, Token: t.token, Run: r.id, Timeout: t.callTimeout()})
 }
 
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// clockDriftFactor allows for a target's clock that runs up to 2 % slow when the end of a
-	// lease is computed on the agent's clock.
-	clockDriftFactor = 1.03
-	// leaseStopMargin is the time allowed for a target to stop its runs when a lease expires.
-	leaseStopMargin = 60 * time.Millisecond
 	// stopRetryInterval is how long a stop may stay unanswered before it is sent again: the
 	// longest time-out of its call.
 	stopRetryInterval = 100 * time.Millisecond
@@ -49,32 +44,11 @@
 	// stoppingRenewWait is the wait of a renewal while a run is being stopped: its task can't go
 	// elsewhere before its end is listed.
 	stoppingRenewWait = 2 * time.Millisecond
-	// idleRenewWait is the wait of a renewal while nothing runs and no lease has to be renewed.
-	idleRenewWait = 1000 * time.Millisecond
+	// idleRenewWait is the wait of a renewal while nothing runs and no lease has to be renewed. A run
+	// that starts meanwhile has no other renewal, so it is well below lease.MinStart.
+	idleRenewWait = 150 * time.Millisecond
 )
 
-// setTargetClock records a reading of the target's clock; 0 means that there is none.
-func (t *Table) setTargetClock(now time.Time, clockMs int64) {
-	if clockMs <= 0 {
-		return
-	}
-	t.clockMs, t.clockAt = clockMs, now
-}
-
-// leaseUntil returns the end, on the target's clock, of the longest lease that it would grant
-// now.
-func (t *Table) leaseUntil() int64 {
-	return t.clockMs + t.now.Sub(t.clockAt).Milliseconds() + t.options.LeaseLimit.Milliseconds()
-}
-
-// extendLease records that the target granted a lease in a call that it answered now.
-func (t *Table) extendLease() {
-	end := t.now.Add(time.Duration(float64(t.options.LeaseLimit) * clockDriftFactor))
-	if end.After(t.leaseEnd) {
-		t.leaseEnd = end
-	}
-}
-
 // NextRenewal returns the next call that renews the lease, and false while no target is known.
 func (t *Table) NextRenewal(now time.Time) (RenewCall, bool) {
 	t.now = now
@@ -92,9 +66,7 @@
 	default:
 		c.Wait = t.renewalWait()
 	}
-	if t.listed && t.runs.Len() > 0 {
-		c.LeaseUntilMs = t.leaseUntil()
-	}
+	c.LeaseUntilMs = t.extendLease()
 	return c, true
 }
 
@@ -128,14 +100,11 @@
 	if r == nil || c.Incarnation != t.target.Incarnation || r.state == queued {
 		return
 	}
-	t.setTargetClock(now, clockMs)
+	t.lease.Clock.Set(now, clockMs)
 	if answer != NoAnswer {
 		t.lastAnswerAt = now
 		t.meanAnswerMs += answerMeanWeight * (clock.Millis(now.Sub(r.startCalledAt)) - t.meanAnswerMs)
 	}
-	if answer == Accepted || answer == NoCapacity || answer == StaleRun {
-		t.extendLease() // these answers grant the lease, too
-	}
 	switch answer {
 	case Accepted:
 		r.everRan = true
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -215,6 +215,10 @@
 	}
 }
 
+// AcknowledgedAt returns when the newest frame was sent that the peer has acknowledged, up to the
+// frame that was received last; zero: there is none. The peer was running after that time.
+func (c *Conn[In, Out]) AcknowledgedAt() time.Time { return c.liveness.acknowledgedAt() }
+
 // RemoteAddr returns the peer's address.
 func (c *Conn[In, Out]) RemoteAddr() string { return c.ws.RemoteAddr().String() }
 
--- a/internal/session/liveness.go
+++ b/internal/session/liveness.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,8 +20,10 @@
 	options Options
 
 	mu            sync.Mutex
-	lastSentSeq   uint64 // number of the last frame sent
-	ackedSeq      uint64 // highest number that the peer has acknowledged
+	lastSentSeq   uint64      // number of the last frame sent
+	ackedSeq      uint64      // highest number that the peer has acknowledged
+	ackedSentAt   time.Time   // when the frame with that number was sent
+	unackedSentAt []time.Time // when the frames above ackedSeq were sent, in order
 	lastWriteAt   time.Time
 	lastReceiveAt time.Time
 	lastContentAt time.Time // time of the last frame with content, sent or received
@@ -52,6 +55,7 @@
 	}
 	l.lastWriteAt = now
 	l.lastSentSeq++
+	l.unackedSentAt = append(l.unackedSentAt, now)
 	if content {
 		if l.ackedSeq >= l.lastContentSeq {
 			l.contentAckFrom, l.contentUnackedSince = l.lastSentSeq, now
@@ -74,6 +78,8 @@
 		return false, &SequenceError{Want: l.lastSentSeq, Got: ack}
 	}
 	if ack > l.ackedSeq {
+		l.ackedSentAt = l.unackedSentAt[ack-l.ackedSeq-1]
+		l.unackedSentAt = slices.Delete(l.unackedSentAt, 0, int(ack-l.ackedSeq))
 		l.ackedSeq = ack
 		l.unackedSince = now
 		if ack >= l.contentAckFrom {
@@ -84,6 +90,13 @@
 	return l.recordContent(now, content), nil
 }
 
+// acknowledgedAt returns when the newest acknowledged frame was sent; zero: there is none.
+func (l *liveness) acknowledgedAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ackedSentAt
+}
+
 // recordContent records a frame sent or received, and reports whether it made an idle
 // connection active.
 func (l *liveness) recordContent(now time.Time, content bool) (activated bool) {
--- a/internal/session/liveness_test.go
+++ b/internal/session/liveness_test.go
@@ -10,6 +10,23 @@
 
 const simStep = 10 * time.Millisecond
 
+// Guards against a peer that counts as heard from at a time when it had stopped already.
+func TestAcknowledgementHasTheTimeOfItsFrame(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	l := newLiveness(Options{}.withDefaults(), now)
+	g.Expect(l.acknowledgedAt().IsZero()).To(BeTrue())
+	for n := range 4 {
+		l.recordSend(now.Add(time.Duration(n)*time.Second), false)
+	}
+	for _, ack := range []uint64{2, 2, 4} {
+		_, err := l.recordReceive(now.Add(time.Minute), ack, false)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.acknowledgedAt()).To(Equal(now.Add(time.Duration(ack-1) * time.Second)))
+	}
+	g.Expect(l.unackedSentAt).To(BeEmpty())
+}
+
 // simEnd is one end of a simulated connection. It follows the same rules as Conn.write.
 type simEnd struct {
 	*liveness
