Crash loops: only tasks that were running count

Cause: a runner's crash report named every order that was not queued as active, also those whose start was refused or not answered because the target was gone already, those that were being stopped, and the runs of a target that was silent for longer than its lease. Two such reports make a crash loop.

Change: crash reports tell tasks that were running from those that may have been; the latter go out as tasks of an unresponsive target, which needs no new field. The detector takes only the former for a crash loop. With three targets that crashed or may have, a task is suspected: its job is answered as unknown, and refused when it comes again, never as failed. A start to which the connection was refused is NotDelivered: not run, and placed elsewhere.

Why it works: an order without proof of a run can no longer contribute to an answer that states a fact about it, and three crashes in any state still bound what a crasher takes down.

Tests that failed before: TestOrderThatNeverRanIsNoCrash (answered as failed).

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -49,13 +49,17 @@
 	return worst
 }
 
-// failIfCrashLoop answers a job as failed if one of its waiting tasks crashes the targets that
-// start it. It reports whether it did.
-func (c *Core) failIfCrashLoop(l *liveJob) bool {
-	if c.crashLoopVerdict(l) != crashloop.CrashLoop {
+// endIfCrashLoop answers a job as failed if one of its waiting tasks crashes the targets that start
+// it, and gives it up if that is suspected. It reports whether it did.
+func (c *Core) endIfCrashLoop(l *liveJob) bool {
+	switch c.crashLoopVerdict(l) {
+	case crashloop.CrashLoop:
+		c.failCrashLoop(l)
+	case crashloop.Suspected:
+		c.giveUp(l, fault.New(fault.Suspected, "targets that may have run a task of it have crashed"))
+	default:
 		return false
 	}
-	c.failCrashLoop(l)
 	return true
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -46,6 +46,39 @@
 	h.Expect(h.orderCount()).To(Equal(2))
 }
 
+// crashBeforeStart makes the agent with the order of a job report that its target has crashed before
+// it answered the start.
+func (h *harness) crashBeforeStart(job string) {
+	for id, a := range h.agents {
+		if len(a.attempts) > 0 {
+			h.reportCrash(id, wire.FateUnresponsive, job)
+			h.reportCrash(id, wire.FateCrashed)
+			return
+		}
+	}
+}
+
+// Guards against sound jobs that are answered as failed when targets crash within milliseconds of
+// each other: the task was sent to targets on which it never ran.
+func TestOrderThatNeverRanIsNoCrash(t *testing.T) {
+	h := newHarness(t, 5)
+	caller := h.submit(h.newJob("1", 1))
+	for id, a := range h.agents {
+		if len(a.attempts) > 0 {
+			h.reportCrash(id, wire.FateCrashed, "1")
+			break
+		}
+	}
+	h.crashBeforeStart("1")
+	h.Expect(caller.answers).To(BeEmpty())
+	h.Expect(h.orderCount()).To(Equal(3), "it is placed again")
+	h.crashBeforeStart("1")
+	h.Expect(caller.answers).To(ConsistOf(And(HaveField("Kind", AnswerUnknown), HaveField("Fault.Code", fault.Suspected))), "it may crash its targets")
+	h.Expect(h.orderCount()).To(Equal(3))
+	again := h.submit(h.newJob("1", 1))
+	h.Expect(again.answers).To(ConsistOf(And(HaveField("Kind", AnswerNotRun), HaveField("Fault.Code", fault.Suspected))))
+}
+
 // Guards against a task that continues to crash targets because its caller sends it to an
 // entry that has not started it before.
 func TestCrashesSeenThroughOtherEntriesCount(t *testing.T) {
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -96,8 +96,8 @@
 		c.jobs.add(l)
 		c.failCrashLoop(l)
 		return
-	case crashloop.Quarantined:
-		c.refuse(l, fault.Refused(fault.Suspected, "targets that ran a task of it don't answer", quarantineRetryAfter), 0)
+	case crashloop.Quarantined, crashloop.Suspected:
+		c.refuse(l, fault.Refused(fault.Suspected, "targets that may have run a task of it have crashed or don't answer", quarantineRetryAfter), 0)
 		return
 	}
 	f, predicted := c.checkAdmission(l)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -135,7 +135,7 @@
 // placeWaitingTasks sends an order for each waiting task of the job, or reservations. It gives the
 // job up if no target can take one of them.
 func (c *Core) placeWaitingTasks(l *liveJob) {
-	if c.failIfCrashLoop(l) {
+	if c.endIfCrashLoop(l) {
 		return
 	}
 	c.collectCandidates(l)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -134,7 +134,7 @@
 	}
 	c.releaseTask(l, t, r)
 	t.state = taskWaiting
-	if c.failIfCrashLoop(l) {
+	if c.endIfCrashLoop(l) {
 		c.sendRelease(a, r.seq)
 		return false
 	}
--- a/internal/runs/crash.go
+++ b/internal/runs/crash.go
@@ -8,15 +8,21 @@
 // maxReportedTasks limits the number of tasks listed in one crash report.
 const maxReportedTasks = 256
 
-// activeTasks returns the tasks that the target runs or may be starting.
-func (t *Table) activeTasks() []wire.TaskRef {
-	var tasks []wire.TaskRef
+// activeTasks returns the tasks that the target was running when it last answered, and those that it
+// may have been running: their start is not answered, or they are being stopped.
+func (t *Table) activeTasks() (atWork, possible []wire.TaskRef) {
 	for r := range t.runs.Values() {
-		if r.state != queued && len(tasks) < maxReportedTasks {
-			tasks = append(tasks, wire.TaskRef{Job: r.id.Task.Job, Step: r.id.Task.Step, Index: r.id.Task.Index})
+		if r.state == queued || len(atWork)+len(possible) >= maxReportedTasks {
+			continue
+		}
+		ref := wire.TaskRef{Job: r.id.Task.Job, Step: r.id.Task.Step, Index: r.id.Task.Index}
+		if r.state == running && !t.lease.Over(t.now) {
+			atWork = append(atWork, ref)
+		} else {
+			possible = append(possible, ref)
 		}
 	}
-	return tasks
+	return atWork, possible
 }
 
 // reportUnresponsive reports to every entry that the target has stopped answering.
@@ -24,36 +30,49 @@
 	if t.departureAnnounced() {
 		return
 	}
-	t.silentTasks = t.activeTasks()
-	t.reportFate(wire.FateUnresponsive, t.silentTasks)
+	atWork, possible := t.activeTasks()
+	t.silentTasks = append(atWork, possible...)
+	if len(t.silentTasks) > 0 {
+		t.reportFate(wire.FateUnresponsive, t.silentTasks)
+	}
 }
 
 // reportRecovered reports to every entry that the target answers again, with the tasks that were
 // active when it stopped answering.
 func (t *Table) reportRecovered() {
-	t.reportFate(wire.FateRecovered, t.silentTasks)
+	if len(t.silentTasks) > 0 {
+		t.reportFate(wire.FateRecovered, t.silentTasks)
+	}
 	t.silentTasks = nil
 }
 
-// reportCrash reports to every entry that the target's incarnation has ended, with its active
-// tasks. Those of a target that had stopped answering count, though its lease may have expired
-// long ago. A target that announced its departure has not crashed.
+// reportCrash reports to every entry that the target's incarnation has ended, with the tasks that
+// were running. Those that may have been running are reported as on an unresponsive target, unless
+// they were before: if it stopped answering, its runs may have ended with their lease. A target that
+// announced its departure has not crashed.
 func (t *Table) reportCrash() {
-	if !t.departureAnnounced() {
-		t.reportFate(wire.FateCrashed, append(t.activeTasks(), t.silentTasks...))
-	}
+	atWork, possible := t.activeTasks()
+	silent := t.silentTasks
 	t.silentTasks = nil
+	if t.departureAnnounced() || len(atWork)+len(possible)+len(silent) == 0 {
+		return
+	}
+	if len(possible) > 0 {
+		t.reportFate(wire.FateUnresponsive, possible)
+	}
+	t.reportFate(wire.FateCrashed, atWork)
 }
 
 func (t *Table) departureAnnounced() bool { return !t.targetKnown || t.target.Leaving }
 
 // reportFate queues a report on the fate of the target and of its tasks for every session.
 func (t *Table) reportFate(fate wire.Fate, tasks []wire.TaskRef) {
-	if len(tasks) == 0 {
-		return
-	}
 	incarnation := t.target.Incarnation
-	event.Log(t.log, event.TargetCrashed, "target", incarnation.Name, "born_ms", incarnation.StartedMs, "fate", int(fate), "tasks", len(tasks), "first", tasks[0].Job)
+	first := ""
+	if len(tasks) > 0 {
+		first = tasks[0].Job
+	}
+	event.Log(t.log, event.TargetCrashed, "target", incarnation.Name, "born_ms", incarnation.StartedMs, "fate", int(fate), "tasks", len(tasks), "first", first)
 	for s := range t.sessions.Values() {
 		s.crashes = append(s.crashes, wire.Crash{Target: incarnation.Name, StartedMs: incarnation.StartedMs, Fate: fate, Tasks: tasks})
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -109,6 +109,7 @@
 	LeaseExpired
 	StaleRun         // a run of this or a higher number was stopped or has ended there
 	OtherIncarnation // another incarnation answers at the address
+	NotDelivered     // no process listens at the address, so the call was not carried out
 )
 
 // End is how a run ended, as the target lists it.
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -101,7 +101,7 @@
 		return
 	}
 	t.lease.Clock.Set(now, clockMs)
-	if answer != NoAnswer {
+	if answer != NoAnswer && answer != NotDelivered {
 		t.lastAnswerAt = now
 		t.meanAnswerMs += answerMeanWeight * (clock.Millis(now.Sub(r.startCalledAt)) - t.meanAnswerMs)
 	}
@@ -149,6 +149,8 @@
 	switch answer {
 	case StaleRun:
 		reason = wire.NotRunStale
+	case NotDelivered:
+		reason = wire.NotRunDown
 	case StaleToken:
 		t.raiseToken()
 	case Rejected:
--- a/internal/scheduler/crashloop/crashloop.go
+++ b/internal/scheduler/crashloop/crashloop.go
@@ -10,7 +10,10 @@
 // A crash is explained, with regard to a task, if several targets without any task of its job
 // crashed at the same moment: these have another cause. A task is in a crash loop after two
 // unexplained crashes, or after three of any kind, which bounds the number of targets that one
-// task can crash.
+// task can crash. Only crashes count for which it is known that the task was running: a start that
+// was not answered may never have been carried out, and a run on an unresponsive target may have
+// ended before the crash. With three targets that crashed or don't respond, of which some only may
+// have run it, a task is suspected: it is not started again, but nothing is known of it.
 package crashloop
 
 import (
@@ -61,17 +64,21 @@
 	// Quarantined tasks may have crashed several targets. Some of these are unresponsive, and
 	// whether they crashed is known when they respond again.
 	Quarantined
+	// Suspected tasks may have crashed as many targets as make a crash loop.
+	Suspected
 	// CrashLoop tasks have crashed the targets that started them.
 	CrashLoop
 )
 
-// crashRecord is an incarnation that crashed or became unresponsive with tasks running.
+// crashRecord is an incarnation that crashed or became unresponsive.
 type crashRecord struct {
 	incarnation Incarnation
 	at          time.Time
 	confirmed   bool // crashed, not only unresponsive
-	tasks       map[Task]struct{}
-	jobs        map[string]struct{}
+	// tasks are those that may have been running; the value states that it is certain. jobs are
+	// the jobs of those that were running.
+	tasks map[Task]bool
+	jobs  map[string]struct{}
 }
 
 // evidence is the part of one confirmed crash that counts against one task.
@@ -107,13 +114,15 @@
 	return unexplained >= minUnexplainedCrashes || len(crashes) >= maxCrashes
 }
 
-// RecordUnresponsive records that a target with running tasks does not respond.
+// RecordUnresponsive records that a target does not respond or has crashed, and tasks that may have
+// been running.
 func (d *Detector) RecordUnresponsive(now time.Time, incarnation Incarnation, tasks []Task) {
 	d.record(now, incarnation, tasks, false)
 }
 
-// RecordCrash records that an incarnation has ended with tasks running. If it was recorded as
-// unresponsive before, it keeps the time of that.
+// RecordCrash records that an incarnation has ended, and the tasks that were running. If it was
+// recorded as unresponsive before, it keeps the time of that, and the tasks of that record may have
+// been running.
 func (d *Detector) RecordCrash(now time.Time, incarnation Incarnation, tasks []Task) {
 	d.record(now, incarnation, tasks, true)
 }
@@ -147,18 +156,20 @@
 	d.expire(now)
 	c := d.find(incarnation)
 	if c == nil {
-		c = &crashRecord{incarnation: incarnation, at: now, tasks: map[Task]struct{}{}, jobs: map[string]struct{}{}}
+		c = &crashRecord{incarnation: incarnation, at: now, tasks: map[Task]bool{}, jobs: map[string]struct{}{}}
 		d.crashes = append(d.crashes, c)
 	}
 	c.confirmed = c.confirmed || confirmed
 	for _, t := range tasks {
-		if _, known := c.tasks[t]; known {
-			continue
+		running, known := c.tasks[t]
+		c.tasks[t] = running || confirmed
+		if confirmed {
+			c.jobs[t.Job] = struct{}{}
+		}
+		if !known {
+			d.taskRecords++
+			d.byTask[t] = append(d.byTask[t], c)
 		}
-		d.taskRecords++
-		c.tasks[t] = struct{}{}
-		c.jobs[t.Job] = struct{}{}
-		d.byTask[t] = append(d.byTask[t], c)
 	}
 }
 
@@ -178,24 +189,27 @@
 	}
 }
 
-// Classify returns the verdict on a task and the number of confirmed crashes of targets that
-// ran it.
+// Classify returns the verdict on a task and the number of crashes of targets that were
+// running it.
 func (d *Detector) Classify(now time.Time, t Task) (v Verdict, crashes int) {
 	var confirmed []evidence
-	unresponsive := 0
+	unresponsive, possible := 0, 0
 	for _, c := range d.byTask[t] {
-		if now.Sub(c.at) > retention {
-			continue
-		}
-		if !c.confirmed {
+		switch {
+		case now.Sub(c.at) > retention:
+		case !c.confirmed:
 			unresponsive++
-			continue
+		case !c.tasks[t]:
+			possible++
+		default:
+			confirmed = append(confirmed, evidence{explained: d.explained(c, t.Job), otherTasks: len(c.tasks) - 1})
 		}
-		confirmed = append(confirmed, evidence{explained: d.explained(c, t.Job), otherTasks: len(c.tasks) - 1})
 	}
 	switch {
 	case d.isLoop(confirmed):
 		return CrashLoop, len(confirmed)
+	case len(confirmed)+possible+unresponsive >= maxCrashes:
+		return Suspected, len(confirmed)
 	case unresponsive > 0 && len(confirmed)+unresponsive >= minUnexplainedCrashes:
 		return Quarantined, len(confirmed)
 	}
--- a/internal/scheduler/crashloop/crashloop_test.go
+++ b/internal/scheduler/crashloop/crashloop_test.go
@@ -44,6 +44,24 @@
 	g.Expect(verdict).To(Equal(CrashLoop))
 }
 
+// Guards against a sound task that counts as a crash loop because of targets on which it may never
+// have run, and against a task that crashes target after target before its starts are answered.
+func TestCrashWithoutProofOfARunIsOnlySuspicious(t *testing.T) {
+	g, d := NewWithT(t), New()
+	d.RecordCrash(now, incarnation("a"), []Task{task("x")})
+	for i, name := range []string{"b", "c"} {
+		verdict, crashes := d.Classify(now, task("x"))
+		g.Expect(verdict).To(Equal(Clear), "after %d crashes in doubt", i)
+		g.Expect(crashes).To(Equal(1))
+		d.RecordUnresponsive(now, incarnation(name), []Task{task("x")})
+		d.RecordCrash(now, incarnation(name), []Task{task("y")})
+	}
+	verdict, _ := d.Classify(now, task("x"))
+	g.Expect(verdict).To(Equal(Suspected))
+	verdict, _ = d.Classify(now, task("y"))
+	g.Expect(verdict).To(Equal(CrashLoop))
+}
+
 // Guards against crashes that count for ever and against unbounded memory for them.
 func TestCrashRecordsExpire(t *testing.T) {
 	g, d := NewWithT(t), New()
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -150,18 +150,19 @@
 
 // Fates of a target.
 const (
-	FateUnresponsive Fate = 1 // the target does not respond
-	FateCrashed      Fate = 2 // the incarnation ended without an announcement
+	FateUnresponsive Fate = 1 // the target does not respond, or has crashed; the tasks may have been running
+	FateCrashed      Fate = 2 // the incarnation ended without an announcement; the tasks were running
 	FateRecovered    Fate = 3 // the target responds again
 )
 
 // Crash reports the fate of an incarnation of a target. It is sent to every entry, because the
-// caller of a lost job may submit it again through any of them.
+// caller of a lost job may submit it again through any of them. A crash may be reported twice, with
+// the tasks that may have been running and then with those that were.
 type Crash struct {
 	Target    string    `cbor:"1,keyasint"`
 	StartedMs int64     `cbor:"2,keyasint"` // start time of the incarnation, from its announcement
 	Fate      Fate      `cbor:"3,keyasint"`
-	Tasks     []TaskRef `cbor:"4,keyasint,omitempty"` // active tasks
+	Tasks     []TaskRef `cbor:"4,keyasint,omitempty"`
 }
 
 // Evacuation is a record of the platform's log about one data centre: it forbids the start of
