Run times: every ratio has an answer, also that of a run without an estimate

A valid job without an estimate on a target of a queue with a tail was enough.

Cause: for such a run the ratio of its time to the expected time is +Inf. The look-up of the remaining time converted the logarithm of it to an int, the least one, before it compared with the size of the curve, and indexed with it.

Evidence: the last lines of both runners, "index out of range [-]", lookUp from remainingMs.

Change: the look-up compares first; NaN has an answer, too. The same cause on related paths, where a missing estimate was taken for an expected time of 0: such a run has no remaining time, and is no evidence that its target makes no progress or hangs tasks.

Tests: TestEveryRatioHasAnAnswer and TestTasksWithoutAnEstimate, which ended with that panic before.

--- a/internal/runs/hung.go
+++ b/internal/runs/hung.go
@@ -21,8 +21,8 @@
 
 // hung reports whether a stopped run had taken far longer than expected.
 func (t *Table) hung(r *run) bool {
-	if t.endTimesUncertain || r.startRetries > 0 || r.stopCalledAt.IsZero() {
-		return false // the times of its start and end are uncertain
+	if t.endTimesUncertain || r.startRetries > 0 || r.stopCalledAt.IsZero() || r.order.EstimateMs <= 0 {
+		return false // the times of its start and end are uncertain, or nothing is expected of it
 	}
 	expected := clock.FromMillis(hungFactor*t.health.steadyRatio*r.order.EstimateMs) + hungMargin
 	return r.stopCalledAt.Sub(r.startedAt) > expected
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -216,8 +216,8 @@
 	overdue, total := 0, 0
 	jobs := map[string]bool{}
 	for r := range t.runs.Values() {
-		if r.state != running {
-			continue
+		if r.state != running || r.order.EstimateMs <= 0 {
+			continue // a run without an expected time shows nothing
 		}
 		total++
 		expected := clock.FromMillis(stallFactor*ratio*r.order.EstimateMs) + stallMargin
--- a/internal/runs/runtimes.go
+++ b/internal/runs/runtimes.go
@@ -265,8 +265,11 @@
 
 // remainingMs returns the expected remaining time of a started run on a target of the given
 // speed; it is negative for a run past its expected end. A long run of a queue with a tail has as
-// much before it as such runs have on average.
+// much before it as such runs have on average. Nothing is expected of a run without an estimate.
 func (t *Table) remainingMs(r *run, speed float64) float64 {
+	if r.order.EstimateMs <= 0 {
+		return 0
+	}
 	expectedMs := r.order.EstimateMs / speed
 	elapsedMs := clock.Millis(t.now.Sub(r.startCalledAt))
 	if elapsedMs < runtimes.LongRatio*expectedMs || r.state != running {
--- a/internal/runs/runtimes_test.go
+++ b/internal/runs/runtimes_test.go
@@ -182,6 +182,30 @@
 	g.Expect(with.speedSum).To(Equal(without.speedSum))
 }
 
+// Guards against an agent that ends with a panic when a task without an estimate runs in a queue with
+// a tail, and against a target that looks slow or stalled because of such tasks.
+func TestTasksWithoutAnEstimate(t *testing.T) {
+	s := newStream(t, "q", 1)
+	s.warmUp()
+	s.Expect(s.runTimesOf("q").HasTail()).To(BeTrue())
+	for i := range 3 {
+		s.seq++
+		s.Receive(s.now, testConn, &wire.LeasedToAgent{Orders: []wire.Order{{Seq: s.seq, Job: fmt.Sprint("bare-", i), RunNumber: s.seq,
+			Demand: job.Demand{CPUMilli: 600}, SlackMs: 100, MaxWaitMs: 300, TimeoutMs: 20_000, Queue: "q"}}})
+		s.Started(s.now, s.target.starts[0], Accepted, 60_000)
+		s.open = append(s.open, streamedRun{run: s.target.starts[0].Run, seq: s.seq, end: s.now.Add(time.Second)})
+		s.target.starts = s.target.starts[:0]
+	}
+	steps, stalls := s.steps, s.stalls
+	for range 120 {
+		s.step()
+	}
+	s.Expect(s.steps - steps).To(Equal(120))
+	s.Expect(s.stalls).To(Equal(stalls))
+	r := &run{order: wire.Order{Queue: "q"}, state: running, startedAt: s.now, startCalledAt: s.now, stopCalledAt: s.now.Add(time.Second)}
+	s.Expect(s.hung(r)).To(BeFalse())
+}
+
 // Guards the summaries: small, only to entries that understand them, once a session and then only
 // after a change. Also guards against tasks that are sent to wait behind a long run as if it ended
 // in 15 ms.
--- a/internal/scheduler/runtimes/distribution.go
+++ b/internal/scheduler/runtimes/distribution.go
@@ -193,16 +193,17 @@
 	c.tail = lookUp(&c.survival, tailRatio) >= tailShare
 }
 
-// lookUp interpolates the values of a curve at a ratio.
+// lookUp interpolates the values of a curve at a ratio. Below the curve, and for NaN, it returns the
+// first value, above it the last one.
 func lookUp(values *[curvePoints]float64, ratio float64) float64 {
 	if !(ratio > curveStart) {
 		return values[0]
 	}
 	at := math.Log(ratio/curveStart) / curveStep
-	i := int(at)
-	if i >= curvePoints-1 {
+	if at >= curvePoints-1 { // also for +Inf, which does not convert to an int
 		return values[curvePoints-1]
 	}
+	i := int(at)
 	return values[i] + (at-float64(i))*(values[i+1]-values[i])
 }
 
--- a/internal/scheduler/runtimes/runtimes_test.go
+++ b/internal/scheduler/runtimes/runtimes_test.go
@@ -156,6 +156,18 @@
 	g.Expect(d.HasTail()).To(BeFalse())
 }
 
+// Guards against a process that ends with a panic because a question is asked for a run without an
+// expected time, whose ratio is infinite or not a number.
+func TestEveryRatioHasAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	d := New()
+	for _, ratio := range []float64{math.Inf(1), math.Inf(-1), math.NaN(), math.MaxFloat64, -1, 0, maxRatio, math.Nextafter(maxRatio, 0)} {
+		g.Expect(d.Survival(ratio)).To(And(BeNumerically(">=", 0), BeNumerically("<=", 1)), "ratio %g", ratio)
+		g.Expect(d.Remainder(ratio)).To(And(BeNumerically(">=", 0), BeNumerically("<", maxRatio)), "ratio %g", ratio)
+	}
+	g.Expect(d.Survival(math.Inf(1))).To(Equal(d.Survival(maxRatio)))
+}
+
 // Guards against values and summaries that would distort the judgement of every run of a queue.
 func TestMalformedValuesAreIgnored(t *testing.T) {
 	g := NewWithT(t)
