Runner tests: state of the simulated fleet is read after synctest.Wait

What was seen: a data race in 1 of 3 whole runs of make test and in 2 of 12 runs of TestRecordsOfGoneEntriesAreDeleted, 12 at a time; again in the first whole run of this work.

Cause: the test read the dialers' map and an entry's sessions while the goroutines of the runners change them under their locks. A sleep of the test ends at the same fake time as their timers.

Change: synctest.Wait before these reads, as costs does: it orders what the other goroutines have done before them. The two other tests of the file read behind costs. The expectations are unchanged.

Measured: 24 runs, 12 at a time, with the race detector: passed.

--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -143,12 +143,14 @@
 		time.Sleep(2 * time.Minute)
 		g.Expect(listed(gone)).To(BeFalse())
 		time.Sleep(15 * time.Minute) // until all entries have looked at the list, and forgotten it
+		synctest.Wait() // orders the accesses of the other goroutines before the following
 		for _, h := range f.hosts {
 			g.Expect(h.runner.dialers.conns).NotTo(HaveKey(gone.addr))
 		}
 		cutOff.setCutOff(false)
 		time.Sleep(10 * time.Minute)
 		g.Expect(listed(cutOff)).To(BeTrue())
+		synctest.Wait()
 		g.Expect(len(cutOff.sessions)).To(BeNumerically(">", 0))
 	})
 }
