Fencing tokens: a token of an earlier incarnation is passed in some tens of calls

What callers would see: a target that restarts under its name is lost to them for as long as its earlier incarnation had lived.

Cause: tokens are times of the target's clock. A call of the earlier incarnation that reaches the new one, whose name is the same, leaves it a token far above its new clock; the runner then raised its own by one a renewal.

Evidence: TestTokenOfAnEarlierLifeIsOvertaken, which failed before: not accepted after 50 renewals, with a token of a month.

Change: the step doubles with each refusal, up to 2^40, and only the refusal of the present token counts, so that calls under way together raise it once.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -87,7 +87,7 @@
 		"cpu_milli", a.Capacity.CPUMilli, "memory_mb", a.Capacity.MemoryMB, "labels", a.Labels, "leaving", a.Leaving)
 	t.endIncarnation("another_life")
 	t.target, t.targetKnown, t.restored = a, true, false
-	t.token, t.endCursor, t.listed = 0, 0, false
+	t.token, t.tokenRefusals, t.endCursor, t.listed = 0, 0, 0, false
 	t.reachable, t.failures, t.lastAnswerAt = true, 0, t.now
 	t.health = newRating()
 	t.forgetEnds()
--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -189,3 +189,23 @@
 	l.accept(0)
 	l.Expect(l.now.Add(idle.Wait + idle.ReplyTimeout + 2*maxCallTimeout)).To(BeTemporally("<", l.end))
 }
+
+// Guards against a target that is lost for hours: it restarts under its name, and a call of the life
+// before leaves it a fencing token far above its new clock.
+func TestTokenOfAnEarlierLifeIsOvertaken(t *testing.T) {
+	h := newHarness(t)
+	h.incarnation.StartedMs = 9000
+	h.Announce(h.now, Announcement{Incarnation: h.incarnation, Service: "s", ClockMs: 1000, Seq: 1})
+	const token = 30 * 24 * 3600 * 1000 // of a life that lasted for a month
+	for n := 0; !h.listed; n++ {
+		h.Expect(n).To(BeNumerically("<", 50))
+		call, _ := h.NextRenewal(h.now)
+		h.now = h.now.Add(time.Millisecond)
+		h.Renewed(h.now, h.now, call, Listing{ClockMs: 1001 + int64(n), StartedMs: 9000, StaleToken: call.Token < token})
+	}
+	before := h.token
+	for range 30 { // calls that were under way together
+		h.Stopped(h.now, StopCall{Incarnation: h.incarnation, Token: before, Run: RunID{task("a", 0), 7}}, StaleToken)
+	}
+	h.Expect(h.token).To(BeNumerically("<=", before+1))
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -17,14 +17,14 @@
 	}
 	t.lease.Clock.Set(now, l.ClockMs)
 	if l.StaleToken || c.Token == 0 {
-		t.raiseToken()
+		t.raiseToken(c.Token)
 		return // an earlier agent can still change the listed state until this agent's token is in force
 	}
 	if !t.reachable {
 		event.Log(t.log, event.TargetBack, "target", t.target.Incarnation.Name, "failures", t.failures)
 		t.reportRecovered()
 	}
-	t.lastAnswerAt = now
+	t.lastAnswerAt, t.tokenRefusals = now, 0
 	t.endTimesUncertain = t.failures > 0
 	t.reachable, t.failures = true, 0
 	t.applyEnds(l.Ended)
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -289,6 +289,7 @@
 	silentTasks []wire.TaskRef
 
 	token             int64 // 0: not yet drawn
+	tokenRefusals     int   // refused tokens since the last listing
 	lease             lease.Lease
 	leaseWithheld     bool         // the last renewal did not extend the lease, because of a run that is being stopped
 	meanAnswerMs      float64      // mean time to the answer to a start call
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -6,10 +6,19 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// raiseToken sets a fencing token above every one that an earlier agent can have presented:
-// tokens are times on the target's own clock, and an earlier agent set its tokens earlier.
-func (t *Table) raiseToken() {
-	t.token = max(t.token+1, t.lease.Clock.Ms(t.now))
+// maxTokenStep limits the growth of the fencing token, as a power of two.
+const maxTokenStep = 40
+
+// raiseToken sets a fencing token above one that the target has refused. An earlier agent has usually
+// presented a time of the target's own clock, which the clock has passed since. A call for an earlier
+// incarnation under the same name may have left a token far above it; with steps that double it is
+// passed after some tens of refusals. A call with an older token than the present one says nothing.
+func (t *Table) raiseToken(refused int64) {
+	if refused < t.token {
+		return
+	}
+	t.token = max(t.token+1<<min(t.tokenRefusals, maxTokenStep), t.lease.Clock.Ms(t.now))
+	t.tokenRefusals++
 }
 
 // stop begins to stop a run. If its start was not answered, the stop fences the run off: the
@@ -47,7 +56,7 @@
 			r.stopConfirmedAt = now
 		}
 	case StaleToken:
-		t.raiseToken()
+		t.raiseToken(c.Token)
 		r.stopAttempts = 0 // retry at once with the new token
 	}
 }
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -115,7 +115,7 @@
 	case NoAnswer:
 		t.startUnanswered(r)
 	default:
-		t.startRejected(r, answer)
+		t.startRejected(r, c.Token, answer)
 	}
 	t.startQueued()
 }
@@ -144,7 +144,7 @@
 }
 
 // startRejected handles an answer that proves that this call has started nothing.
-func (t *Table) startRejected(r *run, answer Answer) {
+func (t *Table) startRejected(r *run, token int64, answer Answer) {
 	reason := wire.NotRunRejected
 	switch answer {
 	case StaleRun:
@@ -152,7 +152,7 @@
 	case NotDelivered:
 		reason = wire.NotRunDown
 	case StaleToken:
-		t.raiseToken()
+		t.raiseToken(token)
 	case Rejected:
 		t.health.recordRejection(t.now)
 	}
