Overdue tasks: a task without an estimate is not overdue

Cause: the limit of an overdue task is a multiple of its expected time and a margin of 60 ms; without an estimate only the margin was left.

Change: nothing is concluded from the time of such a task; its caller's deadline ends it.

Test: TestTaskWithoutAnEstimateIsNotOverdue; before, the job was given up.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -426,3 +426,22 @@
 	}
 	h.Expect(caller.answers).To(BeEmpty())
 }
+
+// Guards against a job without an estimate that is given up after some tens of milliseconds, because
+// nothing was expected to take longer.
+func TestTaskWithoutAnEstimateIsNotOverdue(t *testing.T) {
+	h := newHarness(t, 2)
+	j := h.newJob("1", 1)
+	j.Steps[0].Estimate = 0
+	caller := h.submit(j)
+	h.Expect(h.orderCount()).To(Equal(1))
+	h.advance(time.Second)
+	h.Expect(caller.answers).To(BeEmpty())
+	h.Expect(h.orderCount()).To(Equal(1))
+	for id, orders := range h.sentOrders() {
+		for _, o := range orders {
+			h.reportOutcome(id, o.Seq, wire.EndDone, 0)
+		}
+	}
+	h.Expect(caller.answers).To(ConsistOf(HaveField("Kind", AnswerComplete)))
+}
--- a/internal/dispatch/overdue.go
+++ b/internal/dispatch/overdue.go
@@ -69,8 +69,11 @@
 }
 
 // isOverdue reports whether an attempt takes far longer than predicted by the first estimate of its
-// job.
+// job. Nothing is predicted for a step without an estimate.
 func (c *Core) isOverdue(at *attempt) bool {
+	if at.job.Steps[at.task.step].Estimate <= 0 {
+		return false
+	}
 	factor := time.Duration(overdueFactor)
 	if at.agent.load.Rejecting {
 		factor = rejectingFactor
