Lease: that of an unreachable target is not extended

What callers would see: no capacity on a target that went dark, and later answers to copies of its jobs.

Cause: since renewals count as granted when they are called, those to a target that does not answer put off the end of its lease by themselves. Entries give up its jobs 40 ms after it is reported as unreachable.

Change: renewals of an unreachable target list only.

--- a/internal/runs/lease.go
+++ b/internal/runs/lease.go
@@ -75,10 +75,11 @@
 }
 
 // extendLease returns the end of the lease to request with a renewal; 0: don't extend it. Nothing is
-// extended while the target runs something that an earlier agent started, whose owner is gone.
+// extended while the target runs something that an earlier agent started, whose owner is gone, or while
+// it is unreachable, because entries then give up the jobs that it runs.
 func (t *Table) extendLease() int64 {
 	first, by := t.earliestEndBy()
-	if !t.listed || first == nil || t.foreignRuns.Len() > 0 {
+	if !t.listed || !t.reachable || first == nil || t.foreignRuns.Len() > 0 {
 		t.leaseWithheld = false
 		return 0
 	}
