--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,7 @@
 	{"path to a target", pathFault(func(r *run, rnd *rand.Rand) *relay.Relay { return pick(rnd, r.fleet.TargetPaths) })},
 	{"path between processes", pathFault(func(r *run, rnd *rand.Rand) *relay.Relay { return pick(rnd, pick(rnd, r.fleet.SessionPaths)) })},
 	{"runner cut off", isolateRunner},
+	{"connections of a runner go silent", silenceRunner},
 	{"entry cut off", isolateEntry},
 	{"target crashes", crashRandomTarget},
 	{"target crashes behind a cut", restartTargetUnseen},
@@ -234,6 +235,16 @@
 	}
 }
 
+// silenceRunner drops the data of all open connections of a runner, to the entries and to its target.
+// New ones work, so that its stops and renewals may be lost separately.
+func silenceRunner(r *run, rnd *rand.Rand, _ time.Duration) func() {
+	i := rnd.IntN(len(r.fleet.Runners))
+	for _, p := range append([]*relay.Relay{r.fleet.TargetPaths[i]}, r.fleet.SessionPaths[i]...) {
+		p.BlackholeOpen(true, true)
+	}
+	return nil
+}
+
 // isolateEntry cuts an entry off from the store, from its callers and from all runners.
 func isolateEntry(r *run, rnd *rand.Rand, _ time.Duration) func() {
 	e := rnd.IntN(r.Entries)
