Runs: the lease is checked only for orders that fit

Each queued order was compared with all runs in progress at every call, also where the target has no room for it; and the count of delayed starts included orders that waited for capacity.

--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -143,7 +143,8 @@
 		time.Sleep(2 * time.Minute)
 		g.Expect(listed(gone)).To(BeFalse())
 		time.Sleep(15 * time.Minute) // until all entries have looked at the list, and forgotten it
-		synctest.Wait()              // orders the accesses of the other goroutines before the following
+		// Orders the accesses of the other goroutines before the following ones.
+		synctest.Wait()
 		for _, h := range f.hosts {
 			g.Expect(h.runner.dialers.conns).NotTo(HaveKey(gone.addr))
 		}
--- a/internal/runs/lease.go
+++ b/internal/runs/lease.go
@@ -20,8 +20,8 @@
 	return s.wantedAt
 }
 
-// abandon records that the entry of an order no longer wants it: from now on no other order of the
-// session proves the contrary.
+// abandon records that the entry of an order no longer wants it. What arrives on its session from now
+// on proves nothing about the order.
 func (t *Table) abandon(r *run) {
 	if r.wantedAt.IsZero() && r.session != nil {
 		r.wantedAt = t.wantedAt(r.session)
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -212,11 +212,11 @@
 			i++
 			continue
 		}
-		if r.state == queued && !t.leaseAllows(r) {
-			i++
-			continue
-		}
 		if r.order.Demand.Fits(t.freeCapacity()) {
+			if r.state == queued && !t.leaseAllows(r) {
+				i++
+				continue
+			}
 			t.queue = slices.Delete(t.queue, i, i+1)
 			if r.state == reserved {
 				t.offer(r)
