--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -36,8 +36,8 @@
 // its job to any entry after a delay, 1.3 s in present deployments; by then the runs of
 // the former owner must have ended. An agent detects the loss of an owner at most
 // silenceTimeout and one heartbeat interval after its last frame, 0.75 s, and a stop takes
-// some tens of milliseconds, at most 0.1 s. That leaves 0.4 s for a stop that has to be
-// repeated. The timeout is no shorter, because the end of a session costs the work that
+// some tens of milliseconds, at most 0.1 s. If stops are lost, the lease ends the runs in
+// time (package lease). The timeout is no shorter, because the end of a session costs the work that
 // runs over it.
 const (
 	heartbeatInterval = 150 * time.Millisecond
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -207,8 +207,9 @@
 	startedAt                           time.Time // when the target reported its start
 	startRetries                        int       // start calls repeated for lack of an answer
 	everRan                             bool      // the start was accepted, or the run was listed
-	// wantedAt is the time up to which the run is known to have been wanted, once it is being
-	// stopped; until then that of its session applies. It is never later than callerLeavesAt.
+	// wantedAt is the time up to which the run is known to have been wanted, once it is abandoned;
+	// until then that of its session applies. callerLeavesAt is the earliest time at which its
+	// caller may stop waiting.
 	wantedAt, callerLeavesAt time.Time
 	startDelayed             bool // it has waited for the lease; see leaseAllows
 	notRunReason             wire.NotRunReason
--- a/internal/scheduler/lease/lease.go
+++ b/internal/scheduler/lease/lease.go
@@ -137,7 +137,7 @@
 func (l *Lease) Forget() { l.end, l.Clock = time.Time{}, Clock{} }
 
 // Request returns the end of the longest lease, on the target's clock, that ends by the given time.
-// It returns 0 if that would not extend the lease, or for an unknown clock.
+// It returns 0 if that time has come, or for an unknown clock.
 func (l *Lease) Request(now, by time.Time) int64 {
 	if !l.Clock.Known() {
 		return 0
