--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -140,7 +140,7 @@
 	}
 	c.collectCandidates(l)
 	c.countOpenTasks(l)
-	placed := make([]string, 0, 8)
+	placed, runNumbers := make([]string, 0, 8), make([]string, 0, 8)
 	var reserved []string
 	for i := range l.tasks {
 		t := &l.tasks[i]
@@ -167,9 +167,10 @@
 		a := c.candidateAgents[choice.Index]
 		c.sendOrder(l, t, a, request, choice)
 		placed = append(placed, strconv.Itoa(t.step)+"."+strconv.Itoa(t.index)+"@"+a.host)
+		runNumbers = append(runNumbers, strconv.FormatUint(t.attempt.run, 10))
 	}
 	if len(placed) > 0 {
-		event.Log(c.log, event.TaskPlaced, "job", l.ID, "queue", l.Queue.Name, "tasks", strings.Join(placed, " "),
+		event.Log(c.log, event.TaskPlaced, "job", l.ID, "queue", l.Queue.Name, "tasks", strings.Join(placed, " "), "runs", strings.Join(runNumbers, " "),
 			"left_ms", clock.Millis(l.objective.Sub(c.now)), "oldest_load_ms", c.maxLoadAgeMs())
 	}
 	if len(reserved) > 0 {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -143,7 +143,7 @@
 	// The load that came with the offer includes the capacity held for it.
 	a.uncounted = a.uncounted[:len(a.uncounted)-1]
 	event.Log(c.log, event.TaskPlaced, "job", l.ID, "queue", l.Queue.Name, "tasks", strconv.Itoa(t.step)+"."+strconv.Itoa(t.index)+"@"+a.host,
-		"left_ms", clock.Millis(l.objective.Sub(c.now)), "offered", true)
+		"runs", strconv.FormatUint(t.attempt.run, 10), "left_ms", clock.Millis(l.objective.Sub(c.now)), "offered", true)
 	return true
 }
 
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -119,7 +120,7 @@
 			t.settleNotRun(r, wire.NotRunDown)
 			continue
 		}
-		t.settleGone(r)
+		t.settleGone(r, reason)
 	}
 	t.foreignRuns = newForeignRuns()
 	t.lease.Forget()
@@ -129,8 +130,12 @@
 }
 
 // settleGone settles a run that has certainly ended, or never started, but was not listed as
-// ended.
-func (t *Table) settleGone(r *run) {
+// ended. reason states why that is certain.
+func (t *Table) settleGone(r *run, reason string) {
+	t.counts.Concluded++
+	event.Log(t.log, event.RunConcluded, "job", r.id.Task.Job, "step", r.id.Task.Step, "task", r.id.Task.Index, "run", r.id.Number,
+		"target", t.target.Incarnation.Name, "born_ms", t.target.Incarnation.StartedMs, "reason", reason, "state", r.state.String(), "ran", r.everRan,
+		"start_calls", r.startRetries+1, "called_ms_ago", clock.Millis(t.now.Sub(r.startCalledAt)), "stop_confirmed", !r.stopConfirmedAt.IsZero())
 	if !r.everRan && r.notRunReason != wire.NotRunNone && !r.stopConfirmedAt.IsZero() {
 		t.counts.NotRun++
 		t.settleWith(r, wire.RunOutcome{Seq: r.order.Seq, End: wire.EndNotRun, Reason: r.notRunReason})
--- a/internal/runs/lease.go
+++ b/internal/runs/lease.go
@@ -96,3 +96,15 @@
 	}
 	t.leaseWithheld = withheld
 }
+
+// noteOutlived logs a run that is over only after its caller may have sent the job again.
+func (t *Table) noteOutlived(r *run) {
+	late := t.now.Sub(t.endBy(r))
+	if r.state == queued || late <= lease.StopTime {
+		return
+	}
+	t.counts.Outlived++
+	event.Log(t.log, event.RunOutlived, "job", r.id.Task.Job, "step", r.id.Task.Step, "task", r.id.Task.Index, "run", r.id.Number,
+		"target", t.target.Incarnation.Name, "state", r.state.String(), "stop_attempts", r.stopAttempts,
+		"wanted_ms_ago", clock.Millis(late+t.options.Lease.RunLimit), "session_open", r.session != nil)
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -111,11 +111,11 @@
 	switch r.state {
 	case running:
 		if calledAt.After(r.startedAt) {
-			t.settleGone(r)
+			t.settleGone(r, "not_listed")
 		}
 	case stopping:
 		if !r.stopConfirmedAt.IsZero() && calledAt.After(r.stopConfirmedAt) {
-			t.settleGone(r)
+			t.settleGone(r, "stopped")
 		}
 	}
 }
@@ -165,7 +165,7 @@
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
 		if r.state != queued && r.everRan {
-			t.settleGone(r)
+			t.settleGone(r, "lease_over")
 		}
 	}
 }
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -177,7 +177,7 @@
 			r.state = running
 		}
 	case OtherIncarnation:
-		t.settleGone(r)
+		t.settleGone(r, "other_incarnation")
 	default:
 		t.stop(r, wire.NotRunNoAnswer)
 	}
--- a/internal/scheduler/lease/lease.go
+++ b/internal/scheduler/lease/lease.go
@@ -14,9 +14,9 @@
 import "time"
 
 const (
-	// stopTime is the time that a target takes to stop its runs when the lease ends, 50 ms at most,
+	// StopTime is the time that a target takes to stop its runs when the lease ends, 50 ms at most,
 	// and the rounding to milliseconds of its clock.
-	stopTime = 60 * time.Millisecond
+	StopTime = 60 * time.Millisecond
 	// recallTime is how long an entry that was paused may take, once it runs again, to notice that a
 	// caller has left and to send the recall. Meanwhile its heartbeats prove nothing.
 	recallTime = 100 * time.Millisecond
@@ -46,10 +46,10 @@
 // job again resendDelay after they left or got no result. With a resendDelay so short that runs can't
 // end in time, safe is false: then runs can overlap if their stops are lost.
 func NewTerms(grantLimit, resendDelay time.Duration) (terms Terms, safe bool) {
-	runLimit := resendDelay - recallTime - stopTime
+	runLimit := resendDelay - recallTime - StopTime
 	safe = runLimit >= maxProofAge+minLimit
 	runLimit = max(runLimit, maxProofAge+minLimit)
-	return Terms{Limit: min(grantLimit, runLimit-maxProofAge), RunLimit: runLimit, SettleLimit: runLimit + stopTime}, safe
+	return Terms{Limit: min(grantLimit, runLimit-maxProofAge), RunLimit: runLimit, SettleLimit: runLimit + StopTime}, safe
 }
 
 // Proof is the evidence that the entry of a session still wanted its runs. It is the time at which
@@ -130,7 +130,7 @@
 
 // Over reports whether every lease requested so far has ended and the runs under it with it.
 func (l *Lease) Over(now time.Time) bool {
-	return !l.end.IsZero() && !now.Before(l.end.Add(stopTime))
+	return !l.end.IsZero() && !now.Before(l.end.Add(StopTime))
 }
 
 // Forget forgets the lease and the clock of a target that has ended.
--- a/internal/scheduler/lease/lease_test.go
+++ b/internal/scheduler/lease/lease_test.go
@@ -59,7 +59,7 @@
 	terms, safe := NewTerms(15*time.Second, resendDelay)
 	g.Expect(safe).To(BeTrue())
 	g.Expect(terms.Limit).To(Equal(600 * time.Millisecond))
-	g.Expect(terms.RunLimit + stopTime).To(BeNumerically("<", resendDelay))
+	g.Expect(terms.RunLimit + StopTime).To(BeNumerically("<", resendDelay))
 	terms, safe = NewTerms(time.Second, 500*time.Millisecond)
 	g.Expect(safe).To(BeFalse())
 	g.Expect(terms.Limit).To(BeNumerically(">=", minLimit))
