Listings: an answer that can't be read shows no run to be over

A 200 to a renewal whose body was empty, cut off or of another type was decoded as an empty listing, and a row that couldn't be read was skipped. All runs that were missing from it were settled as over, and their entries started the tasks on other targets while these worked on; the next listing showed the first runs as foreign. One such answer is enough for two runs at once.

A body without a reading of the clock is an answer that can't be read: the renewal has failed.

--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -28,7 +28,7 @@
 	t.endTimesUncertain = t.failures > 0
 	t.reachable, t.failures = true, 0
 	t.applyEnds(l.Ended)
-	t.reconcile(calledAt, l.Running)
+	t.reconcile(calledAt, &l)
 	t.startQueued()
 }
 
@@ -76,10 +76,11 @@
 }
 
 // reconcile compares the runs that the target lists as running with those of the table: it stops
-// the ones of an earlier agent and settles the missing ones.
-func (t *Table) reconcile(calledAt time.Time, runningIDs []RunID) {
-	present := make(map[RunID]bool, len(runningIDs))
-	for _, id := range runningIDs {
+// the ones of an earlier agent and settles the missing ones. An incomplete listing says nothing about
+// missing runs.
+func (t *Table) reconcile(calledAt time.Time, l *Listing) {
+	present := make(map[RunID]bool, len(l.Running))
+	for _, id := range l.Running {
 		present[id] = true
 		r := t.run(id)
 		switch {
@@ -91,6 +92,9 @@
 			r.everRan = true
 		}
 	}
+	if l.Incomplete {
+		return
+	}
 	for _, id := range slices.Collect(t.foreignRuns.Keys()) {
 		if !present[id] {
 			t.foreignRuns.Delete(id)
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -137,6 +137,9 @@
 	Ended     []EndedRun
 	// StaleToken reports that the target has seen a higher token and ignored the call.
 	StaleToken bool
+	// Incomplete reports that rows of the answer can't be read: a run that is missing from the lists
+	// may be running.
+	Incomplete bool
 }
 
 // RenewFailure is the reason why a RenewCall failed.
@@ -144,7 +147,7 @@
 
 // Reasons for a failed RenewCall.
 const (
-	Unresponsive RenewFailure = iota + 1 // no answer in time, or the connection broke
+	Unresponsive RenewFailure = iota + 1 // no answer in time, or none that can be read, or the connection broke
 	Refused                              // no process listens at the address: that incarnation has ended
 	Overloaded                           // the target answered that it can't serve the call
 	Replaced                             // another incarnation answers at the address
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -426,3 +426,18 @@
 	h.Receive(h.now, 2, &wire.LeasedToAgent{Orders: []wire.Order{order}})
 	h.Expect(h.Waiting()).To(Equal(2), "its entry expects the wait")
 }
+
+// Guards against two runs of one task: a run whose row can't be read is missing from the lists, and counts
+// as over.
+func TestIncompleteListingSettlesNoMissingRun(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.answerStart(0, Accepted)
+	h.advance(10 * time.Millisecond)
+	call, _ := h.NextRenewal(h.now)
+	h.Renewed(h.now, h.now, call, Listing{ClockMs: 6000, Incomplete: true})
+	h.Expect(h.outcomes(testConn)).To(BeEmpty())
+	h.advance(10 * time.Millisecond)
+	h.Renewed(h.now, h.now, call, Listing{ClockMs: 6010})
+	h.Expect(h.outcomes(testConn)).To(HaveLen(1))
+}
