--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -202,7 +202,7 @@
 	{LeaseWithheld, "lease_withheld", "the lease of a target is not extended, because a run that no owner is known to want has not been stopped; all its runs end with the lease"},
 	{LeaseUnsafe, "lease_unsafe", "callers send jobs again so soon that the runs of a lost owner may not have ended by then"},
 	{RunConcluded, "run_concluded", "a run was settled although its target has not listed its end; the line has the reason and the state of the run"},
-	{RunOutlived, "run_outlived", "a run was over only after the time by which its caller may have sent the job again"},
+	{RunOutlived, "run_outlived", "a run may have gone on until its caller may have sent the job again"},
 }
 
 var names = func() map[ID]string {
--- a/internal/runs/lease.go
+++ b/internal/runs/lease.go
@@ -97,9 +97,14 @@
 	t.leaseWithheld = withheld
 }
 
-// noteOutlived logs a run that is over only after its caller may have sent the job again.
+// noteOutlived logs a run that may have gone on until its caller may have sent the job again: neither its
+// settlement nor the end of the lease shows that it was over before.
 func (t *Table) noteOutlived(r *run) {
-	late := t.now.Sub(t.endBy(r))
+	over := t.now
+	if leaseOver := t.lease.End().Add(lease.StopTime); !t.lease.End().IsZero() && leaseOver.Before(over) {
+		over = leaseOver
+	}
+	late := over.Sub(t.endBy(r))
 	if r.state == queued || late <= lease.StopTime {
 		return
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -327,8 +327,8 @@
 	// until the lease could end in time for them, and LeasesWithheld how often the lease was not
 	// extended because a run could not be stopped.
 	StopsRepeated, StartsDelayed, LeasesWithheld uint64
-	// Concluded counts the runs that were settled without a listed end, and Outlived those that were
-	// over only after the time by which their callers may have sent their jobs again.
+	// Concluded counts the runs that were settled without a listed end, and Outlived those that
+	// may have gone on until their callers may have sent their jobs again.
 	Concluded, Outlived uint64
 }
 
