Runs: a suspension counts for every run, also of a session that has ended

DisconnectAll moved the time up to which a run was wanted back by the suspension, which the clock may not have counted, only for the runs of open sessions. The lease of a run whose session had ended before, and which was still being stopped, was extended for as much longer. TestSuspensionCountsForARunWhoseSessionHadEnded failed before: its end didn't move.

--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -220,3 +220,16 @@
 	}
 	h.Expect(h.token).To(BeNumerically("<=", before+1))
 }
+
+// Guards against a lease that is extended for a run that nobody wants: a suspension counted only for runs
+// whose session was still open.
+func TestSuspensionCountsForARunWhoseSessionHadEnded(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	l.Disconnect(l.now, testConn)
+	r := l.run(RunID{task("a", 0), 7})
+	before := l.endBy(r)
+	l.DisconnectAll(l.now, 500*time.Millisecond)
+	l.Expect(l.endBy(r)).To(BeTemporally("<=", before.Add(-500*time.Millisecond)))
+}
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -54,11 +54,11 @@
 // must not start now.
 func (t *Table) DisconnectAll(now time.Time, suspended time.Duration) {
 	t.now = now
+	for r := range t.runs.Values() {
+		t.abandon(r)
+		r.wantedAt = r.wantedAt.Add(-suspended) // the clock may not have counted that time
+	}
 	for _, conn := range slices.Collect(t.sessions.Keys()) {
-		for _, r := range t.session(conn).runs {
-			t.abandon(r)
-			r.wantedAt = r.wantedAt.Add(-suspended) // the clock may not have counted that time
-		}
 		t.Disconnect(now, conn)
 		t.options.Outbox.Close(conn)
 	}
