Runner: a start whose incarnation has ended before it is sent is not sent

Each call to a target is made on a goroutine of its own. In a process without processor time for a moment it ran only after the target had restarted, and the next life carried out a start that was meant for the last one. The run is now fenced in the next life, but it has begun there. The goroutine now looks whether the incarnation has ended first, and reports such a start as not delivered: it has not run, and its task goes elsewhere at once. That narrows the case and doesn't replace the fence, because the runner may learn of the end later.

--- a/internal/leased/replay_test.go
+++ b/internal/leased/replay_test.go
@@ -103,6 +103,9 @@
 	h.after(1, func() { h.table.Started(h.now, c, runs.Accepted, h.now.UnixMilli()) })
 }
 
+// Ended implements runs.Target.
+func (h *replayHost) Ended(uint64) {}
+
 // Stop implements runs.Target.
 func (h *replayHost) Stop(c runs.StopCall) {
 	fmt.Fprintln(h.trace, "stop", c.Run)
--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -82,6 +82,9 @@
 // fenceTime is enough for a stop that is lost several times.
 const fenceTime = 600 * time.Millisecond
 
+// Ended implements runs.Target. Starts are sent at once.
+func (h *simHost) Ended(uint64) {}
+
 // Stop implements runs.Target.
 func (h *simHost) Stop(c runs.StopCall) {
 	table := h.table
--- a/internal/runner/target.go
+++ b/internal/runner/target.go
@@ -64,13 +64,25 @@
 func (c *targetCalls) Start(call runs.StartCall) {
 	r := (*Runner)(c)
 	go func() {
-		sentAt := time.Now()
-		answer, clockMs := r.options.Target.Start(call)
-		r.metrics.startUs.Update(time.Since(sentAt).Microseconds())
+		answer, clockMs := r.callStart(call)
 		r.enqueue(func(now time.Time, s *state) { s.table.Started(now, call, answer, clockMs) })
 	}()
 }
 
+// callStart makes a call that starts a run, unless its incarnation has ended before it is sent.
+func (r *Runner) callStart(call runs.StartCall) (answer runs.Answer, clockMs int64) {
+	if call.Life != r.life.Load() {
+		return runs.NotDelivered, 0
+	}
+	sentAt := time.Now()
+	answer, clockMs = r.options.Target.Start(call)
+	r.metrics.startUs.Update(time.Since(sentAt).Microseconds())
+	return answer, clockMs
+}
+
+// Ended implements runs.Target.
+func (c *targetCalls) Ended(life uint64) { c.life.Store(life) }
+
 // Stop implements runs.Target.
 func (c *targetCalls) Stop(call runs.StopCall) {
 	r := (*Runner)(c)
--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -20,6 +20,7 @@
 
 func (f *fakeTarget) Start(c StartCall) { f.starts = append(f.starts, c) }
 func (f *fakeTarget) Stop(c StopCall)   { f.stops = append(f.stops, c) }
+func (f *fakeTarget) Ended(uint64)      {}
 
 // fakeOutbox records the frames sent and the sessions closed.
 type fakeOutbox struct {
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -136,6 +136,8 @@
 		}
 		t.carryOver(r, reason)
 	}
+	t.life++
+	t.options.Target.Ended(t.life)
 	t.foreignRuns = newForeignRuns()
 	t.lease.Forget()
 	if ended > 0 {
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -260,7 +260,7 @@
 	r.startCalledAt = t.now
 	r.startsOpen++
 	t.options.Target.Start(StartCall{
-		Incarnation: t.target.Incarnation, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.requestLease(),
+		Incarnation: t.target.Incarnation, Life: t.life, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.requestLease(),
 		Timeout: t.callTimeout(),
 	})
 }
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -70,7 +70,8 @@
 // StartCall is a call that starts a run.
 type StartCall struct {
 	Incarnation  Incarnation
-	Token        int64 // fencing token
+	Life         uint64 // see Target.Ended
+	Token        int64  // fencing token
 	Run          RunID
 	Spec         string
 	LeaseUntilMs int64 // on the target's clock
@@ -155,6 +156,9 @@
 type Target interface {
 	Start(StartCall)
 	Stop(StopCall)
+	// Ended reports that the incarnation has ended. Starts with a lower Life that were not sent yet
+	// must not be sent: their answer is NotDelivered.
+	Ended(life uint64)
 }
 
 // Outbox sends frames to entries. No method may block.
@@ -281,8 +285,9 @@
 	lastTick     time.Time
 
 	target      Announcement
-	targetKnown bool // a target has announced itself or was restored
-	draining    bool // the agent accepts no new work
+	targetKnown bool   // a target has announced itself or was restored
+	life        uint64 // rises with each end of an incarnation
+	draining    bool   // the agent accepts no new work
 	// evacuated holds the data centres in which nothing may start.
 	evacuated map[string]struct{}
 	health    rating
