Lease: one that a reborn target grants through a call for its last life counts

A run could outlast the time by which its caller may have sent the job again, if its stops were lost: a target that has started again carries out a renewal or a start meant for its last life, the time that this names is far ahead on the new clock, and it grants the longest lease that it ever does, where the runner had forgotten every lease of the life before. Where an answer or a listing shows such a call, the lease now counts as that long, and other runs start only once it ends in time for them.

A run that is listed as ended also proves that its only start call was carried out, so that the next life isn't told to stop it. TestLeaseGrantedThroughACallForTheLastLifeCounts fails without the record ("to have length 1": the second run starts), in each of its four cases.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -139,7 +139,7 @@
 	t.life++
 	t.options.Target.Ended(t.life)
 	t.foreignRuns = newForeignRuns()
-	t.lease.Forget()
+	t.lease.Restarted()
 	if ended > 0 {
 		event.Log(t.log, event.RunsStopped, "runs", ended, "reason", reason, "target", t.target.Incarnation.Name)
 	}
@@ -191,6 +191,7 @@
 	r.startsOpen = max(0, r.startsOpen-1)
 	if answer == Accepted {
 		r.everRan = true
+		t.lease.GrantedByOtherClock(t.now)
 		return
 	}
 	if r.startsOpen == 0 && !r.everRan {
--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -239,3 +239,14 @@
 	h.rebirth()
 	h.Expect(h.reportedCrashes(testConn)).To(HaveExactElements(HaveField("Fate", wire.FateUnresponsive), And(HaveField("Fate", wire.FateCrashed), HaveField("Tasks", BeEmpty()))))
 }
+
+// Guards against a stop in the next life for every short run whose start was not answered: the only call
+// was carried out.
+func TestOnlyStartOfARunThatEndedIsNotFenced(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.renewWithEnds([]EndedRun{h.nextEnd(h.target.starts[0].Run, Done)})
+	h.answerStart(0, NoAnswer)
+	h.rebirth()
+	h.Expect(h.target.stops).To(BeEmpty())
+}
--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -220,3 +220,42 @@
 	}
 	h.Expect(h.token).To(BeNumerically("<=", before+1))
 }
+
+// Guards against a run under a lease that is longer than its own: the target has started again, and its
+// new life has carried out a call for the last one, with a time that is far ahead on the new clock.
+func TestLeaseGrantedThroughACallForTheLastLifeCounts(t *testing.T) {
+	for name, grant := range map[string]func(*leaseTarget, RunID){
+		"a renewal is answered by the new life": func(l *leaseTarget, _ RunID) {
+			call, _ := l.NextRenewal(l.now)
+			l.Renewed(l.now, l.now, call, Listing{ClockMs: youngClockMs, StartedMs: l.incarnation.StartedMs + 5000})
+			l.rebirth()
+			l.renewWith()
+		},
+		"a start is answered by the new life": func(l *leaseTarget, _ RunID) {
+			l.Started(l.now, l.target.starts[0], Accepted, youngClockMs)
+			l.rebirth()
+			l.renewWith()
+		},
+		"a start is answered after the announcement": func(l *leaseTarget, _ RunID) {
+			l.rebirth()
+			l.Started(l.now, l.target.starts[0], Accepted, youngClockMs)
+			l.renewWith()
+		},
+		"its run is listed by the new life": func(l *leaseTarget, run RunID) {
+			l.rebirth()
+			l.renewWith(run)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLeaseTarget(t)
+			l.sendOrder(testConn, 1, task("a", 0), 7)
+			grant(l, l.target.starts[0].Run)
+			l.outbox.wanted[testConn] = l.now.Add(-400 * time.Millisecond)
+			l.sendOrder(testConn, 2, task("b", 0), 8)
+			l.Expect(l.target.starts).To(HaveLen(1), "it has to end in 740 ms, and the lease may last for a second")
+			delete(l.outbox.wanted, testConn)
+			l.advance(15 * time.Millisecond)
+			l.Expect(l.target.starts).To(HaveLen(2))
+		})
+	}
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -16,6 +16,9 @@
 		return
 	}
 	if l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
+		if c.LeaseUntilMs != 0 && !l.StaleToken {
+			t.lease.GrantedByOtherClock(now)
+		}
 		t.RenewFailed(now, c, Replaced) // it has restarted under its name
 		return
 	}
@@ -56,7 +59,7 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = r.startCalledAt
 	}
-	r.everRan = true
+	t.noteCarriedOut(r)
 	ranMs := clock.Millis(t.now.Sub(r.startedAt))
 	switch end {
 	case Done:
@@ -106,17 +109,25 @@
 	t.listed = true
 }
 
-// noteListed records that the target lists a run.
+// noteListed records that the target lists a run as running.
 func (t *Table) noteListed(r *run) {
-	r.everRan, r.seen = true, true
-	if r.startRetries == 0 {
-		r.startsOpen = 0 // the only call was carried out
-	}
+	t.noteCarriedOut(r)
 	if r.state == starting {
 		r.state, r.startedAt = running, t.now
 	}
 }
 
+// noteCarriedOut records that the present incarnation has carried out a start of a run.
+func (t *Table) noteCarriedOut(r *run) {
+	if r.carried && !r.seen {
+		t.lease.GrantedByOtherClock(t.now)
+	}
+	r.everRan, r.seen = true, true
+	if r.startRetries == 0 {
+		r.startsOpen = 0 // it was the only call
+	}
+}
+
 // settleMissing settles a run that the target lists neither as running nor as ended. The list
 // proves that it is gone only if it was requested after the target had answered the start or the
 // stop.
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -107,6 +107,8 @@
 	sameLife := t.sameLife(r, clockMs)
 	if sameLife {
 		t.lease.Clock.Set(now, clockMs)
+	} else if answer == Accepted && clockMs > 0 {
+		t.lease.GrantedByOtherClock(now)
 	}
 	if answer != NoAnswer {
 		r.startsOpen = max(0, r.startsOpen-1)
--- a/internal/scheduler/lease/lease.go
+++ b/internal/scheduler/lease/lease.go
@@ -33,6 +33,8 @@
 
 // Terms are the limits of leases in a deployment.
 type Terms struct {
+	// GrantLimit is the longest lease that a target grants, on its clock.
+	GrantLimit time.Duration
 	// Limit is the longest lease that is requested.
 	Limit time.Duration
 	// RunLimit is the time after the last proof that an entry wants a run by which the lease of the
@@ -49,7 +51,7 @@
 	runLimit := resendDelay - recallTime - StopTime
 	safe = runLimit >= maxProofAge+minLimit
 	runLimit = max(runLimit, maxProofAge+minLimit)
-	return Terms{Limit: min(grantLimit, runLimit-maxProofAge), RunLimit: runLimit, SettleLimit: runLimit + StopTime}, safe
+	return Terms{GrantLimit: grantLimit, Limit: min(grantLimit, runLimit-maxProofAge), RunLimit: runLimit, SettleLimit: runLimit + StopTime}, safe
 }
 
 // Proof is the evidence that the entry of a session still wanted its runs. It is the time at which
@@ -133,8 +135,17 @@
 	return !l.end.IsZero() && !now.Before(l.end.Add(StopTime))
 }
 
-// Forget forgets the lease and the clock of a target that has ended.
-func (l *Lease) Forget() { l.end, l.Clock = time.Time{}, Clock{} }
+// Restarted records that the target has started again, with another clock. Calls for its earlier life
+// may still be carried out.
+func (l *Lease) Restarted() { l.Clock = Clock{} }
+
+// GrantedByOtherClock records that by now the target has carried out a call for an earlier life. The time
+// that it named is of another clock, so that the lease may be as long as the target grants any.
+func (l *Lease) GrantedByOtherClock(now time.Time) {
+	if end := now.Add(time.Duration(float64(l.Terms.GrantLimit) / (1 - maxClockDrift))); end.After(l.end) {
+		l.end = end
+	}
+}
 
 // Request returns the end of the longest lease, on the target's clock, that ends by the given time.
 // It returns 0 if that time has come, or for an unknown clock.
