Runs: a stopped run waits for its start call, which may yet reach the next life

A run whose start was under way was settled as soon as its target had confirmed its stop and listed nothing. If the target restarted then, the next life carried out the start of a run that nobody counted: beyond its capacity, or beside a second run of the task. The fence in the next life comes too late, since its announcement does.

TestStoppedRunWaitsForItsStartCall fails without the condition.

--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -37,6 +37,11 @@
 	h.Expect(h.outcomes(testConn)).To(BeEmpty(), "it may be running until a listing shows otherwise")
 	h.advance(time.Millisecond)
 	h.renewWith()
+	if h.run(run) != nil {
+		h.Expect(h.run(run).startInFlight).To(BeTrue())
+		h.Started(h.now, h.target.starts[0], NoAnswer, 0)
+		h.renewWith()
+	}
 	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)), "it may have run")
 }
 
@@ -92,6 +97,19 @@
 	}
 }
 
+// Guards against the same for a run that was stopped in time in the life before, while its start was still
+// under way.
+func TestStoppedRunWaitsForItsStartCall(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.Receive(h.now, testConn, &wire.LeasedToAgent{Recalls: []uint64{1}})
+	h.Stopped(h.now, h.target.stops[0], Accepted)
+	h.advance(time.Millisecond)
+	h.renewWith()
+	h.rebirth()
+	h.stoppedInNextLife(h.target.starts[0].Run)
+}
+
 // Guards against a task reported as not run that may have run: its start was not answered, and its stop
 // was confirmed, possibly by the next life, before the end of the life became known.
 func TestConfirmedStopProvesNothingAboutTheLifeBefore(t *testing.T) {
@@ -99,6 +117,7 @@
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.loseStartAnswers()
 	h.Stopped(h.now, h.target.stops[0], Accepted)
+	h.advance(time.Millisecond)
 	h.rebirth()
 	h.stoppedInNextLife(h.target.starts[0].Run)
 }
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -130,7 +130,8 @@
 
 // settleMissing settles a run that the target lists neither as running nor as ended. The list
 // proves that it is gone only if it was requested after the target had answered the start or the
-// stop.
+// stop. A run that is being stopped waits for its start call as well, because that may yet reach the
+// next incarnation.
 func (t *Table) settleMissing(r *run, calledAt time.Time) {
 	switch r.state {
 	case running:
@@ -138,7 +139,7 @@
 			t.settleGone(r, "not_listed")
 		}
 	case stopping:
-		if !r.stopConfirmedAt.IsZero() && calledAt.After(r.stopConfirmedAt) {
+		if !r.startInFlight && !r.stopConfirmedAt.IsZero() && calledAt.After(r.stopConfirmedAt) {
 			t.settleFenced(r)
 		}
 	}
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -259,6 +259,7 @@
 func (t *Table) callStart(r *run) {
 	r.startCalledAt = t.now
 	r.startsOpen++
+	r.startInFlight = true
 	t.options.Target.Start(StartCall{
 		Incarnation: t.target.Incarnation, Life: t.life, Token: t.token, Run: r.id, Spec: r.order.Spec, LeaseUntilMs: t.requestLease(),
 		Timeout: t.callTimeout(),
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -214,8 +214,10 @@
 	// startsOpen is the number of start calls that may still be carried out, or were without the agent
 	// knowing by which incarnation.
 	startsOpen int
-	seen       bool // the present incarnation has accepted or listed the run
-	carried    bool // the start was called for an earlier incarnation; see carryOver
+	// startInFlight is set while the last start call has neither been answered nor timed out.
+	startInFlight bool
+	seen          bool // the present incarnation has accepted or listed the run
+	carried       bool // the start was called for an earlier incarnation; see carryOver
 	// wantedAt is the time up to which the run is known to have been wanted, once it is abandoned;
 	// until then that of its session applies. callerLeavesAt is the earliest time at which its
 	// caller may stop waiting.
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -101,9 +101,11 @@
 	case r == nil || r.state == queued:
 		return
 	case r.carried:
+		r.startInFlight = false
 		t.startedEarlier(r, answer)
 		return
 	}
+	r.startInFlight = false
 	sameLife := t.sameLife(r, clockMs)
 	if sameLife {
 		t.lease.Clock.Set(now, clockMs)
