--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -104,6 +104,7 @@
 	servers        leased.Servers
 	ctx            context.Context // cancelled when the daemon stops
 	stop           context.CancelFunc
+	life           atomic.Uint64 // of the target; see runs.Target
 	renewRequested chan struct{} // has an element while a renewal without delay is requested
 	// cancelOlderWrite cancels the writing of an older record of the target. Only the control
 	// goroutine accesses it.
@@ -262,7 +263,7 @@
 	r.enqueue(func(now time.Time, s *state) { s.table.Drain(now) })
 	left := 1
 	for until := startedAt.Add(r.options.Grace - exitReserve); left > 0 && time.Now().Before(until) && ctx.Err() == nil; {
-		if err := r.loop.Do(time.Second, func(_ time.Time, s *state) { left = s.table.Runs() }); err != nil {
+		if err := r.loop.Do(time.Second, func(_ time.Time, s *state) { left = s.table.Unfinished() }); err != nil {
 			break
 		}
 		time.Sleep(busyTickInterval)
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -12,7 +12,14 @@
 // Renewed handles the answer to a renewal that was called at the time calledAt.
 func (t *Table) Renewed(now, calledAt time.Time, c RenewCall, l Listing) {
 	t.now = now
-	if c.Incarnation != t.target.Incarnation || l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
+	if c.Incarnation != t.target.Incarnation {
+		return
+	}
+	if l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
+		if c.LeaseUntilMs != 0 && !l.StaleToken {
+			t.lease.GrantedByOtherClock(now)
+		}
+		t.RenewFailed(now, c, Replaced) // it has restarted under its name
 		return
 	}
 	t.lease.Clock.Set(now, l.ClockMs)
@@ -52,12 +59,12 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = r.startCalledAt
 	}
-	r.everRan = true
+	t.noteCarriedOut(r)
 	ranMs := clock.Millis(t.now.Sub(r.startedAt))
 	switch end {
 	case Done:
 		t.counts.Done++
-		if t.endTimesUncertain || r.startRetries > 0 {
+		if t.endTimesUncertain || r.startRetries > 0 || r.carried {
 			ranMs = 0 // the run may have ended long ago, or started before the call that was answered
 		}
 		t.recordEnd(r, ranMs, true)
@@ -86,10 +93,8 @@
 		switch {
 		case r == nil || r.state == queued:
 			t.stopForeign(id)
-		case r.state == starting:
-			r.state, r.everRan, r.startedAt = running, true, t.now
 		default:
-			r.everRan = true
+			t.noteListed(r)
 		}
 	}
 	if l.Incomplete {
@@ -108,9 +113,29 @@
 	t.listed = true
 }
 
+// noteListed records that the target lists a run as running.
+func (t *Table) noteListed(r *run) {
+	t.noteCarriedOut(r)
+	if r.state == starting {
+		r.state, r.startedAt = running, t.now
+	}
+}
+
+// noteCarriedOut records that the present incarnation has carried out a start of a run.
+func (t *Table) noteCarriedOut(r *run) {
+	if r.carried && !r.seen {
+		t.lease.GrantedByOtherClock(t.now)
+	}
+	r.everRan, r.seen = true, true
+	if r.startRetries == 0 {
+		r.startsOpen = 0 // it was the only call
+	}
+}
+
 // settleMissing settles a run that the target lists neither as running nor as ended. The list
 // proves that it is gone only if it was requested after the target had answered the start or the
-// stop.
+// stop. A run that is being stopped waits for its start call as well, because that may yet reach the
+// next incarnation.
 func (t *Table) settleMissing(r *run, calledAt time.Time) {
 	switch r.state {
 	case running:
@@ -118,8 +143,8 @@
 			t.settleGone(r, "not_listed")
 		}
 	case stopping:
-		if !r.stopConfirmedAt.IsZero() && calledAt.After(r.stopConfirmedAt) {
-			t.settleGone(r, "stopped")
+		if !r.startInFlight && !r.stopConfirmedAt.IsZero() && calledAt.After(r.stopConfirmedAt) {
+			t.settleFenced(r)
 		}
 	}
 }
@@ -147,6 +172,7 @@
 	}
 	if failure == Replaced {
 		t.targetKnown = false // the new incarnation will announce itself
+		t.reportLoadNow()
 		return
 	}
 	if failure != Refused && now.Sub(t.lastAnswerAt) < unreachableAfter {
@@ -168,7 +194,7 @@
 		return
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
-		if r.state != queued && r.everRan {
+		if r.state != queued && r.endsWithItsIncarnation() {
 			t.settleGone(r, "lease_over")
 		}
 	}
