Runs: a refused connection to a target doesn't end its runs

A renewal whose connection was refused settled all runs of the target as stopped, and dropped the record of its lease; their entries started the tasks elsewhere within a round trip. A refusal shows that no process listens. A target that has only stopped listening for a moment, or whose connections are refused on the way, goes on with its runs: two runs at once, the first of which ends as done without ever being stopped.

It is reported as before, as a crash, and takes no new work. Its runs are over with the lease, or once another incarnation is there, and the lease is not extended meanwhile.

TestRunOnATargetThatRefusesConnectionsIsNotOverBeforeItsLease failed before (one outcome, stopped, 5 ms after the refusal).

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -96,7 +96,7 @@
 	}
 	t.target, t.targetKnown, t.restored = a, true, false
 	t.token, t.tokenRefusals, t.endCursor, t.listed = 0, 0, 0, false
-	t.reachable, t.failures, t.lastAnswerAt = true, 0, t.now
+	t.reachable, t.refused, t.failures, t.lastAnswerAt = true, false, 0, t.now
 	t.health = newRating()
 	t.forgetEnds()
 	t.lease.Clock.Set(t.now, a.ClockMs)
@@ -123,7 +123,9 @@
 // one may carry out.
 func (t *Table) endIncarnation(reason string) {
 	ended := t.runs.Len()
-	t.reportCrash()
+	if !t.refused {
+		t.reportCrash()
+	}
 	t.rejectReservations(wire.NotRunDown)
 	for _, r := range slices.Collect(t.runs.Values()) {
 		if r.state == queued {
@@ -200,8 +202,12 @@
 	}
 }
 
-// absent reports whether the target is not there, so that a run that was carried over can't be stopped.
-func (t *Table) absent() bool { return !t.targetKnown || !t.reachable }
+// awaitsNextIncarnation reports whether only the next incarnation of an absent target could settle a run:
+// that can't be stopped, and doesn't end with the lease.
+func (t *Table) awaitsNextIncarnation(r *run) bool {
+	absent := !t.targetKnown || !t.reachable
+	return absent && (r.carried || t.refused && r.state != queued && !r.endsWithItsIncarnation())
+}
 
 // settleGone settles a run that has certainly ended but was not listed as ended. reason states why that
 // is certain.
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -33,7 +33,7 @@
 	}
 	t.lastAnswerAt, t.tokenRefusals = now, 0
 	t.endTimesUncertain = t.failures > 0
-	t.reachable, t.failures = true, 0
+	t.reachable, t.refused, t.failures = true, false, 0
 	t.applyEnds(l.Ended)
 	t.reconcile(calledAt, &l)
 	t.startQueued()
@@ -167,24 +167,43 @@
 		return
 	}
 	t.failures++
-	if failure == Refused || failure == Replaced {
-		t.endIncarnation("not_there")
-	}
-	if failure == Replaced {
+	switch {
+	case failure == Replaced:
+		t.endIncarnation("replaced")
 		t.targetKnown = false // the new incarnation will announce itself
 		t.reportLoadNow()
+	case failure == Refused:
+		t.recordRefusal()
+		t.setUnreachable(failure)
+	case now.Sub(t.lastAnswerAt) >= unreachableAfter: // one lost or rejected call proves little, and the next one follows at once
+		t.setUnreachable(failure)
+	}
+}
+
+// recordRefusal handles a connection to the target that was refused: no process listens at its address. It
+// is reported as a crash, but a target that has only stopped listening goes on with its runs, so these are
+// over with the lease, or once another incarnation is there.
+func (t *Table) recordRefusal() {
+	if t.refused {
 		return
 	}
-	if failure != Refused && now.Sub(t.lastAnswerAt) < unreachableAfter {
-		return // one lost or rejected call proves little, and the next one follows at once
+	t.refused = true
+	t.reportCrash()
+	t.rejectReservations(wire.NotRunDown)
+}
+
+// setUnreachable records that the target can't be reached, and returns the queued orders.
+func (t *Table) setUnreachable(failure RenewFailure) {
+	if !t.reachable {
+		return
 	}
-	if t.reachable {
-		event.Log(t.log, event.TargetSilent, "target", t.target.Incarnation.Name, "reason", int(failure), "failures", t.failures)
-		t.reachable = false
+	event.Log(t.log, event.TargetSilent, "target", t.target.Incarnation.Name, "reason", int(failure), "failures", t.failures)
+	t.reachable = false
+	if !t.refused {
 		t.reportUnresponsive()
-		t.rejectQueued(wire.NotRunDown)
-		t.reportLoadNow()
 	}
+	t.rejectQueued(wire.NotRunDown)
+	t.reportLoadNow()
 }
 
 // settleExpiredLease settles the runs under a lease that has expired: a target that was
--- a/internal/runs/retire.go
+++ b/internal/runs/retire.go
@@ -30,7 +30,7 @@
 // finished reports whether no run of a session can still end.
 func (t *Table) finished(s *session) bool {
 	for _, r := range s.runs {
-		if !r.carried || !t.absent() {
+		if !t.awaitsNextIncarnation(r) {
 			return false
 		}
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -149,7 +149,7 @@
 // Reasons for a failed RenewCall.
 const (
 	Unresponsive RenewFailure = iota + 1 // no answer in time, or none that can be read, or the connection broke
-	Refused                              // no process listens at the address: that incarnation has ended
+	Refused                              // no process listens at the address
 	Overloaded                           // the target answered that it can't serve the call
 	Replaced                             // another incarnation answers at the address
 )
@@ -315,6 +315,7 @@
 	foreignRuns       *foreignRuns // runs of an earlier agent, with the time of the last stop call
 	lateStarts        *lateStarts  // calls of settled runs that may still be carried out
 	reachable         bool
+	refused           bool      // no process listened at the target's address since it was last reachable
 	failures          int       // consecutive failed renewals
 	lastAnswerAt      time.Time // when the target last answered a call
 	endTimesUncertain bool      // the latest listing followed failed renewals, so its ends may be old
@@ -395,7 +396,7 @@
 func (t *Table) Unfinished() int {
 	n := t.runs.Len()
 	for r := range t.runs.Values() {
-		if r.carried && t.absent() {
+		if t.awaitsNextIncarnation(r) {
 			n--
 		}
 	}
