Sessions: frames confirm what the sender has verified to want

An acknowledgement says that a frame was read. A frame now has a third number, Confirmed: the highest frame that had been received when the sender last verified which work it wants. The owner sets it with Conn.Confirm, after it has queued the recalls of what it no longer wants; the writer loads it before it drains the queue and stamps it on the last frame of the batch, so it never overtakes a recall.

The subprotocol is camphorrack.4, preferred over .3; a peer of .3 gets no such field. Nothing uses it yet.

The test of frame fields now also exempts Confirmed from the content of a frame: a heartbeat carries it.

Test "delivers no confirmation before a frame that was queued earlier": it fails with the number stamped on every frame of a batch, and with the number loaded after the queue is drained.

--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -21,8 +21,9 @@
 
 // sequenced has the common methods of pointers to both frame types.
 type sequenced interface {
-	Stamp(seq, ack uint64)
+	Stamp(seq, ack, confirmed uint64)
 	Sequence() (seq, ack uint64)
+	Confirmation() uint64
 	IsHeartbeat() bool
 	EstimatedBytes() int
 }
@@ -34,7 +35,12 @@
 	options      Options
 	queue        *queue[Out]
 	liveness     *liveness
+	receivedSeq  atomic.Uint64 // number of the last frame that was read
 	deliveredSeq atomic.Uint64 // number of the last received frame that receive has handled
+	confirmSeq   atomic.Uint64 // number to confirm to the peer
+	// confirmedSeq is the number that was last confirmed to the peer; only the writing goroutine
+	// uses it.
+	confirmedSeq uint64
 
 	closeOnce sync.Once
 	done      chan struct{}
@@ -50,7 +56,7 @@
 // Accept upgrades the request of an agent or another entry to a WebSocket. On an error it has
 // already written the HTTP response.
 func Accept(w http.ResponseWriter, r *http.Request, o Options) (*ToAgentConn, error) {
-	upgrader := websocket.Upgrader{WriteBufferSize: writeBufferBytes, Subprotocols: []string{ExtendedProtocol}}
+	upgrader := websocket.Upgrader{WriteBufferSize: writeBufferBytes, Subprotocols: subprotocols}
 	ws, err := upgrader.Upgrade(w, r, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "accept a connection")
@@ -69,7 +75,7 @@
 	o = o.withDefaults()
 	dialer := websocket.Dialer{
 		NetDialContext:   (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-		HandshakeTimeout: o.SilenceTimeout, WriteBufferSize: writeBufferBytes, Subprotocols: []string{ExtendedProtocol},
+		HandshakeTimeout: o.SilenceTimeout, WriteBufferSize: writeBufferBytes, Subprotocols: subprotocols,
 	}
 	ws, response, err := dialer.DialContext(ctx, "ws://"+addr+path, nil)
 	if err != nil {
@@ -87,8 +93,32 @@
 	return c
 }
 
-// Extended reports whether the peer negotiated ExtendedProtocol.
-func (c *Conn[In, Out]) Extended() bool { return c.ws.Subprotocol() == ExtendedProtocol }
+// Extended reports whether the peer knows the extended frames.
+func (c *Conn[In, Out]) Extended() bool {
+	return c.ws.Subprotocol() == ExtendedProtocol || c.Confirms()
+}
+
+// Confirms reports whether the peer negotiated ConfirmingProtocol: both ends then take and may send
+// confirmations.
+func (c *Conn[In, Out]) Confirms() bool { return c.ws.Subprotocol() == ConfirmingProtocol }
+
+// ReceivedSeq returns the number of the last frame that was received; 0: none.
+func (c *Conn[In, Out]) ReceivedSeq() uint64 { return c.receivedSeq.Load() }
+
+// Confirm confirms the peer's frames up to a number that ReceivedSeq returned: all work that it has
+// for this side was verified to be wanted after that, or its recall was queued before this call. The
+// confirmation goes with the next frame or heartbeat that leaves no earlier frame in the queue, so it
+// never reaches the peer before such a recall. A number below an earlier one has no effect, nor has a
+// call on a connection that does not confirm. Confirm is called by one goroutine at a time.
+func (c *Conn[In, Out]) Confirm(seq uint64) {
+	if seq > c.confirmSeq.Load() && c.Confirms() {
+		c.confirmSeq.Store(seq)
+	}
+}
+
+// ConfirmedAt returns when the newest frame was sent that the peer has confirmed, up to the frame that
+// was read last, or a few milliseconds earlier; zero: none.
+func (c *Conn[In, Out]) ConfirmedAt() time.Time { return c.liveness.confirmedAt() }
 
 // Send queues a frame and never blocks. It takes ownership of the frame, which the
 // connection numbers and encodes later. If the queue is full, the connection is closed with
@@ -138,6 +168,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.liveness.recordConfirmation(frame.Confirmation()); err != nil {
+		return nil, err
+	}
+	c.receivedSeq.Store(seq)
 	if activated {
 		c.queue.wake() // the writer may be sleeping for an idle heartbeat interval
 	}
@@ -158,12 +192,16 @@
 		case <-c.queue.ready:
 		case <-checkTimer.C:
 		}
+		confirm := c.confirmSeq.Load() // before the queue is drained: see Confirm
 		frames := c.queue.drain()
 		if len(frames) == 0 && c.liveness.heartbeatDue(time.Now()) {
 			frames = append(frames, new(Out))
 			c.options.Counters.Heartbeats.Add(1)
 		}
-		for _, f := range frames {
+		for i, f := range frames {
+			if i == len(frames)-1 {
+				c.confirmedSeq = confirm
+			}
 			if err := c.writeFrame(f); err != nil {
 				c.closeWith(ReasonWrite, err)
 				return
@@ -180,7 +218,7 @@
 
 func (c *Conn[In, Out]) writeFrame(f *Out) error {
 	frame := any(f).(sequenced)
-	frame.Stamp(c.liveness.recordSend(time.Now(), !frame.IsHeartbeat()), c.deliveredSeq.Load())
+	frame.Stamp(c.liveness.recordSend(time.Now(), !frame.IsHeartbeat()), c.deliveredSeq.Load(), c.confirmedSeq)
 	data, err := wire.Encode(f)
 	if err != nil {
 		return err
--- a/internal/session/liveness.go
+++ b/internal/session/liveness.go
@@ -24,6 +24,9 @@
 	ackedSeq      uint64      // highest number that the peer has acknowledged
 	ackedSentAt   time.Time   // when the frame with that number was sent
 	unackedSentAt []time.Time // when the frames above ackedSeq were sent, in order
+	sentMarks     []sentMark  // of frames above confirmedSeq, in order
+	confirmedSeq  uint64      // highest number that the peer has confirmed
+	confirmedSent time.Time   // when the frame of the newest mark up to it was sent
 	lastWriteAt   time.Time
 	lastReceiveAt time.Time
 	lastContentAt time.Time // time of the last frame with content, sent or received
@@ -41,6 +44,21 @@
 	contentUnackedSince time.Time
 }
 
+// sentMark is the time at which a frame was sent.
+type sentMark struct {
+	seq    uint64
+	sentAt time.Time
+}
+
+const (
+	// markInterval is the shortest time between two marks. A confirmed frame without a mark counts
+	// as sent at the mark before.
+	markInterval = 5 * time.Millisecond
+	// maxMarks limits the marks that are kept for a peer that confirms nothing. The oldest are
+	// dropped, half of them at a time.
+	maxMarks = 400
+)
+
 func newLiveness(o Options, now time.Time) *liveness {
 	return &liveness{options: o, lastReceiveAt: now, lastContentAt: now, activeSince: now}
 }
@@ -55,6 +73,7 @@
 	}
 	l.lastWriteAt = now
 	l.lastSentSeq++
+	l.mark(now)
 	l.unackedSentAt = append(l.unackedSentAt, now)
 	if content {
 		if l.ackedSeq >= l.lastContentSeq {
@@ -97,6 +116,48 @@
 	return l.ackedSentAt
 }
 
+// mark keeps the send time of the newest frame. The caller holds the lock.
+func (l *liveness) mark(now time.Time) {
+	n := len(l.sentMarks)
+	if n > 0 && now.Sub(l.sentMarks[n-1].sentAt) < markInterval {
+		return
+	}
+	if n >= maxMarks {
+		l.sentMarks = slices.Delete(l.sentMarks, 0, maxMarks/2)
+	}
+	l.sentMarks = append(l.sentMarks, sentMark{l.lastSentSeq, now})
+}
+
+// recordConfirmation records the confirmation of sent frames up to a number; 0: none. A number below an
+// earlier one, or above the last frame sent, is a *SequenceError.
+func (l *liveness) recordConfirmation(confirmed uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case confirmed < l.confirmedSeq:
+		return &SequenceError{Want: l.confirmedSeq, Got: confirmed}
+	case confirmed > l.lastSentSeq:
+		return &SequenceError{Want: l.lastSentSeq, Got: confirmed}
+	}
+	l.confirmedSeq = confirmed
+	n := 0
+	for n < len(l.sentMarks) && l.sentMarks[n].seq <= confirmed {
+		n++
+	}
+	if n > 0 {
+		l.confirmedSent = l.sentMarks[n-1].sentAt
+		l.sentMarks = slices.Delete(l.sentMarks, 0, n)
+	}
+	return nil
+}
+
+// confirmedAt returns when the newest confirmed frame was sent; zero: there is none.
+func (l *liveness) confirmedAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.confirmedSent
+}
+
 // recordContent records a frame sent or received, and reports whether it made an idle
 // connection active.
 func (l *liveness) recordContent(now time.Time, content bool) (activated bool) {
--- a/internal/session/liveness_test.go
+++ b/internal/session/liveness_test.go
@@ -170,3 +170,33 @@
 	step(100 * time.Second)
 	g.Expect(a.lastSentSeq - before).To(BeNumerically("~", 50, 1))
 }
+
+// Guards against a proof that is newer than the frame that was confirmed, and against memory that grows
+// with each frame sent to a peer that confirms nothing.
+func TestConfirmations(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	l := newLiveness(Options{}.withDefaults(), now)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	g.Expect(l.recordConfirmation(0)).To(Succeed())
+	g.Expect(l.confirmedAt()).To(BeZero())
+	for _, ms := range []int{0, 2, 4, 6, 30} {
+		l.recordSend(at(ms), true)
+	}
+	g.Expect(l.recordConfirmation(3)).To(Succeed())
+	g.Expect(l.confirmedAt()).To(Equal(at(0)), "frames within 5 ms count as sent with the first")
+	g.Expect(l.recordConfirmation(4)).To(Succeed())
+	g.Expect(l.confirmedAt()).To(Equal(at(6)))
+	g.Expect(l.recordConfirmation(3)).NotTo(Succeed(), "it falls")
+	g.Expect(l.recordConfirmation(6)).NotTo(Succeed(), "frame 6 was not sent")
+	g.Expect(l.recordConfirmation(5)).To(Succeed())
+	g.Expect(l.confirmedAt()).To(Equal(at(30)))
+	for i := range 10 * maxMarks {
+		l.recordSend(at(100+10*i), true)
+	}
+	g.Expect(len(l.sentMarks)).To(BeNumerically("<=", maxMarks))
+	g.Expect(l.recordConfirmation(100)).To(Succeed())
+	g.Expect(l.confirmedAt()).To(Equal(at(30)), "its mark was dropped")
+	g.Expect(l.recordConfirmation(5 + 10*maxMarks)).To(Succeed())
+	g.Expect(l.confirmedAt()).To(Equal(at(100 + 10*(10*maxMarks-1))))
+}
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -22,6 +22,13 @@
 // wire.Version). A peer without it rejects their fields, so none may be sent to it.
 const ExtendedProtocol = "camphorrack.3"
 
+// ConfirmingProtocol is the WebSocket subprotocol of peers that know the extended frames and
+// their confirmations (see wire.ToEntry).
+const ConfirmingProtocol = "camphorrack.4"
+
+// subprotocols are those that both ends offer, the preferred one first.
+var subprotocols = []string{ConfirmingProtocol, ExtendedProtocol}
+
 const (
 	// maxQueueBytes bounds the frames queued for a peer, at four frames of the maximum
 	// size. Without a bound, a peer that reads slowly but is never silent would exhaust
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -121,12 +122,112 @@
 		Expect(err).NotTo(HaveOccurred())
 		defer conn.Close(nil)
 		Expect(conn.Extended()).To(BeTrue())
-		Expect((<-entry.conns).Extended()).To(BeTrue())
+		Expect(conn.Confirms()).To(BeTrue())
+		accepted := <-entry.conns
+		Expect(accepted.Extended()).To(BeTrue())
+		Expect(accepted.Confirms()).To(BeTrue())
 
 		ws, _, err := websocket.DefaultDialer.Dial("ws"+strings.TrimPrefix(entry.server.URL, "http")+session.Path, nil)
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = ws.Close() }()
 		Expect((<-entry.conns).Extended()).To(BeFalse())
+
+		earlier := websocket.Dialer{Subprotocols: []string{session.ExtendedProtocol}}
+		ws, _, err = earlier.Dial("ws"+strings.TrimPrefix(entry.server.URL, "http")+session.Path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = ws.Close() }()
+		accepted = <-entry.conns
+		Expect(accepted.Extended()).To(BeTrue())
+		Expect(accepted.Confirms()).To(BeFalse())
+		Expect(ws.WriteMessage(websocket.BinaryMessage, encoded(&wire.ToEntry{Seq: 1, Hello: &wire.Hello{}}))).To(Succeed())
+		Eventually(accepted.ReceivedSeq).Should(Equal(uint64(1)))
+		accepted.Confirm(1)
+		for range 5 {
+			_, data, err := ws.ReadMessage()
+			Expect(err).NotTo(HaveOccurred())
+			f, err := wire.Decode[wire.ToAgent](data)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(f.Confirmed).To(BeZero())
+		}
+	})
+
+	// The peer renews the lease of its runs by a confirmation. If one arrived before the recall of a
+	// run that the confirming end no longer wanted, the run could go on beside the next one.
+	It("delivers no confirmation before a frame that was queued earlier", func() {
+		conns := make(chan *session.ToAgentConn, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			c, err := session.Accept(w, r, fastOptions)
+			if err != nil {
+				return
+			}
+			conns <- c
+			_ = c.Serve(func(*wire.ToEntry) error { return nil })
+		}))
+		DeferCleanup(server.Close)
+		conn, err := session.Dial(context.Background(), strings.TrimPrefix(server.URL, "http://"), fastOptions)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { conn.Close(nil) })
+		entry := <-conns
+		// Each frame of the agent has its number as the version, and the entry recalls that number
+		// before it confirms the frame.
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for i := uint64(1); ; i++ {
+				conn.Send(&wire.ToEntry{Version: i})
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Microsecond):
+				}
+			}
+		}()
+		go func() {
+			for last := uint64(0); entry.Err() == nil; {
+				seq := entry.ReceivedSeq()
+				for ; last < seq; last++ {
+					entry.Send(&wire.ToAgent{Version: last + 1})
+				}
+				entry.Confirm(seq)
+			}
+		}()
+		verdict := make(chan string, 1)
+		go func() {
+			recalled, confirmations, started := uint64(0), 0, time.Now()
+			_ = conn.Serve(func(f *wire.ToAgent) error {
+				recalled = max(recalled, f.Version)
+				if f.Confirmed > recalled {
+					verdict <- fmt.Sprint("frame ", f.Seq, " confirms ", f.Confirmed, " after the recall of ", recalled)
+					return errors.New("out of order")
+				}
+				if f.Confirmed > 0 {
+					confirmations++
+				}
+				if confirmations > 100 && time.Since(started) > 500*time.Millisecond {
+					verdict <- "in order"
+					return errors.New("done")
+				}
+				return nil
+			})
+		}()
+		Eventually(verdict, "10s").Should(Receive(Equal("in order")))
+		Expect(conn.ConfirmedAt()).To(BeTemporally("~", time.Now(), 2*time.Second))
+	})
+
+	// A process whose control goroutine is late still reads frames. Its acknowledgements go on, and its
+	// confirmations must not.
+	It("confirms nothing by itself", func() {
+		entry := newEntrySide(fastOptions)
+		conn, _, _ := agentSide(entry.addr(), fastOptions)
+		Consistently(conn.ConfirmedAt, "200ms").Should(BeZero())
+		Expect(conn.AcknowledgedAt()).NotTo(BeZero())
+		accepted := <-entry.conns
+		sentBefore := time.Now()
+		accepted.Confirm(accepted.ReceivedSeq())
+		Eventually(conn.ConfirmedAt).ShouldNot(BeZero())
+		Expect(conn.ConfirmedAt()).To(BeTemporally("<", sentBefore))
+		first := conn.ConfirmedAt()
+		Consistently(conn.ConfirmedAt, "100ms").Should(Equal(first))
 	})
 
 	It("ends when packets are dropped in both directions, and a new connection works", func() {
@@ -209,6 +310,7 @@
 		Entry("that skips a sequence number", encoded(&wire.ToEntry{Seq: 1}), encoded(&wire.ToEntry{Seq: 3})),
 		Entry("that repeats a sequence number", encoded(&wire.ToEntry{Seq: 1}), encoded(&wire.ToEntry{Seq: 1})),
 		Entry("that acknowledges a frame that was never sent", encoded(&wire.ToEntry{Seq: 1, AckSeq: 5})),
+		Entry("that confirms a frame that was never sent", encoded(&wire.ToEntry{Seq: 1, Confirmed: 5})),
 		Entry("that is too large", encoded(&wire.ToEntry{Seq: 1, Config: make([]byte, 2000)})),
 	)
 })
--- a/internal/wire/sequence.go
+++ b/internal/wire/sequence.go
@@ -4,12 +4,17 @@
 // without its payload.
 const frameOverhead = 64
 
-// Stamp sets the frame's sequence number and its acknowledgement of the peer's frames.
-func (f *ToEntry) Stamp(seq, ack uint64) { f.Seq, f.AckSeq = seq, ack }
+// Stamp sets the frame's sequence number, and its acknowledgement and confirmation of the peer's frames.
+func (f *ToEntry) Stamp(seq, ack, confirmed uint64) {
+	f.Seq, f.AckSeq, f.Confirmed = seq, ack, confirmed
+}
 
 // Sequence returns the frame's sequence number and the highest number that it acknowledges.
 func (f *ToEntry) Sequence() (seq, ack uint64) { return f.Seq, f.AckSeq }
 
+// Confirmation returns the highest number that the frame confirms; 0: none.
+func (f *ToEntry) Confirmation() uint64 { return f.Confirmed }
+
 // IsHeartbeat reports whether the frame has no content besides its sequence numbers.
 func (f *ToEntry) IsHeartbeat() bool {
 	return f.Hello == nil && f.Target == nil && len(f.Reports) == 0 && f.Credits == nil &&
@@ -26,12 +31,17 @@
 	return n
 }
 
-// Stamp sets the frame's sequence number and its acknowledgement of the peer's frames.
-func (f *ToAgent) Stamp(seq, ack uint64) { f.Seq, f.AckSeq = seq, ack }
+// Stamp sets the frame's sequence number, and its acknowledgement and confirmation of the peer's frames.
+func (f *ToAgent) Stamp(seq, ack, confirmed uint64) {
+	f.Seq, f.AckSeq, f.Confirmed = seq, ack, confirmed
+}
 
 // Sequence returns the frame's sequence number and the highest number that it acknowledges.
 func (f *ToAgent) Sequence() (seq, ack uint64) { return f.Seq, f.AckSeq }
 
+// Confirmation returns the highest number that the frame confirms; 0: none.
+func (f *ToAgent) Confirmation() uint64 { return f.Confirmed }
+
 // IsHeartbeat reports whether the frame has no content besides its sequence numbers.
 func (f *ToAgent) IsHeartbeat() bool {
 	return f.Welcome == nil && len(f.Starts) == 0 && len(f.Cancels) == 0 && len(f.Queries) == 0 && len(f.Acks) == 0 &&
--- a/internal/wire/sequence_test.go
+++ b/internal/wire/sequence_test.go
@@ -20,7 +20,7 @@
 			name := fields.Type().Field(i).Name
 			fields.SetZero()
 			fill(fields.Field(i))
-			g.Expect(frame.IsHeartbeat()).To(Equal(name == "Seq" || name == "AckSeq"), "%T.%s", frame, name)
+			g.Expect(frame.IsHeartbeat()).To(Equal(name == "Seq" || name == "AckSeq" || name == "Confirmed"), "%T.%s", frame, name)
 		}
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 
 // Version is the protocol version. A peer with another version is rejected. Fields marked as
 // extended were added to this version later; they are sent only to peers that negotiated
-// session.ExtendedProtocol.
+// session.ExtendedProtocol or a later one.
 const Version = 2
 
 // Default timing of a session. Each side sends a heartbeat at least every
@@ -150,6 +150,10 @@
 	Leased  *LeasedToEntry `cbor:"10,keyasint,omitempty"`
 	// Handover is sent on session.EntryPath only, which older entries do not serve.
 	Handover *HandoverRequest `cbor:"11,keyasint,omitempty"`
+	// Confirmed is the highest Seq of the peer's frames that the sender had received when it last
+	// verified which work it still wants; what it no longer wanted then is recalled in this frame or
+	// an earlier one. It is sent only to peers that negotiated session.ConfirmingProtocol.
+	Confirmed uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // ToAgent is a frame from an entry to an agent.
@@ -171,5 +175,6 @@
 	Leaving bool           `cbor:"13,keyasint,omitempty"` // the entry accepts no new submissions from now on
 	Leased  *LeasedToAgent `cbor:"14,keyasint,omitempty"`
 	// Handover is sent on session.EntryPath only.
-	Handover *HandoverReply `cbor:"15,keyasint,omitempty"`
+	Handover  *HandoverReply `cbor:"15,keyasint,omitempty"`
+	Confirmed uint64         `cbor:"16,keyasint,omitempty"` // see ToEntry
 }
