--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -37,7 +37,7 @@
 			b.ResetTimer()
 			for i := range b.N {
 				now = now.Add(5 * time.Millisecond)
-				c.Submit(now, &Job{ID: fmt.Sprintf("%016x", i), Queue: queue, Deadline: now.Add(2 * time.Second), Steps: []Step{step}}, func(Answer) {})
+				c.Submit(now, &Job{ID: fmt.Sprintf("%016x", i), Queue: queue, Deadline: now.Add(2 * time.Second), Steps: []Step{step}}, &Caller{}, func(Answer) {})
 				c.Flush()
 				for id, orders := range out.orders {
 					outcomes := make([]wire.RunOutcome, len(orders))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,8 +8,10 @@
 // therefore guarantees two things. Answers are correct: a job is answered as "not
 // run" only if no order for it was ever sent or every order is proved not to have
 // run. And the runs of a job are over before its caller may send it again: its orders
-// are recalled as soon as the caller disconnects, and an agent that loses contact with
-// an entry stops the runs that this entry has ordered.
+// are recalled as soon as the caller disconnects, an agent that loses contact with
+// an entry stops the runs that this entry has ordered, and an agent is told at short
+// intervals as of when its runs are wanted, so that their leases end in time whatever
+// is late or lost.
 //
 // Admission is decided when a job arrives. Its tasks are placed on the agents' targets
 // by predicted end, and a job whose predicted end is too far past its objective is
@@ -87,6 +89,7 @@
 	options      Options
 	log          logr.Logger
 	now          time.Time
+	verifiedAt   time.Time // of the last VerifyCallers
 	jobs         table
 	agents       map[ConnID]*agent
 	agentsByAge  []*agent   // in the order in which their sessions opened
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -92,17 +92,38 @@
 }
 
 // recorder records the answers that a caller gets.
-type recorder struct{ answers []Answer }
+type recorder struct {
+	Caller
+	answers []Answer
+}
 
 func (a *recorder) record(answer Answer) { a.answers = append(a.answers, answer) }
 
 func (h *harness) submit(j *Job) *recorder {
 	a := &recorder{}
-	h.Submit(h.now, j, a.record)
+	h.Submit(h.now, j, &a.Caller, a.record)
 	h.Flush()
 	return a
 }
 
+// Abandon abandons the caller of a resubmission that waits, or else one that waits for a job.
+func (h *harness) Abandon(now time.Time, id string) {
+	l := h.jobs.byID[id]
+	if l == nil {
+		return
+	}
+	callers := l.callers
+	if l.resubmission != nil {
+		callers = []*Caller{l.resubmission.caller}
+	}
+	for _, caller := range callers {
+		if !caller.left {
+			h.Core.Abandon(now, caller)
+			return
+		}
+	}
+}
+
 func (h *harness) reportOutcome(id ConnID, seq uint64, end wire.RunEnd, reason wire.NotRunReason) {
 	h.Receive(h.now, id, &wire.LeasedToEntry{Outcomes: []wire.RunOutcome{{Seq: seq, End: end, Reason: reason}}})
 	h.Flush()
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -34,15 +34,16 @@
 	maxUnanswered = 4000
 )
 
-// Submit accepts or refuses a job. The callback is called once with the answer, possibly
-// before Submit returns.
-func (c *Core) Submit(now time.Time, j *Job, callback AnswerFunc) {
+// Submit accepts or refuses a job on behalf of a caller. The callback is called once with the
+// answer, possibly before Submit returns.
+func (c *Core) Submit(now time.Time, j *Job, caller *Caller, callback AnswerFunc) {
 	c.now = now
+	caller.answer = callback
 	if l := c.jobs.byID[j.ID]; l != nil {
-		c.handleResubmission(l, j, callback)
+		c.handleResubmission(l, j, caller)
 		return
 	}
-	c.admitOrRefuse(j, callback)
+	c.admitOrRefuse(j, caller)
 }
 
 // handleResubmission handles a job whose ID is known. If the earlier submission is still
@@ -50,36 +51,38 @@
 // Otherwise the job runs again from the start, once all runs of the earlier submission
 // are over; only one resubmission may wait for that, and further ones are answered with
 // an unknown outcome.
-func (c *Core) handleResubmission(l *liveJob, j *Job, callback AnswerFunc) {
+func (c *Core) handleResubmission(l *liveJob, j *Job, caller *Caller) {
 	c.counts.Repeated++
 	event.Log(c.log, event.JobAttached, "job", j.ID, "answered", l.answered, "open", l.openAttempts)
 	switch {
 	case !l.answered && !l.givingUp:
-		l.callbacks = append(l.callbacks, callback)
+		l.addCaller(c.now, caller)
 	case l.answered && (l.answer.Kind == AnswerComplete || l.answer.Kind == AnswerFailed):
-		callback(l.answer)
+		caller.answer(l.answer)
 	case l.openAttempts == 0:
 		c.jobs.remove(l)
-		c.admitOrRefuse(j, callback)
+		c.admitOrRefuse(j, caller)
 	case l.resubmission != nil:
-		callback(Answer{Kind: AnswerUnknown, Fault: fault.New(fault.OutcomeUnknown, "another copy of the request is waiting")})
+		caller.answer(Answer{Kind: AnswerUnknown, Fault: fault.New(fault.OutcomeUnknown, "another copy of the request is waiting")})
 	default:
-		l.resubmission = &resubmission{job: j, callback: callback, since: c.now}
+		caller.job = l
+		l.resubmission = &resubmission{job: j, caller: caller, since: c.now}
 	}
 }
 
 // admitOrRefuse admits a new job and places its first tasks, or refuses it.
-func (c *Core) admitOrRefuse(j *Job, callback AnswerFunc) {
+func (c *Core) admitOrRefuse(j *Job, caller *Caller) {
 	submitted := j
 	j = c.calibrated(submitted)
 	paths, longestPath := j.criticalPaths()
 	objective := j.Queue.Objective(longestPath)
 	received := c.now.Add(-j.Held)
 	l := &liveJob{
-		Job: j, submitted: submitted, arrived: c.now, criticalPaths: paths, callbacks: []AnswerFunc{callback},
+		Job: j, submitted: submitted, arrived: c.now, criticalPaths: paths,
 		objective: received.Add(objective), usefulUntil: received.Add(usefulFactor * objective),
 		stepTasksLeft: make([]int, len(j.Steps)), unfinished: j.TaskCount(), level: 1,
 	}
+	l.addCaller(c.now, caller)
 	l.tasks = make([]task, 0, l.unfinished)
 	for s := range j.Steps {
 		l.stepTasksLeft[s] = j.Steps[s].Count
@@ -190,8 +193,8 @@
 		"targets", len(c.candidateAgents), "oldest_load_ms", c.maxLoadAgeMs(), "retry_after_ms", f.RetryAfterMs,
 		"pressure", status.Pressure, "usage", status.Usage, "share", status.Share)
 	answer := Answer{Kind: AnswerNotRun, Fault: f, RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond}
-	for _, callback := range l.callbacks {
-		callback(answer)
+	for _, caller := range l.callers {
+		caller.answer(answer)
 	}
 }
 
@@ -204,33 +207,6 @@
 	return oldest
 }
 
-// Abandon ends a job whose caller has disconnected. The caller may soon send the job to
-// another entry, and its runs here must be over by then. A job with further callers
-// continues until the last one has left; a resubmission that waits for earlier runs is
-// dropped.
-func (c *Core) Abandon(now time.Time, id string) {
-	c.now = now
-	l := c.jobs.byID[id]
-	if l == nil {
-		return
-	}
-	if next := l.resubmission; next != nil {
-		// A job that is being given up has recalled its orders already.
-		l.resubmission = nil
-		next.callback(Answer{Kind: AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")})
-		return
-	}
-	if l.answered {
-		return
-	}
-	if l.callersLeft++; l.callersLeft < len(l.callbacks) {
-		return
-	}
-	c.counts.Abandoned++
-	event.Log(c.log, event.JobAbandoned, "job", l.ID, "after_ms", clock.Millis(now.Sub(l.arrived)), "open", l.openAttempts)
-	c.finish(l, Answer{Kind: AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")})
-}
-
 // GiveUpAll ends every job without an answer before the process exits. A job of which no order has begun
 // is answered as not run once that is proved, the others with an unknown outcome.
 func (c *Core) GiveUpAll(now time.Time) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -66,6 +66,26 @@
 // must not block.
 type AnswerFunc func(Answer)
 
+// Caller is the side of a request for a job that waits for the answer. Each request has one of its own.
+type Caller struct {
+	// WaitingAt returns the latest time at which the caller is known to have waited, or that it has left.
+	// It is called on the control goroutine and must not block. nil: the caller counts as waiting until
+	// it is abandoned.
+	WaitingAt func(now time.Time) (at time.Time, left bool)
+
+	answer AnswerFunc
+	job    *liveJob // nil: not submitted
+	left   bool     // the control state has counted it as left
+}
+
+// waitingAt returns the latest time at which the caller is known to have waited, or that it has left.
+func (c *Caller) waitingAt(now time.Time) (at time.Time, left bool) {
+	if c.WaitingAt == nil {
+		return now, false
+	}
+	return c.WaitingAt(now)
+}
+
 // criticalPaths returns, for each step, the estimated length of the longest dependency
 // path from the start of the step to the end of the job, and the longest of all.
 func (j *Job) criticalPaths() (paths []time.Duration, longest time.Duration) {
@@ -160,8 +180,9 @@
 	givingUp       bool // given up; the answer waits for proof that nothing has run
 	proofDeadline  time.Time
 	giveUpFault    *fault.Fault
-	callbacks      []AnswerFunc
-	callersLeft    int           // number of callers in callbacks that have disconnected
+	callers        []*Caller
+	callersLeft    int           // number of callers that have left
+	wantedAt       time.Time     // latest time at which a caller is known to have waited
 	runOffset      uint64        // added to run numbers after a target has seen higher ones
 	resubmission   *resubmission // the job sent again while attempts of this one are open
 	lastDone       doneTask      // the task that finished last
@@ -181,7 +202,7 @@
 // resubmission is a job that was sent again and waits until the runs of its earlier
 // submission are over.
 type resubmission struct {
-	job      *Job
-	callback AnswerFunc
-	since    time.Time
+	job    *Job
+	caller *Caller
+	since  time.Time
 }
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -182,7 +182,7 @@
 		next := l.resubmission
 		l.resubmission = nil
 		c.jobs.remove(l)
-		c.admitOrRefuse(next.job, next.callback)
+		c.admitOrRefuse(next.job, next.caller)
 	}
 }
 
@@ -199,18 +199,18 @@
 }
 
 // finish records the single answer of the job, recalls its open orders and calls its
-// callbacks.
+// callers.
 func (c *Core) finish(l *liveJob, answer Answer) {
 	l.answered, l.answer, l.keepUntil = true, answer, c.now.Add(answerRetention)
 	c.jobs.noteAnswer()
 	c.updateMargins(l, answer)
 	c.recallOrders(l)
 	c.logAnswer(l, answer)
-	c.link.Enqueue(c.now, answerBytes*len(l.callbacks))
-	callbacks := l.callbacks
-	l.callbacks = nil
-	for _, callback := range callbacks {
-		callback(answer)
+	c.link.Enqueue(c.now, answerBytes*len(l.callers))
+	callers := l.callers
+	l.callers = nil
+	for _, caller := range callers {
+		caller.answer(answer)
 	}
 }
 
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -48,13 +48,13 @@
 // answer is that the job was not run.
 func (d *Dispatcher) Execute(ctx context.Context, j *dispatch.Job) dispatch.Answer {
 	d.setDeadline(j)
-	mayHandOver := true
+	mayHandOver, conn := true, newCallerConn(ctx)
 	for range maxDecisions {
-		decided := d.submit(ctx, j, mayHandOver)
+		decided := d.submit(ctx, j, conn, mayHandOver)
 		if decided.flight == nil {
 			return decided.answer
 		}
-		answer, taken := decided.wait(ctx)
+		answer, taken := decided.wait(ctx, conn.left)
 		if taken {
 			return answer
 		}
@@ -69,21 +69,22 @@
 
 // submit decides on the control goroutine what happens to a job, and waits for the answer
 // unless the job is handed over.
-func (d *Dispatcher) submit(ctx context.Context, j *dispatch.Job, mayHandOver bool) decision {
+func (d *Dispatcher) submit(ctx context.Context, j *dispatch.Job, conn *callerConn, mayHandOver bool) decision {
+	caller := &dispatch.Caller{WaitingAt: func(now time.Time) (time.Time, bool) { return now, conn.left() }}
 	decisions := make(chan decision, 1)
 	err := d.loop.Post(submitTimeout, func(now time.Time, s *state) {
-		if callerDisconnected(ctx) {
+		if conn.left() {
 			// The request waited in a buffer while the process or the network was stalled.
 			// The caller may have sent the job to another entry since.
 			event.Log(d.log, event.JobAbandoned, "job", j.ID, "before", "submit")
 			decisions <- decision{answer: dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")}}
 			return
 		}
-		if handedOver := d.tryHandover(now, s, j, mayHandOver); handedOver.flight != nil {
+		if handedOver := d.tryHandover(now, s, j, conn.left, mayHandOver); handedOver.flight != nil {
 			decisions <- handedOver
 			return
 		}
-		s.core.Submit(now, j, func(a dispatch.Answer) { decisions <- decision{answer: a} })
+		s.core.Submit(now, j, caller, func(a dispatch.Answer) { decisions <- decision{answer: a} })
 	})
 	if err != nil {
 		f := fault.Refused(fault.TooManyJobs, "this entry is busy", time.Second)
@@ -101,7 +102,7 @@
 			case decided := <-decisions:
 				decided.leave()
 			default:
-				s.core.Abandon(now, j.ID)
+				s.core.Abandon(now, caller)
 			}
 		})
 		return decision{answer: dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")}}
@@ -149,7 +150,7 @@
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
-// withConn stores a connection in the context of its requests, for callerDisconnected.
+// withConn stores a connection in the context of its requests, for newCallerConn.
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -88,6 +88,7 @@
 	directory *membership.Directory
 	// loadInterval is the minimum time between load reports that was last sent to runners.
 	loadInterval time.Duration
+	verifyAt     time.Time // when the callers are verified next
 }
 
 // Dispatcher is the daemon.
@@ -125,7 +126,7 @@
 	d.sessions = newSessions(d)
 	d.handover = handover.New(handover.Options{
 		Log: log, Addr: o.SessionAddr, DataCentre: o.DataCentre, Incarnation: d.incarnation,
-		Session: leased.SessionOptions(d.metrics.Sessions), Jobs: handedOverJobs{d},
+		Session: leased.HandoverSessionOptions(d.metrics.Sessions), Jobs: handedOverJobs{d}, LostRunLimit: o.LostRunLimit,
 	})
 	d.loop = control.New(control.Options[*state]{
 		State: d.newState(), Clock: d.clock, MaxCommands: maxCommands, MaxBatch: maxBatch,
@@ -199,6 +200,9 @@
 	s.core.Tick(now)
 	s.config.Tick(now)
 	s.directory.Expire(now)
+	if !now.Before(s.verifyAt) {
+		d.verifyWanted(s)
+	}
 	d.sessions.announceEntries(s)
 	d.updateHandover(now, s)
 	d.sessions.updateLoadInterval(s)
--- a/internal/dispatcher/handover.go
+++ b/internal/dispatcher/handover.go
@@ -26,10 +26,10 @@
 }
 
 // wait waits for the result of the hand-over. taken is false if the job has not run.
-func (d decision) wait(ctx context.Context) (answer dispatch.Answer, taken bool) {
+func (d decision) wait(ctx context.Context, callerLeft func() bool) (answer dispatch.Answer, taken bool) {
 	switch {
 	case d.began:
-		return d.flight.Run(ctx, func() bool { return callerDisconnected(ctx) })
+		return d.flight.Run(ctx, callerLeft)
 	case d.held && d.flight.WaitSettled(ctx):
 		return dispatch.Answer{}, false
 	case d.held:
@@ -48,9 +48,10 @@
 // tryHandover returns the hand-over of a job that is in progress, or begins one; the result has
 // no flight if the job is to be submitted here. A job that the core knows is never handed over,
 // and one that is handed over is never submitted here at the same time: both are decided on
-// the control goroutine.
-func (d *Dispatcher) tryHandover(now time.Time, s *state, j *dispatch.Job, mayBegin bool) decision {
+// the control goroutine. callerLeft reports whether the caller has left.
+func (d *Dispatcher) tryHandover(now time.Time, s *state, j *dispatch.Job, callerLeft func() bool, mayBegin bool) decision {
 	if f, held := d.handover.Attach(j.ID); f != nil {
+		f.Watch(callerLeft)
 		event.Log(d.log, event.JobAttached, "job", j.ID, "handed_over", true, "held", held)
 		return decision{flight: f, held: held}
 	}
@@ -65,6 +66,7 @@
 	if f == nil {
 		return decision{}
 	}
+	f.Watch(callerLeft)
 	s.core.RecordHandover(now, &o)
 	return decision{flight: f, began: true}
 }
@@ -94,7 +96,7 @@
 
 // SubmitHandedOver implements handover.Jobs. The job goes to the core directly, so it is never
 // handed over again.
-func (d handedOverJobs) SubmitHandedOver(sub *wire.Submission, alive func() bool, answer func(dispatch.Answer)) {
+func (d handedOverJobs) SubmitHandedOver(sub *wire.Submission, caller *dispatch.Caller, alive func() bool, answer func(dispatch.Answer)) {
 	j := handover.NewJob(sub)
 	if f := d.resolveQueue(j, sub.Queue); f != nil {
 		answer(dispatch.Answer{Kind: dispatch.AnswerNotRun, Fault: f})
@@ -109,7 +111,7 @@
 			answer(dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.OutcomeUnknown, "another copy of the request is in progress")})
 		default:
 			j.Deadline = now.Add(j.Timeout)
-			s.core.Submit(now, j, answer)
+			s.core.Submit(now, j, caller, answer)
 		}
 	})
 }
@@ -135,11 +137,11 @@
 }
 
 // AbandonHandedOver implements handover.Jobs.
-func (d handedOverJobs) AbandonHandedOver(ids []string) {
+func (d handedOverJobs) AbandonHandedOver(jobs []handover.TakenJob) {
 	// Push fails only if the control loop has stopped, when the process exits.
 	_ = d.loop.Push(func(now time.Time, s *state) {
-		for _, id := range ids {
-			s.core.Abandon(now, id)
+		for _, j := range jobs {
+			s.core.Abandon(now, j.Caller)
 		}
 	})
 }
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -83,6 +83,7 @@
 	id               dispatch.ConnID
 	host, dataCentre string // of the runner
 	opened           bool
+	receipts         receipts // owned by the control goroutine
 }
 
 func (r *runnerSession) receive(f *wire.ToEntry) error {
@@ -132,8 +133,9 @@
 		}
 		r.runners[r.id] = r
 		s.directory.Name(now, membership.Source(r.id), fromWire(h.Entries))
-		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
 		s.core.Connect(now, r.id, h, r.conn.Extended())
+		r.verifyWanted(s) // the first frame confirms the hello, without which the runner starts nothing
+		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
 		s.core.QueueLoadInterval(r.id, s.loadInterval)
 		s.evacuations.PeerUp(evacuation.PeerID(r.id))
 		s.config.PeerUp(confsync.PeerID(r.id))
--- a/internal/handover/flight.go
+++ b/internal/handover/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -25,11 +26,13 @@
 
 	// Guarded by the endpoint's mutex.
 	waiters  int
-	attended bool         // the request that began it still waits
-	attempt  chan verdict // result of the current attempt, for the request that began it
-	peer     *peer        // that has it; nil: none
-	number   uint64       // in the session of the peer
-	excluded []string     // addresses of peers that have refused it
+	joined   int           // requests that have waited for it, those that have left included
+	callers  []func() bool // report whether the caller of such a request has left
+	attended bool          // the request that began it still waits
+	attempt  chan verdict  // result of the current attempt, for the request that began it
+	peer     *peer         // that has it; nil: none
+	number   uint64        // in the session of the peer
+	excluded []string      // addresses of peers that have refused it
 	finished bool
 	// Set before done is closed, and not changed later.
 	holdsUntil time.Time // when it is forgotten
@@ -55,6 +58,7 @@
 	}
 	if !f.finished {
 		f.waiters++
+		f.joined++
 		return f, false
 	}
 	if !now.Before(f.holdsUntil) {
@@ -83,7 +87,7 @@
 		return nil
 	}
 	f := &Flight{endpoint: e, submission: newSubmission(j), outlook: o, reason: reason,
-		startedAt: now, deadline: now.Add(remaining), done: make(chan struct{}), waiters: 1, attended: true, attempt: make(chan verdict, 1)}
+		startedAt: now, deadline: now.Add(remaining), done: make(chan struct{}), waiters: 1, joined: 1, attended: true, attempt: make(chan verdict, 1)}
 	if !sendable(&f.submission) {
 		return nil
 	}
@@ -155,6 +159,38 @@
 	return f.result.answer, f.result.taken // taken if it was cancelled before
 }
 
+// Watch makes the endpoint end the flight when callerLeft, of the request that called Begin or Attach,
+// and those of all other requests report that their callers have left. callerLeft must not block.
+// A request without Watch counts as waiting.
+func (f *Flight) Watch(callerLeft func() bool) {
+	f.endpoint.mu.Lock()
+	defer f.endpoint.mu.Unlock()
+	f.callers = append(f.callers, callerLeft)
+}
+
+// abandoned reports whether all callers have left. The caller holds the lock.
+func (f *Flight) abandoned() bool {
+	return len(f.callers) == f.joined && !slices.ContainsFunc(f.callers, func(left func() bool) bool { return !left() })
+}
+
+// verifyCallers cancels the jobs at peers whose callers have left, and confirms to the peers that those
+// of the others wait. The caller holds the lock.
+func (e *Endpoint) verifyCallers(now time.Time) {
+	for _, p := range e.peers {
+		if !p.open {
+			continue
+		}
+		received := p.conn.ReceivedSeq() // before the callers are verified
+		for _, f := range p.flights {
+			if f.abandoned() {
+				e.cancelAtPeer(now, f)
+				e.finishLocked(now, f, verdict{taken: true, answer: disconnected()})
+			}
+		}
+		p.conn.Confirm(received)
+	}
+}
+
 // InTime reports whether the job could still meet its objective if it started now.
 func (f *Flight) InTime(now time.Time) bool {
 	return f.outlook.InTime(float64(now.Sub(f.startedAt)) / float64(time.Millisecond))
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -8,6 +8,10 @@
 // submission that was taken from a peer is never handed over again, because it goes to the
 // control state directly.
 //
+// The first entry verifies at short intervals that the callers of its submissions wait, and confirms
+// that to the peer (see session.Conn). The peer counts a caller as waiting only up to the last
+// confirmation, so that it proves nothing to its agents for an entry that is late or dark.
+//
 // A job that is handed over is known at the first entry by its ID until its runs are over, so
 // that a copy of the request waits for the same answer and no run of it starts here.
 package handover
@@ -38,9 +42,8 @@
 	// keptFor is how long the answer to a completed job is kept for later copies of the
 	// request, as at the entry that ran it.
 	keptFor = 10 * time.Second
-	// settleTime is how long after a cancellation, or after the end of the session, runs of
-	// the job may not be over: the peer detects silence after 0.75 s, and a stop takes 50 ms.
-	settleTime = 800 * time.Millisecond
+	// verifyInterval is how often the callers of jobs at peers are verified.
+	verifyInterval = 40 * time.Millisecond
 	// idleTimeout is how long a session without submissions stays open.
 	idleTimeout = 10 * time.Second
 	// dialTimeout bounds a dial with its handshake, and the time to the peer's first frame.
@@ -60,6 +63,9 @@
 	Incarnation job.Incarnation
 	Session     session.Options
 	Jobs        Jobs
+	// LostRunLimit is the time after a cancellation, or after the end of a session, by which the
+	// runs of the job have certainly ended.
+	LostRunLimit time.Duration
 }
 
 // Counts are the counters of an Endpoint.
@@ -92,6 +98,7 @@
 	neededAt  time.Time          // when a session was last needed
 	changed   chan struct{}      // closed and replaced when a session opens or ends
 	nextSweep time.Time
+	verifyAt  time.Time // when the callers are verified next
 }
 
 // New returns an Endpoint without sessions.
@@ -220,7 +227,7 @@
 		f.holdsUntil = now
 		delete(e.flights, f.submission.ID)
 	case v.answer.Kind == dispatch.AnswerUnknown:
-		f.holdsUntil = now.Add(settleTime)
+		f.holdsUntil = now.Add(e.options.LostRunLimit)
 	case e.kept >= maxKept:
 		f.holdsUntil = now
 		delete(e.flights, f.submission.ID)
@@ -244,7 +251,8 @@
 }
 
 // Tick does the work that depends on time: it forgets old results, closes sessions that were
-// unused for idleTimeout or whose peer can take nothing, and opens those that are needed.
+// unused for idleTimeout or whose peer can take nothing, opens those that are needed, and
+// verifies the callers.
 // admitted is the number of jobs that the entry has admitted since its start.
 func (e *Endpoint) Tick(admitted uint64, draining bool) {
 	now := time.Now()
@@ -262,6 +270,10 @@
 	if now.Sub(e.neededAt) < neededWindow {
 		e.dial(now)
 	}
+	if !now.Before(e.verifyAt) {
+		e.verifyAt = now.Add(verifyInterval)
+		e.verifyCallers(now)
+	}
 	if now.Before(e.nextSweep) {
 		return
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -43,25 +43,28 @@
 
 	jobsMu    sync.Mutex // guards the fields below and answer
 	taken     map[string]func(dispatch.Answer)
+	callers   map[string]*dispatch.Caller
 	abandoned []string
 }
 
-func (n *entry) SubmitHandedOver(s *wire.Submission, alive func() bool, answer func(dispatch.Answer)) {
+func (n *entry) SubmitHandedOver(s *wire.Submission, caller *dispatch.Caller, alive func() bool, answer func(dispatch.Answer)) {
 	n.jobsMu.Lock()
 	defer n.jobsMu.Unlock()
 	if !n.busy && !alive() {
 		return
 	}
-	n.taken[s.ID] = answer
+	n.taken[s.ID], n.callers[s.ID] = answer, caller
 	if n.answer != nil {
 		answer(*n.answer)
 	}
 }
 
-func (n *entry) AbandonHandedOver(ids []string) {
+func (n *entry) AbandonHandedOver(jobs []TakenJob) {
 	n.jobsMu.Lock()
 	defer n.jobsMu.Unlock()
-	n.abandoned = append(n.abandoned, ids...)
+	for _, j := range jobs {
+		n.abandoned = append(n.abandoned, j.ID)
+	}
 }
 
 func (n *entry) answerFunc(id string) func(dispatch.Answer) {
@@ -78,10 +81,13 @@
 
 func (n *entry) addr() string { return strings.TrimPrefix(n.server.URL, "http://") }
 
+// settleTime is the time after which runs of a cancelled job are over.
+const settleTime = 800 * time.Millisecond
+
 // newEntry starts an entry with targets that answers each job with answer; nil: not at once.
 func newEntry(t *testing.T, answer *dispatch.Answer) *entry {
-	n := &entry{taken: map[string]func(dispatch.Answer){}, answer: answer}
-	n.Endpoint = New(Options{Log: logr.Discard(), DataCentre: "a", Incarnation: job.NewIncarnation(), Session: options, Jobs: n})
+	n := &entry{taken: map[string]func(dispatch.Answer){}, callers: map[string]*dispatch.Caller{}, answer: answer}
+	n.Endpoint = New(Options{Log: logr.Discard(), DataCentre: "a", Incarnation: job.NewIncarnation(), Session: options, Jobs: n, LostRunLimit: settleTime})
 	n.UpdateState(wire.HandoverState{Targets: 5})
 	mux := http.NewServeMux()
 	mux.HandleFunc(session.EntryPath, n.Serve)
--- a/internal/handover/peers.go
+++ b/internal/handover/peers.go
@@ -121,11 +121,12 @@
 // trySend sends a submission to the best peer. If there is none but a session is being opened, it
 // returns a channel that is closed when one has opened or failed.
 func (e *Endpoint) trySend(f *Flight, callerLeft func() bool) (changed <-chan struct{}, sent bool) {
-	left := callerLeft()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if left || f.finished || !now.Before(f.deadline) {
+	// A confirmation to the peer may have been queued before the lock was acquired, so the caller is
+	// verified after that.
+	if callerLeft() || f.finished || !now.Before(f.deadline) {
 		return nil, false
 	}
 	if p := e.choose(now, f); p != nil {
@@ -324,6 +325,7 @@
 	}
 	p.open, p.incarnation, p.state, p.usedAt = true, w.Incarnation, *f.Handover.State, time.Now()
 	p.failedAt = time.Time{}
+	p.conn.Confirm(p.conn.ReceivedSeq()) // the callers are verified again before a submission is sent
 	event.Log(e.options.Log, event.EntrySession, "peer", p.addr, "state", "opened", "reason", "needed", "data_centre", w.DataCentre,
 		"dial_ms", clock.Millis(p.dialTime), "draining", p.state.Draining, "targets", p.state.Targets)
 	e.notify()
--- a/internal/handover/serving.go
+++ b/internal/handover/serving.go
@@ -24,9 +24,15 @@
 	// just before it, it must call alive, and must not submit the job if that returns false.
 	// answer is called at most once; for a job that was not submitted, only as not run or
 	// unknown.
-	SubmitHandedOver(s *wire.Submission, alive func() bool, answer func(dispatch.Answer))
+	SubmitHandedOver(s *wire.Submission, caller *dispatch.Caller, alive func() bool, answer func(dispatch.Answer))
 	// AbandonHandedOver abandons jobs whose callers have left.
-	AbandonHandedOver(ids []string)
+	AbandonHandedOver(jobs []TakenJob)
+}
+
+// TakenJob is a submission of a peer that was submitted here.
+type TakenJob struct {
+	ID     string
+	Caller *dispatch.Caller
 }
 
 const (
@@ -39,6 +45,9 @@
 	// maxFrameBytes is the largest frame accepted from the dialling entry, which sends each
 	// submission in a frame of its own.
 	maxFrameBytes = 2 * maxSubmissionBytes
+	// maxCallerAge is the age of the last confirmation of an entry after which its jobs are given up
+	// here. Until then the leases of all targets are extended only as of that confirmation.
+	maxCallerAge = 400 * time.Millisecond
 )
 
 // servingSessions are the sessions that other entries have opened to this one.
@@ -46,6 +55,8 @@
 	mu       sync.Mutex
 	sessions map[*servingSession]struct{}
 	state    wire.HandoverState // newest
+	// verifiedTo is the newest time that CallersKnownAt has returned.
+	verifiedTo time.Time
 }
 
 // servingSession is a session that another entry has opened.
@@ -60,14 +71,18 @@
 
 	mu   sync.Mutex
 	jobs map[uint64]*takenJob // submissions without an answer, by number
+	// confirmedAt is the time up to which the entry has confirmed that the callers of its submissions
+	// wait. All cancellations that came before the confirmation are removed from jobs.
+	confirmedAt time.Time
 }
 
 // takenJob is a submission without an answer.
 type takenJob struct {
-	id string
+	TakenJob
 	// submitted is set when the control state gets the job. One that ends before must not be
 	// abandoned: a job with this ID there would be that of another caller.
 	submitted bool
+	lost      bool // its entry has confirmed nothing for maxCallerAge
 }
 
 // Serve handles a request to session.EntryPath. It returns when the connection has ended.
@@ -86,10 +101,10 @@
 	}
 	e.serving.open(s, conn, &wire.Welcome{Version: wire.Version, Incarnation: e.options.Incarnation, Addr: e.options.Addr, DataCentre: e.options.DataCentre})
 	err = conn.Serve(s.receive)
-	ids := s.close()
-	event.Log(e.options.Log, event.EntrySession, "peer", conn.RemoteAddr(), "state", "closed", "reason", "ended", "error", err.Error(), "abandoned", len(ids))
-	if len(ids) > 0 {
-		e.options.Jobs.AbandonHandedOver(ids)
+	abandoned := s.close()
+	event.Log(e.options.Log, event.EntrySession, "peer", conn.RemoteAddr(), "state", "closed", "reason", "ended", "error", err.Error(), "abandoned", len(abandoned))
+	if len(abandoned) > 0 {
+		e.options.Jobs.AbandonHandedOver(abandoned)
 	}
 }
 
@@ -115,6 +130,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s.conn, s.sent = conn, v.state
+	s.confirm(time.Now()) // the entry verifies each caller after it has received the first frame
 	state := v.state
 	conn.Send(&wire.ToAgent{Welcome: w, Handover: &wire.HandoverReply{State: &state}})
 }
@@ -165,6 +181,7 @@
 		return &protocolError{"a frame after a silence"}
 	}
 	if f.IsHeartbeat() {
+		s.confirm(s.conn.ConfirmedAt())
 		return nil
 	}
 	request := f.Handover
@@ -179,12 +196,94 @@
 			return err
 		}
 	}
-	if ids := s.cancel(request.Cancels); len(ids) > 0 {
-		s.endpoint.options.Jobs.AbandonHandedOver(ids)
+	cancelled := s.cancel(request.Cancels)
+	s.confirm(s.conn.ConfirmedAt())
+	if len(cancelled) > 0 {
+		s.endpoint.options.Jobs.AbandonHandedOver(cancelled)
 	}
 	return nil
 }
 
+// confirm records the time up to which the callers of the session's submissions have waited.
+func (s *servingSession) confirm(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+}
+
+// waitingAt implements dispatch.Caller.WaitingAt for the submission with a number. The clock of now may
+// be another one than that of the sessions.
+func (s *servingSession) waitingAt(now time.Time, number uint64) (at time.Time, left bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[number]
+	if j == nil || j.lost {
+		return time.Time{}, true
+	}
+	if !s.conn.Confirms() {
+		return now, false // an earlier build: waiting until its session ends
+	}
+	return now.Add(-time.Since(s.confirmedAt)), false
+}
+
+// CallersKnownAt returns the time up to which the callers of all jobs that were taken from peers are
+// known to have waited; zero if there is no session to consider. The jobs of a peer that has confirmed nothing for
+// maxCallerAge are excluded: their callers count as left from now on. A submission of a peer whose
+// last confirmation is older than a time that was returned before is refused, because what runs
+// here has been confirmed as wanted since.
+func (e *Endpoint) CallersKnownAt() time.Time {
+	v := &e.serving
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	known, any := now, false
+	for s := range v.sessions {
+		if s.conn == nil || !s.conn.Confirms() || s.conn.Err() != nil {
+			continue
+		}
+		at, fresh := s.knownAt(now)
+		any = any || fresh
+		if fresh && at.Before(known) {
+			known = at
+		}
+	}
+	if known.After(v.verifiedTo) {
+		v.verifiedTo = known
+	}
+	if !any {
+		return time.Time{}
+	}
+	return known
+}
+
+// knownAt returns the time of the last confirmation. If that is too old, it marks the jobs of the
+// session as lost and returns false.
+func (s *servingSession) knownAt(now time.Time) (at time.Time, fresh bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.confirmedAt) <= maxCallerAge {
+		return s.confirmedAt, true
+	}
+	for _, j := range s.jobs {
+		j.lost = true
+	}
+	return time.Time{}, false
+}
+
+// behind reports whether the last confirmation of the session is older than what has been confirmed to
+// agents.
+func (s *servingSession) behind() bool {
+	v := &s.endpoint.serving
+	v.mu.Lock()
+	verifiedTo := v.verifiedTo
+	v.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn.Confirms() && s.confirmedAt.Before(verifiedTo)
+}
+
 // handleHello validates the first frame.
 func (s *servingSession) handleHello(h *wire.HandoverHello) error {
 	switch {
@@ -210,19 +309,20 @@
 		s.send(sub.Number, dispatch.Answer{Kind: dispatch.AnswerNotRun, Fault: f})
 		return nil
 	}
+	number := sub.Number
+	caller := &dispatch.Caller{WaitingAt: func(now time.Time) (time.Time, bool) { return s.waitingAt(now, number) }}
 	s.mu.Lock()
 	full := len(s.jobs) >= maxRetained
 	if !full {
-		s.jobs[sub.Number] = &takenJob{id: sub.ID}
+		s.jobs[number] = &takenJob{TakenJob: TakenJob{sub.ID, caller}}
 	}
 	s.mu.Unlock()
 	if full {
 		s.send(sub.Number, dispatch.Answer{Kind: dispatch.AnswerNotRun, Fault: fault.Refused(fault.TooManyJobs, "this entry has taken as many jobs as it may", time.Second)})
 		return nil
 	}
-	number := sub.Number
 	alive := func() bool {
-		if s.stale(time.Since(now)) {
+		if s.stale(time.Since(now)) || s.behind() {
 			s.answer(number, dispatch.Answer{Kind: dispatch.AnswerNotRun, Fault: fault.Refused(fault.TooManyJobs, "this entry is busy", time.Second)})
 			return false
 		}
@@ -232,7 +332,7 @@
 		s.endpoint.counts.Taken.Add(1)
 		return true
 	}
-	s.endpoint.options.Jobs.SubmitHandedOver(sub, alive, func(a dispatch.Answer) { s.answer(number, a) })
+	s.endpoint.options.Jobs.SubmitHandedOver(sub, caller, alive, func(a dispatch.Answer) { s.answer(number, a) })
 	return nil
 }
 
@@ -275,30 +375,30 @@
 	s.conn.Send(&wire.ToAgent{Handover: &wire.HandoverReply{Answers: []wire.HandoverAnswer{out}}})
 }
 
-// cancel forgets submissions and returns the IDs of the jobs to abandon.
-func (s *servingSession) cancel(numbers []uint64) (ids []string) {
+// cancel forgets submissions and returns the jobs to abandon.
+func (s *servingSession) cancel(numbers []uint64) (abandoned []TakenJob) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, number := range numbers {
 		if j := s.jobs[number]; j != nil && j.submitted {
-			ids = append(ids, j.id)
+			abandoned = append(abandoned, j.TakenJob)
 		}
 		delete(s.jobs, number)
 	}
-	return ids
+	return abandoned
 }
 
-// close forgets all submissions and returns the IDs of the jobs to abandon.
-func (s *servingSession) close() (ids []string) {
+// close forgets all submissions and returns the jobs to abandon.
+func (s *servingSession) close() (abandoned []TakenJob) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
 		if j.submitted {
-			ids = append(ids, j.id)
+			abandoned = append(abandoned, j.TakenJob)
 		}
 	}
 	s.jobs = nil
-	return ids
+	return abandoned
 }
 
 // Limits of a submission, those of the callers' interface.
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -36,12 +36,15 @@
 // its job to any entry after a delay, 1.3 s in present deployments; by then the runs of
 // the former owner must have ended. An agent detects the loss of an owner at most
 // silenceTimeout and one heartbeat interval after its last frame, 0.75 s, and a stop takes
-// some tens of milliseconds, at most 0.1 s. If stops are lost, the lease ends the runs in
-// time (package lease). The timeout is no shorter, because the end of a session costs the work that
-// runs over it.
+// some tens of milliseconds, at most 0.1 s. If stops are lost, or an owner is late, the lease ends
+// the runs in time (package lease): the dispatcher's heartbeats confirm what it verified to be
+// wanted. The timeout is no shorter, because the end of a session costs the work that runs over it.
 const (
 	heartbeatInterval = 150 * time.Millisecond
 	silenceTimeout    = 600 * time.Millisecond
+	// handoverHeartbeatInterval applies between dispatchers: the confirmations of the one with the
+	// callers delay those that the other sends to its runners.
+	handoverHeartbeatInterval = 50 * time.Millisecond
 )
 
 // dialTimeout bounds the TCP connect to a dispatcher, which takes some milliseconds. A
@@ -58,6 +61,13 @@
 	}
 }
 
+// HandoverSessionOptions returns the options of sessions between dispatchers.
+func HandoverSessionOptions(c *session.Counters) session.Options {
+	o := SessionOptions(c)
+	o.HeartbeatInterval, o.IdleHeartbeatInterval = handoverHeartbeatInterval, handoverHeartbeatInterval
+	return o
+}
+
 // Record is the value that each dispatcher publishes under the name of its host, in the list of
 // its data centre: the address that accepts sessions, and the data centre.
 type Record struct {
--- a/internal/leased/replay_test.go
+++ b/internal/leased/replay_test.go
@@ -195,7 +195,7 @@
 	queue := q.Queue
 	queue.Service, queue.EnforcesCapacity, queue.MaxAttempts, queue.Stretch, queue.LatencyAllowance = "s", true, 2, 1.6, 60*time.Millisecond
 	r.entries[r.random.IntN(len(r.entries))].Submit(r.now, &dispatch.Job{ID: id, Queue: &queue, Spec: "x", Deadline: r.now.Add(10 * time.Second),
-		Steps: []dispatch.Step{{Count: q.tasks, Demand: job.Demand{CPUMilli: replayCPUMilli}, Estimate: estimate}}}, func(a dispatch.Answer) {
+		Steps: []dispatch.Step{{Count: q.tasks, Demand: job.Demand{CPUMilli: replayCPUMilli}, Estimate: estimate}}}, &dispatch.Caller{}, func(a dispatch.Answer) {
 		tookMs, objectiveMs := float64(r.now.Sub(r.submitted[id]).Milliseconds()), 1.6*workMs+60
 		switch {
 		case a.Kind != dispatch.AnswerComplete:
--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -1,9 +1,12 @@
 package leased_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -35,6 +38,7 @@
 	hostCount         = 3
 	maxLease          = time.Second
 	heartbeatInterval = 150 * time.Millisecond
+	verifyInterval    = 100 * time.Millisecond
 )
 
 var terms, _ = lease.NewTerms(maxLease, resendDelay)
@@ -46,6 +50,7 @@
 	entryUp, hostUp bool
 	broken          bool // no frame is delivered any more
 	proof           lease.Proof
+	verifiedAt      time.Time // as of which the entry has confirmed that it wants the runs; zero: not yet
 }
 
 // simWorld is the state of one simulated schedule.
@@ -76,6 +81,7 @@
 	id            string
 	tasks         int
 	callerWaiting bool
+	caller        *dispatch.Caller // of the last attempt
 	entry         int
 	attempt       int
 	refused       bool // all attempts so far were answered "not run"
@@ -157,8 +163,8 @@
 	deliver = func() {
 		if s.entryUp && !s.broken {
 			e := o.w.entries[s.entry]
-			if e.suspendedUntil > o.w.elapsed {
-				o.w.schedule(e.suspendedUntil-o.w.elapsed, deliver)
+			if paused := e.pausedFor(o.w); paused > 0 {
+				o.w.schedule(paused, deliver)
 				return
 			}
 			e.evacuations.MergeFromPeer(o.w.now, evacuation.PeerID(s.id), f.Leased.Evacuations)
@@ -173,10 +179,33 @@
 	return o.w.sessions[uint64(id)].proof.Time(now)
 }
 
-// heartbeat makes an entry acknowledge what the host has sent one heartbeat interval before.
+// confirms reports whether the entries confirm what they want. In every fourth schedule they are of an
+// earlier build that only acknowledges frames; then no entry is late.
+func (w *simWorld) confirms() bool { return w.seed%4 != 3 }
+
+// heartbeat makes an entry acknowledge what the host has sent one heartbeat interval before, and confirm
+// what it has verified.
 func (s *simSession) heartbeat(w *simWorld) {
-	if s.entryUp && s.hostUp && !s.broken && w.entries[s.entry].suspendedUntil <= w.elapsed {
+	if !s.entryUp || !s.hostUp || s.broken || w.entries[s.entry].suspendedUntil > w.elapsed {
+		return
+	}
+	if !w.confirms() {
 		s.proof.Acknowledge(w.now, w.now.Add(-heartbeatInterval-2*step))
+		return
+	}
+	if confirmed := s.verifiedAt; !confirmed.IsZero() {
+		w.schedule(step, func() { s.proof.Confirm(confirmed.Add(-heartbeatInterval)) })
+	}
+}
+
+// verify makes an entry verify which of its callers wait.
+func (e *simEntry) verify(w *simWorld, n int) {
+	e.VerifyCallers(w.now)
+	e.Flush()
+	for _, s := range w.sessions {
+		if s.entry == n && s.entryUp {
+			s.verifiedAt = e.WantedAt(dispatch.ConnID(s.id))
+		}
 	}
 }
 
@@ -186,7 +215,11 @@
 	w.sessions[s.id] = s
 	w.entries[entry].Connect(w.now, dispatch.ConnID(s.id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: dataCentre(host)}, w.extended(host))
 	w.entries[entry].evacuations.PeerUp(evacuation.PeerID(s.id))
-	s.proof.Acknowledge(w.now, w.now)
+	if w.confirms() {
+		s.proof.Confirm(w.now)
+	} else {
+		s.proof.Acknowledge(w.now, w.now)
+	}
 	w.hosts[host].table.Connect(w.now, runs.ConnID(s.id), w.extended(host))
 	w.hosts[host].evacuations.PeerUp(evacuation.PeerID(s.id))
 }
@@ -246,13 +279,32 @@
 	j.attempt++
 	attempt := j.attempt
 	w.logf(j.id, "submitted to entry %d", entry)
-	w.entries[entry].Submit(w.now, &dispatch.Job{ID: j.id, Queue: simQueue, Deadline: w.now.Add(time.Duration(1500+w.draw(4000)) * time.Millisecond),
-		Steps: []dispatch.Step{{Count: j.tasks, Demand: job.Demand{CPUMilli: taskCPUMilli}, Estimate: 150 * time.Millisecond}}},
-		func(a dispatch.Answer) {
-			if j.attempt == attempt && j.callerWaiting {
-				w.handleAnswer(j, a)
-			}
-		})
+	deadline := w.now.Add(time.Duration(1500+w.draw(4000)) * time.Millisecond)
+	caller := &dispatch.Caller{WaitingAt: func(now time.Time) (time.Time, bool) {
+		return now, j.attempt != attempt || !j.callerWaiting
+	}}
+	j.caller = caller
+	w.command(entry, func(e *simEntry) {
+		if j.attempt != attempt || !j.callerWaiting {
+			return
+		}
+		e.Submit(w.now, &dispatch.Job{ID: j.id, Queue: simQueue, Deadline: deadline,
+			Steps: []dispatch.Step{{Count: j.tasks, Demand: job.Demand{CPUMilli: taskCPUMilli}, Estimate: 150 * time.Millisecond}}}, caller,
+			func(a dispatch.Answer) {
+				if j.attempt == attempt && j.callerWaiting {
+					w.handleAnswer(j, a)
+				}
+			})
+	})
+}
+
+// command runs a command on an entry once its control state runs.
+func (w *simWorld) command(entry int, run func(*simEntry)) {
+	if paused := w.entries[entry].pausedFor(w); paused > 0 {
+		w.schedule(paused, func() { w.command(entry, run) })
+		return
+	}
+	run(w.entries[entry])
 }
 
 // handleAnswer checks an answer against what the targets executed.
@@ -291,9 +343,21 @@
 	w.schedule(resendDelay, func() { w.submit(j, entry) })
 }
 
+// sessionsByAge returns all sessions, ended ones included, in the order in which they opened.
+func (w *simWorld) sessionsByAge() []*simSession {
+	return slices.SortedFunc(maps.Values(w.sessions), func(a, b *simSession) int { return cmp.Compare(a.id, b.id) })
+}
+
 // injectFault injects one random fault or change.
 func (w *simWorld) injectFault() {
-	switch w.draw(13) {
+	switch w.draw(14) {
+	case 13: // the control state of an entry is late, and its sessions go on acknowledging frames
+		if !w.confirms() {
+			return
+		}
+		e := w.entries[w.draw(entryCount)]
+		e.lateUntil = w.elapsed + time.Duration(w.draw(2500))*time.Millisecond
+		w.logf("", "an entry is late until %s", e.lateUntil)
 	case 12: // the calls that start and stop runs on a target are lost, and renewals get through
 		h := w.hosts[w.draw(hostCount)]
 		h.ordersLostUntil = w.elapsed + time.Duration(1000+w.draw(4000))*time.Millisecond
@@ -315,7 +379,7 @@
 			e.logUnavailable = n == rejected
 		}
 	case 0: // a session breaks
-		for _, s := range w.sessions {
+		for _, s := range w.sessionsByAge() {
 			if !s.broken && w.draw(4) == 0 {
 				w.disconnect(s, time.Duration(w.draw(int(maxDetectionDelay/time.Millisecond)))*time.Millisecond, time.Duration(w.draw(int(maxDetectionDelay/time.Millisecond)))*time.Millisecond)
 				return
@@ -323,7 +387,7 @@
 		}
 	case 1: // an entry is killed: its connections close at once
 		n := w.draw(entryCount)
-		for _, s := range w.sessions {
+		for _, s := range w.sessionsByAge() {
 			if s.entry == n && s.entryUp {
 				s.entryUp = false
 				w.disconnect(s, 0, step)
@@ -337,7 +401,7 @@
 		}
 	case 2: // a runner is killed and restarts; its target continues
 		h := w.hosts[w.draw(hostCount)]
-		for _, s := range w.sessions {
+		for _, s := range w.sessionsByAge() {
 			if s.host == h.n && s.hostUp {
 				s.hostUp = false
 				w.disconnect(s, step, 0)
@@ -350,7 +414,7 @@
 		h.target.restart()
 		w.schedule(time.Duration(w.draw(500))*time.Millisecond, h.announce)
 	case 4: // a runner selects another entry: a session is retired
-		for _, s := range w.sessions {
+		for _, s := range w.sessionsByAge() {
 			if s.hostUp && !s.broken && w.draw(4) == 0 {
 				w.logf("", "session of entry %d and host %d is retired", s.entry, s.host)
 				w.hosts[s.host].table.Retire(w.now, runs.ConnID(s.id))
@@ -362,7 +426,8 @@
 			if j.callerWaiting {
 				w.logf(j.id, "its caller disconnects")
 				j.callerWaiting = false // a later answer is ignored
-				w.entries[j.entry].Abandon(w.now, j.id)
+				caller := j.caller
+				w.command(j.entry, func(e *simEntry) { e.Abandon(w.now, caller) })
 				w.resubmitLater(j)
 				return
 			}
@@ -380,7 +445,7 @@
 		action()
 	}
 	if w.elapsed%heartbeatInterval == 0 {
-		for _, s := range w.sessions {
+		for _, s := range w.sessionsByAge() {
 			s.heartbeat(w)
 		}
 	}
@@ -393,10 +458,13 @@
 		h.table.Flush(w.now)
 	}
 	for n, e := range w.entries {
-		if e.suspendedUntil > w.elapsed {
+		if e.pausedFor(w) > 0 {
 			continue
 		}
 		e.Tick(w.now)
+		if w.elapsed%verifyInterval == 0 {
+			e.verify(w, n)
+		}
 		if w.elapsed%(10*step) == time.Duration(n)*step {
 			e.readLog(w)
 		}
--- a/internal/leased/simlog_test.go
+++ b/internal/leased/simlog_test.go
@@ -70,9 +70,15 @@
 	needsSnapshot  bool
 	logUnavailable bool
 	suspendedUntil time.Duration // since the start of the schedule
+	lateUntil      time.Duration // of the control state alone
 	evacuated      map[string]bool
 }
 
+// pausedFor returns how long the entry's control state does not run.
+func (e *simEntry) pausedFor(w *simWorld) time.Duration {
+	return max(e.suspendedUntil, e.lateUntil) - w.elapsed
+}
+
 // resetEvacuations replaces the entry's replica by an empty one, as after a restart.
 func (e *simEntry) resetEvacuations() {
 	e.evacuated = map[string]bool{}
--- a/internal/runner/counters.go
+++ b/internal/runner/counters.go
@@ -11,11 +11,14 @@
 type counters struct {
 	leased.Counters
 	startUs metrics.Histogram
+	// proofAgeUs is the age of the proofs that dispatchers want their runs, when they take effect.
+	proofAgeUs metrics.Histogram
 }
 
 func newCounters(queued func() int) *counters {
 	c := &counters{Counters: leased.NewCounters(queued)}
 	c.startUs = c.RegisterHistogram("target.start_us")
+	c.proofAgeUs = c.RegisterHistogram("sessions.proof_age_us")
 	return c
 }
 
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -32,6 +32,9 @@
 	conn   *session.ToEntryConn
 	owner  job.Incarnation // the dispatcher's process; set once opened
 	opened bool            // the welcome was received
+	// confirmedAt is the result of the last new confirmation of conn; only the reading goroutine
+	// uses it.
+	confirmedAt time.Time
 
 	mu    sync.Mutex
 	proof lease.Proof // that the dispatcher wants its runs
@@ -61,7 +64,10 @@
 
 // receive handles a frame of the dispatcher. An error closes the connection.
 func (s *entrySession) receive(f *wire.ToAgent) error {
-	s.recordAcknowledgement()
+	confirmedAt := s.newConfirmation()
+	if !s.conn.Confirms() {
+		s.recordAcknowledgement()
+	}
 	if !s.opened {
 		return s.handleWelcome(f.Welcome)
 	}
@@ -69,13 +75,18 @@
 	if f.Leaving {
 		return errFull
 	}
-	if f.IsHeartbeat() || f.Leased == nil {
+	if f.Leased == nil && confirmedAt.IsZero() {
 		return nil
 	}
 	s.enqueue(func(now time.Time, st *state) {
 		if st.sessions[s.id] == nil {
 			return // ended while the command was queued
 		}
+		// After the content of this frame and all earlier ones, which may recall runs.
+		defer s.recordConfirmation(now, confirmedAt)
+		if f.Leased == nil {
+			return
+		}
 		st.evacuations.MergeFromPeer(now, evacuation.PeerID(s.id), f.Leased.Evacuations)
 		st.table.Receive(now, s.id, f.Leased)
 		if err := st.config.HandleNote(now, confsync.PeerID(s.id), f.Leased.Config); err != nil {
@@ -85,8 +96,31 @@
 	return nil
 }
 
+// newConfirmation returns when the newest frame was sent that the dispatcher has confirmed, by the
+// clock of the control state; zero: none since the previous call. Only the reading goroutine calls it.
+func (s *entrySession) newConfirmation() time.Time {
+	sentAt := s.conn.ConfirmedAt()
+	if !sentAt.After(s.confirmedAt) {
+		return time.Time{}
+	}
+	s.confirmedAt = sentAt
+	return s.clock.Now().Add(-time.Since(sentAt))
+}
+
+// recordConfirmation records that the dispatcher has confirmed a frame that was sent at sentAt; zero:
+// none. The control goroutine calls it.
+func (s *entrySession) recordConfirmation(now, sentAt time.Time) {
+	if sentAt.IsZero() {
+		return
+	}
+	s.metrics.proofAgeUs.Update(now.Sub(sentAt).Microseconds())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proof.Confirm(sentAt)
+}
+
 // recordAcknowledgement records how much of what was sent the dispatcher has received, as of the frame
-// received last.
+// received last. It is the proof of a dispatcher of an earlier build, which confirms nothing.
 func (s *entrySession) recordAcknowledgement() {
 	sentAt := s.conn.AcknowledgedAt()
 	if sentAt.IsZero() {
--- a/internal/scheduler/lease/lease.go
+++ b/internal/scheduler/lease/lease.go
@@ -4,7 +4,8 @@
 // send their jobs again to other entries after a fixed pause, and at the same time the calls that
 // would stop the first runs are lost, refused or late. Then only the end of the lease stops a run.
 // A lease therefore never lasts longer than the first moment at which a caller may have sent a job
-// again, whichever messages get through.
+// again, whichever messages get through. It is bounded from the last Proof that the entry wanted the
+// run, so that an entry that is late, or does not know that a caller has left, extends nothing.
 //
 // A lease applies to everything that runs on a target, and a longer one can't be shortened. Runs of
 // an entry that was heard of less recently than others therefore start only once the lease in force
@@ -17,11 +18,13 @@
 	// StopTime is the time that a target takes to stop its runs when the lease ends, 50 ms at most,
 	// and the rounding to milliseconds of its clock.
 	StopTime = 60 * time.Millisecond
-	// recallTime is how long an entry that was paused may take, once it runs again, to notice that a
-	// caller has left and to send the recall. Meanwhile its heartbeats prove nothing.
+	// recallTime is how long a caller that has left may seem to wait: the time until the end of its
+	// connection arrives at the entry. For an entry that confirms nothing, it is also how long one that
+	// was paused may take, once it runs again, to notice that a caller has left and to send the recall;
+	// meanwhile its acknowledgements prove nothing.
 	recallTime = 100 * time.Millisecond
 	// maxProofAge is the usual limit of the age of a Proof: the heartbeat intervals of both ends,
-	// a round trip, and recallTime until the next frame takes effect.
+	// a round trip, and the interval at which an entry verifies its callers, or recallTime.
 	maxProofAge = 540 * time.Millisecond
 	// minLimit is the shortest Terms.Limit, below which a lease ends between two renewals.
 	minLimit = 400 * time.Millisecond
@@ -53,8 +56,13 @@
 }
 
 // Proof is the evidence that the entry of a session still wanted its runs. It is the time at which
-// the newest frame was sent that the entry has acknowledged, as of recallTime ago: by now, an entry
-// that had given up a run by then would have recalled it. The zero Proof is that of a new session.
+// the newest frame was sent that the entry has confirmed: after it had received that frame, it
+// verified on their connections that the callers of all these runs wait, and the recalls of others
+// were sent before the confirmation. That holds however late the entry is.
+//
+// An entry of an earlier build confirms nothing. For it, the frame is the newest that it has
+// acknowledged as of recallTime ago: by now, it would have recalled a run that it had given up by
+// then, if it is not late. The zero Proof is that of a new session.
 type Proof struct {
 	settled, pending time.Time
 	pendingAt        time.Time // when the frame with the acknowledgement arrived
@@ -72,6 +80,14 @@
 	}
 }
 
+// Confirm records that a frame sent at sentAt is confirmed. All frames up to the one with the
+// confirmation must have been handled: a recall among them is older than the confirmation.
+func (p *Proof) Confirm(sentAt time.Time) {
+	if sentAt.After(p.settled) {
+		p.settled = sentAt
+	}
+}
+
 // Time returns the time up to which the entry is known to have wanted its runs; zero: there is no
 // evidence yet.
 func (p *Proof) Time(now time.Time) time.Time {
--- a/internal/scheduler/lease/lease_test.go
+++ b/internal/scheduler/lease/lease_test.go
@@ -84,6 +84,18 @@
 	g.Expect(p.Time(resumed.Add(ms(300)))).To(Equal(resumed.Add(ms(20))))
 }
 
+// Guards against a proof that grows older, or waits although the entry has verified its callers.
+func TestConfirmationCountsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	var p Proof
+	p.Confirm(start)
+	g.Expect(p.Time(start.Add(ms(1)))).To(Equal(start))
+	p.Confirm(start.Add(ms(100)))
+	p.Confirm(start.Add(ms(50)))
+	g.Expect(p.Time(start.Add(ms(101)))).To(Equal(start.Add(ms(100))))
+	g.Expect(p.Time(start.Add(time.Minute))).To(Equal(start.Add(ms(100))))
+}
+
 // Guards against a run under a lease that is too long for it, or too short to be renewed.
 func TestMayStart(t *testing.T) {
 	g := NewWithT(t)
