Runner: an order that precedes the first proof of its session can start

Since a proof is a confirmation, the first orders of a session may come before one, for example while the dispatcher takes jobs of peers whose last confirmation is older than the session. The time at which the caller of such an order stops waiting was counted from the zero time, so it never started and came back unstarted. It is now counted from the opening of the session.

Evidence: TestOrderBeforeTheFirstProof fails without the change (no start call).

--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -15,6 +15,19 @@
 	grantLimit  = time.Second
 )
 
+// Guards against an order that never starts because it came before the first proof that the entry of a
+// new session wants its runs.
+func TestOrderBeforeTheFirstProof(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.outbox.wanted[testConn] = time.Time{}
+	l.advance(time.Millisecond)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.Expect(l.target.starts).To(BeEmpty())
+	l.outbox.wanted[testConn] = l.now
+	l.advance(50 * time.Millisecond)
+	l.Expect(l.target.starts).To(HaveLen(1))
+}
+
 // leaseTarget is a target whose clock is slow by 2 %. Its stops are lost, and its renewals arrive.
 type leaseTarget struct {
 	*harness
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -16,7 +16,7 @@
 // fields of frames.
 func (t *Table) Connect(now time.Time, conn ConnID, extended bool) {
 	t.now = now
-	t.sessions.Set(conn, &session{conn: conn, extended: extended, runs: map[uint64]*run{}, sendTarget: t.targetKnown, sendLoad: true, lastOrderAt: now})
+	t.sessions.Set(conn, &session{conn: conn, extended: extended, runs: map[uint64]*run{}, sendTarget: t.targetKnown, sendLoad: true, openedAt: now, lastOrderAt: now})
 	t.loadChanged = true
 }
 
@@ -108,7 +108,11 @@
 		queueDeadline: t.now.Add(time.Duration(order.MaxWaitMs) * time.Millisecond),
 		runDeadline:   t.now.Add(time.Duration(order.TimeoutMs) * time.Millisecond),
 	}
-	r.callerLeavesAt = t.wantedAt(s).Add(time.Duration(order.TimeoutMs) * time.Millisecond)
+	sentAfter := s.openedAt // the order may come before the first proof
+	if wantedAt := t.wantedAt(s); !wantedAt.IsZero() {
+		sentAfter = wantedAt
+	}
+	r.callerLeavesAt = sentAfter.Add(time.Duration(order.TimeoutMs) * time.Millisecond)
 	offerHeld := order.Reservation != 0 && t.takeOffer(r)
 	if offerHeld {
 		r.order.Movable = false // it need not wait
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -248,9 +248,10 @@
 	loadSentAt   time.Time     // when the load was last sent
 	loadStale    bool          // the load has changed since it was last sent
 	queueVersion uint64        // version of the queue loads that it was last sent
-	lastOrderAt  time.Time     // when the entry last sent an order
-	retiring     bool          // the session closes once its runs have ended
-	closeAfter   time.Time     // the session stays open at least until then
+	openedAt     time.Time
+	lastOrderAt  time.Time // when the entry last sent an order
+	retiring     bool      // the session closes once its runs have ended
+	closeAfter   time.Time // the session stays open at least until then
 
 	runTimesVersion uint64 // summariesVersion when summaries were last sent
 
