Runs: a new incarnation is shown a token above those of the earlier ones; what it lists is not over

The token of a new incarnation was the reading of its clock, which starts anew, so a call for an earlier one that is carried out late was accepted also after the first listing: only a refusal raised the token. It now starts above every token that this agent has shown to earlier incarnations of the name.

A run that a listing of the next incarnation shows at work was settled with the one before if that one had accepted its start. It is carried over like any run that the next one may have.

TestTokenIsAboveThoseOfTheEarlierLife and TestRunThatTheNextLifeListsIsNotOver failed before.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -101,6 +101,9 @@
 	t.forgetEnds()
 	t.lease.Clock.Set(t.now, a.ClockMs)
 	t.token = a.ClockMs
+	if t.earlierToken > 0 {
+		t.token = max(t.token, t.earlierToken+1) // fences the calls for earlier lives that are carried out late
+	}
 	t.stopCarriedOver()
 	t.fenceLateStarts()
 	for s := range t.sessions.Values() {
--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -274,3 +274,28 @@
 	h.rebirth()
 	h.Expect(h.target.stops).To(BeEmpty())
 }
+
+// Guards against a start that the next life carries out after its first listing: nothing but the fencing
+// token can turn it away.
+func TestTokenIsAboveThoseOfTheEarlierLife(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.answerStart(0, NoAnswer)
+	late := h.target.starts[0].Token
+	h.rebirth()
+	call, _ := h.NextRenewal(h.now)
+	h.Expect(call.Token).To(BeNumerically(">", late))
+}
+
+// Guards against two runs of one task: a listing of the next life shows a run at work there, and it is
+// reported as over when that life announces itself.
+func TestRunThatTheNextLifeListsIsNotOver(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.answerStart(0, Accepted)
+	call, _ := h.NextRenewal(h.now)
+	h.Renewed(h.now, h.now, call, Listing{ClockMs: youngClockMs, StartedMs: h.incarnation.StartedMs + 5000, Running: []RunID{h.target.starts[0].Run}})
+	h.rebirth()
+	h.Expect(h.outcomes(testConn)).To(BeEmpty())
+	h.stoppedInNextLife(h.target.starts[0].Run)
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -19,6 +19,7 @@
 		if c.LeaseUntilMs != 0 && !l.StaleToken {
 			t.lease.GrantedByOtherClock(now)
 		}
+		t.noteListedByNextLife(l.Running)
 		t.RenewFailed(now, c, Replaced) // it has restarted under its name
 		return
 	}
@@ -113,6 +114,16 @@
 	t.listed = true
 }
 
+// noteListedByNextLife records that the runs are at work in another life of the target than the known one,
+// with whose end they are therefore not over.
+func (t *Table) noteListedByNextLife(running []RunID) {
+	for _, id := range running {
+		if r := t.run(id); r != nil {
+			r.seen = false
+		}
+	}
+}
+
 // noteListed records that the target lists a run as running.
 func (t *Table) noteListed(r *run) {
 	t.noteCarriedOut(r)
