--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -248,7 +248,7 @@
 // isolateEntry cuts an entry off from the store, from its callers and from all runners.
 func isolateEntry(r *run, rnd *rand.Rand, _ time.Duration) func() {
 	e := rnd.IntN(r.Entries)
-	paths := []*relay.Relay{r.fleet.CallerPaths[e]}
+	paths := []*relay.Relay{r.fleet.CallerPaths[e], r.fleet.PeerPaths[e]}
 	for _, sessionPaths := range r.fleet.SessionPaths {
 		paths = append(paths, sessionPaths[e])
 	}
@@ -309,8 +309,8 @@
 // its answers; one time in four, all tasks fail as well.
 func injectTargetFaults(r *run, rnd *rand.Rand, _ time.Duration) func() {
 	t := pick(rnd, r.fleet.Targets)
-	t.SetFaults(rnd.Float64()*0.3, rnd.Float64()*0.3, rnd.IntN(4) == 0)
-	return func() { t.SetFaults(0, 0, false) }
+	t.SetFaults(standin.TargetFaults{LateOrderShare: rnd.Float64() * 0.3, LostAnswerShare: rnd.Float64() * 0.3, FailTasks: rnd.IntN(4) == 0})
+	return func() { t.SetFaults(standin.TargetFaults{}) }
 }
 
 // drainTarget drains a target, and restarts it afterwards unless another fault has stopped it.
