Soak: targets reborn at once, slow processes, runners killed together; scenarios of one cause each

Random faults in groups beside those of every run (-groups): rebirth, slow (a quota by stopping and continuing processes, short pauses in series), loss (all runners of a data centre killed, 20 to 45 % of answers lost, silent connections between entries and from a runner to its target). Callers stay with an entry until it fails them, announce their deadline and leave before it, also with a fault; one job in twenty has tasks of 1 to 3.6 s, one in twenty up to 32 tasks.

-scenario plays one cause over and over and prints what the targets saw of each job. These stay behind their options.

--- a/apps/camphorrack-soak/main.go
+++ b/apps/camphorrack-soak/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/settings"
@@ -28,12 +29,17 @@
 	set.IntVar(&o.Entries, "entries", soak.DefaultEntries, "entry hosts")
 	set.IntVar(&o.Targets, "targets", soak.DefaultTargets, "targets, each with a runner")
 	set.IntVar(&o.Callers, "callers", soak.DefaultCallers, "callers")
+	groups := set.String("groups", "", "further groups of faults, with commas between them: rebirth, slow, loss")
+	set.StringVar(&o.Scenario, "scenario", "", "play one scenario in place of random faults: "+soak.ScenarioNames())
 	keep := set.Bool("keep", false, "keep the logs of every seed")
 	verbose := set.Bool("faults", false, "print each fault as it begins")
 	set.AddCheck("targets", func() string {
 		return settings.MessageIf(o.Targets < 1 || o.Targets > 150 || o.Entries < 1 || o.Entries > 80, "takes 1 to 150, with 1 to 80 entries")
 	})
 	set.LoadOrExit()
+	if *groups != "" {
+		o.Groups = strings.Split(*groups, ",")
+	}
 	if *verbose {
 		o.Out = os.Stdout
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,9 +20,18 @@
 	// answerTolerance is how much longer than callerTimeout an entry may hold a request that it
 	// still answers.
 	answerTolerance = time.Second
+	// longTaskShare is the share of jobs with tasks of up to maxTaskTime, and wideShare the share of
+	// those with up to maxWidth tasks.
+	longTaskShare, wideShare = 0.05, 0.05
+	maxTaskTime              = 3600 * time.Millisecond
+	maxWidth                 = 32
 	// giveUpShare is the share of submissions whose callers give up early, and poisonShare the
 	// share of jobs whose tasks fail on every target.
 	giveUpShare, poisonShare = 0.1, 0.05
+	// leaveAtFaultShare is the share of submissions whose callers leave within maxLeaveDelay of the
+	// next fault.
+	leaveAtFaultShare = 0.2
+	maxLeaveDelay     = 50 * time.Millisecond
 	// crasherShare is the share of jobs whose tasks crash their targets.
 	crasherShare = 0.01
 )
@@ -30,8 +39,9 @@
 // runCaller submits one job after the other until the context ends.
 func (r *run) runCaller(ctx context.Context, caller int) {
 	random := r.newRand(uint64(1000 + caller))
+	entry := random.IntN(r.Entries)
 	for n := 0; ctx.Err() == nil; n++ {
-		r.submitJob(ctx, random, fmt.Sprintf("%08x%08x", caller+1, n))
+		entry = r.submitJob(ctx, random, entry, fmt.Sprintf("%08x%08x", caller+1, n))
 		clock.Sleep(ctx, time.Duration(random.IntN(100))*time.Millisecond)
 	}
 }
@@ -47,30 +57,47 @@
 	return standin.Work
 }
 
-// submitJob submits a job, and resends it as a real caller does: after no answer, a broken
-// connection or an unknown outcome, after a fixed pause and to any entry. If all answers are
-// "not run", it checks that no run of the job was started.
-func (r *run) submitJob(ctx context.Context, random *rand.Rand, id string) {
+// jobBody returns the body of a random job.
+func jobBody(random *rand.Rand, kind standin.TaskKind) string {
+	width, runMs := 1+random.IntN(6), 20+random.IntN(880)
+	switch draw := random.Float64(); {
+	case draw < longTaskShare:
+		width, runMs = 1+random.IntN(2), int(between(random, time.Second, maxTaskTime).Milliseconds())
+	case draw < longTaskShare+wideShare:
+		width, runMs = 1+random.IntN(maxWidth), 20+random.IntN(200)
+	}
+	return standin.JobBody(kind, width, runMs)
+}
+
+// submitJob submits a job to an entry, and resends it as a real caller does: after no answer, a
+// broken connection or an unknown outcome, after a fixed pause and to any entry. If all answers are
+// "not run", it checks that no run of the job was started. It returns the entry of the next job:
+// the same, unless that has failed the caller.
+func (r *run) submitJob(ctx context.Context, random *rand.Rand, entry int, id string) (next int) {
 	kind := taskKind(random.Float64())
 	mustFail := kind != standin.Work
-	body := standin.JobBody(kind, 1+random.IntN(6), 20+random.IntN(600))
+	body := jobBody(random, kind)
 	r.updateCounts(func(t *JobCounts) { t.Sent++ })
 	allRejected := true
 	for range maxSends {
-		timeout := callerTimeout
+		wait := callerTimeout
 		givesUp := random.Float64() < giveUpShare
 		if givesUp {
-			timeout = time.Duration(10+random.IntN(300)) * time.Millisecond
+			wait = time.Duration(10+random.IntN(600)) * time.Millisecond
 		}
 		startedAt, stalledBefore := time.Now(), r.selfStalls.total()
-		reply := r.fleet.Call(ctx, "POST", r.fleet.URL(random.IntN(r.Entries), "/q0/"+id), body, timeout)
+		leavesAtFault := random.Float64() < leaveAtFaultShare
+		reply := r.call(ctx, entry, id, body, wait, leavesAtFault)
 		if ctx.Err() != nil {
-			return // the run is over; the answer isn't checked
+			return entry // the run is over; the answer isn't checked
 		}
-		retry := r.checkAnswer(id, reply, mustFail, givesUp, time.Since(startedAt)-(r.selfStalls.total()-stalledBefore))
+		retry := r.checkAnswer(id, reply, mustFail, givesUp || leavesAtFault, time.Since(startedAt)-(r.selfStalls.total()-stalledBefore))
 		if reply.Status != 429 && reply.Status != 503 {
 			allRejected = false
 		}
+		if reply.Status != 200 {
+			entry = random.IntN(r.Entries)
+		}
 		if !retry {
 			break
 		}
@@ -79,6 +106,26 @@
 	if allRejected {
 		r.fleet.Checker.CheckNotStarted(id)
 	}
+	return entry
+}
+
+// call submits a job with the deadline callerTimeout, and leaves after a shorter or equal wait, or if
+// leavesAtFault is set, also with the next fault.
+func (r *run) call(ctx context.Context, entry int, id, body string, wait time.Duration, leavesAtFault bool) standin.Reply {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if leavesAtFault {
+		nextFault := r.nextFault()
+		go func() {
+			select {
+			case <-nextFault:
+				clock.Sleep(ctx, rand.N(maxLeaveDelay))
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+	}
+	return r.fleet.CallUntil(ctx, "POST", r.fleet.URL(entry, "/q0/"+id), body, callerTimeout)
 }
 
 // checkAnswer counts an answer, records a breach if it violates a guarantee, and reports
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,42 @@
 	inject func(r *run, rnd *rand.Rand, duration time.Duration) (undo func())
 }
 
+// Groups of faults; see Options.Groups.
+const (
+	GroupRebirth = "rebirth" // targets that are back under the same name within milliseconds
+	GroupSlow    = "slow"    // processes without processor time, for milliseconds to seconds
+	GroupLoss    = "loss"    // many runners killed at once, lost answers, silent connections
+)
+
+var faultGroups = map[string][]fault{
+	GroupRebirth: {
+		{"target reborn", rebearTarget},
+		{"targets of a data centre reborn", rebearDataCentre},
+		{"target reborn beside calls under way", rebearWithCallsUnderWay},
+	},
+	GroupSlow: {
+		{"entry throttled", processFault(entryProcesses, (*run).throttleProcess)},
+		{"runner throttled", processFault(runnerProcesses, (*run).throttleProcess)},
+		{"many throttled", throttleMany},
+		{"short pauses", pauseMany},
+	},
+	GroupLoss: {
+		{"runners of a data centre killed", killDataCentre},
+		{"targets lose answers", loseAnswers},
+		{"path between entries", pathFault(func(r *run, rnd *rand.Rand) *relay.Relay { return pick(rnd, r.fleet.PeerPaths) })},
+		{"connections of a runner to its target go silent", silenceTarget},
+	},
+}
+
+// selectFaults returns the faults of every run and those of some groups.
+func selectFaults(groups []string) []fault {
+	selected := slices.Clone(faults)
+	for _, group := range groups {
+		selected = append(selected, faultGroups[group]...)
+	}
+	return selected
+}
+
 var faults = []fault{
 	{"entry killed", processFault(entryProcesses, (*run).killProcess)},
 	{"entry paused", processFault(entryProcesses, (*run).pauseProcess)},
@@ -62,13 +99,15 @@
 // all are undone.
 func (r *run) injectFaults(ctx context.Context) {
 	rnd := r.newRand(1)
+	selected := selectFaults(r.Groups)
 	var wg sync.WaitGroup
 	for deadline := time.Now().Add(r.Duration); time.Now().Before(deadline) && ctx.Err() == nil; {
-		f := pick(rnd, faults)
+		f := pick(rnd, selected)
 		duration := between(rnd, minFaultDuration, maxFaultDuration)
 		faultRand := rand.New(rand.NewPCG(rnd.Uint64(), 0))
 		r.faults++
 		fmt.Fprintf(r.Out, "%s fault %d: %s for %s\n", time.Now().Format(time.StampMilli), r.faults, f.name, duration.Round(time.Millisecond))
+		r.announceFault()
 		wg.Go(func() {
 			undo := f.inject(r, faultRand, duration)
 			if undo == nil {
@@ -82,12 +121,27 @@
 	wg.Wait()
 }
 
+// nextFault returns a channel that is closed when the next fault begins.
+func (r *run) nextFault() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faultBegins
+}
+
+func (r *run) announceFault() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.faultBegins)
+	r.faultBegins = make(chan struct{})
+}
+
 // clearFaults undoes what interrupted faults may have left behind.
 func (r *run) clearFaults() {
 	r.fleet.Store.SetMode("", standin.StoreNormal)
 	r.fleet.Store.SetDelay(0)
 	for _, t := range r.fleet.Targets {
 		t.SetCapacity(standin.DefaultCPUMilli)
+		t.SetFaults(standin.TargetFaults{})
 	}
 	for n := range dataCentres {
 		r.fleet.Restore(r.fleet.DataCentre(n))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,13 +31,15 @@
 	Targets  int
 	Callers  int
 	Out      io.Writer // receives a line for each fault
+	Groups   []string  // of faults, beside those of every run
+	Scenario string    // if set, plays this one in place of random faults; see ScenarioNames
 }
 
 // Default size of a run: some tens of processes with their relays.
 const (
 	DefaultEntries = 3
 	DefaultTargets = 6
-	DefaultCallers = 8
+	DefaultCallers = 16
 )
 
 const (
@@ -86,24 +88,37 @@
 	faults        int // number of injected faults
 	breaches      []standin.Breach
 	configVersion int // version of the newest configuration written
+	faultBegins   chan struct{}
 }
 
 // Run executes one run, which its seed determines but for timing, and waits until its
 // processes have stopped. Violated guarantees are in the result; an error means that the run
 // could not be started.
 func Run(ctx context.Context, o Options) (Result, error) {
+	if o.Scenario != "" {
+		chosen, known := scenarios[o.Scenario]
+		if !known {
+			return Result{}, errors.Newf("no scenario %q", o.Scenario)
+		}
+		o.Entries, o.Targets = chosen.entries, chosen.targets
+	}
 	fleet, err := standin.NewFleet(standin.FleetOptions{
 		BinDir: o.BinDir, Dir: o.Dir, Entries: o.Entries, Targets: o.Targets, Relays: true, Seed: o.Seed,
-		DataCentres: dataCentres, CrashDowntime: crashDowntime,
+		DataCentres: o.dataCentres(), CrashDowntime: crashDowntime,
 	})
 	if err != nil {
 		return Result{}, err
 	}
 	defer fleet.Close()
-	r := &run{Options: o, fleet: fleet, selfStalls: newSelfStallCounter(), configVersion: 1}
+	r := &run{Options: o, fleet: fleet, selfStalls: newSelfStallCounter(), configVersion: 1, faultBegins: make(chan struct{})}
 	if err := r.waitReady(ctx); err != nil {
 		return Result{}, err
 	}
+	if o.Scenario != "" {
+		r.playScenario(ctx)
+		r.clearFaults()
+		return Result{Seed: o.Seed, Faults: r.faults, Jobs: r.jobCounts, Breaches: append(r.breaches, fleet.Checker.Breaches()...)}, nil
+	}
 	r.runWithFaults(ctx)
 	r.clearFaults()
 	clock.Sleep(ctx, recoveryGrace)
@@ -118,6 +133,15 @@
 	return Result{Seed: o.Seed, Faults: r.faults, Jobs: r.jobCounts, Breaches: append(r.breaches, fleet.Checker.Breaches()...)}, nil
 }
 
+// dataCentres returns the number of data centres: one in a scenario, so that any entry may use any
+// target.
+func (o Options) dataCentres() int {
+	if o.Scenario != "" {
+		return 1
+	}
+	return dataCentres
+}
+
 // waitReady waits until every entry is ready; it returns an error after readyTimeout.
 func (r *run) waitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
