--- a/internal/soak/scenarios.go
+++ b/internal/soak/scenarios.go
@@ -41,8 +41,8 @@
 	"caller-leaves-entry-throttled":      {2, 4, callerLeaves(throttledEntry(quotaPeriod, 15*time.Millisecond))},
 	"caller-leaves-entry-short-pauses":   {2, 4, callerLeaves(pausedEntry)},
 	"caller-leaves-entry-busy":           {2, 4, callerLeaves(busyEntry(150, fixedTurns(90*time.Millisecond, 10*time.Millisecond)))},
-	"caller-leaves-entry-busier":         {2, 4, callerLeaves(busyEntry(400, fixedTurns(95*time.Millisecond, 5*time.Millisecond)))},
-	"caller-leaves-entry-busy-paused":    {2, 4, callerLeaves(busyEntry(300, fixedTurns(300*time.Millisecond, 15*time.Millisecond)))},
+	"caller-leaves-entry-busier":         {2, 4, callerLeaves(busyEntry(600, fixedTurns(200*time.Millisecond, 8*time.Millisecond)))},
+	"caller-leaves-entry-busy-paused":    {2, 4, callerLeaves(busyEntry(900, fixedTurns(300*time.Millisecond, 15*time.Millisecond)))},
 	"caller-leaves-runner-throttled":     {2, 4, callerLeaves(throttledRunner)},
 	"caller-leaves-connections-silent":   {2, 4, callerLeavesSilently},
 	"rebirth-announced-late":             {2, 3, rebirthAnnouncedLate(standin.TargetFaults{})},
@@ -298,16 +298,22 @@
 	end()
 }
 
-// rebirthRunnerThrottled plays a target that is back at once, and announced late, while its runner is
-// throttled and jobs are sent.
+// rebirthRunnerThrottled plays a target that is back at once while its runner gets so little processor
+// time that it may have taken note of the new incarnation before it sends starts that it has decided
+// on earlier. The target loses answers and stops.
 func rebirthRunnerThrottled(r *run, ctx context.Context, rnd *rand.Rand, id string) {
 	i := rnd.IntN(len(r.fleet.Targets))
-	end := r.stream(ctx, id, 20*time.Millisecond, 500*time.Millisecond)
-	clock.Sleep(ctx, 200*time.Millisecond)
-	endTurns := takeTurns(r.fleet.Runners[i], quota(between(rnd, minQuota, 15*time.Millisecond)))
+	end := r.stream(ctx, id, 10*time.Millisecond, 300*time.Millisecond)
 	clock.Sleep(ctx, 200*time.Millisecond)
-	r.rebirth(r.fleet.Targets[i], between(rnd, 0, 20*time.Millisecond), between(rnd, 0, 400*time.Millisecond))
-	clock.Sleep(ctx, 1200*time.Millisecond)
+	r.fleet.Targets[i].SetFaults(standin.TargetFaults{LostAnswerShare: 0.45, LostStopShare: 0.45})
+	endTurns := takeTurns(r.fleet.Runners[i], func() (time.Duration, time.Duration) {
+		return between(rnd, 30*time.Millisecond, 150*time.Millisecond), between(rnd, 500*time.Microsecond, 6*time.Millisecond)
+	})
+	for range 4 {
+		clock.Sleep(ctx, 300*time.Millisecond)
+		r.rebirth(r.fleet.Targets[i], 0, 0)
+	}
+	clock.Sleep(ctx, 500*time.Millisecond)
 	endTurns()
 	end()
 }
