--- a/internal/soak/scenarios.go
+++ b/internal/soak/scenarios.go
@@ -352,7 +352,11 @@
 		if disturb != nil {
 			defer disturb(r)()
 		}
-		r.resendAfterLeaving(ctx, c, 2, id)
+		other := 1 // an entry that knows the job would wait for its runs
+		if strings.Contains(r.fleet.Entries[1].ReadLog(), `"job":"`+id+`"`) {
+			other = 2
+		}
+		r.resendAfterLeaving(ctx, c, other, id)
 	}
 }
 
