Dispatcher: sessions that open together are verified together

Each hello verified all callers and added a receipt to every session. The cost grew with the product of hellos, callers and sessions.

One verification serves all sessions of a batch of commands, before its flush, and a receipt replaces the newest one that came soon after the one before. A new session gets a frame at once that carries its first confirmation.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -50,7 +51,7 @@
 // callers have left.
 func (c *Core) VerifyCallers(now time.Time) {
 	c.now, c.verifiedAt = now, now
-	for l := range c.jobs.unsettled.Keys() {
+	for _, l := range slices.Collect(c.jobs.unsettled.Keys()) {
 		if next := l.resubmission; next != nil {
 			if _, left := next.caller.waitingAt(now); left {
 				c.Abandon(now, next.caller)
--- a/internal/dispatcher/confirm.go
+++ b/internal/dispatcher/confirm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/dispatch"
+	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
 const (
@@ -26,8 +27,13 @@
 	n    int
 }
 
-// add adds a receipt, and drops the oldest if there are too many.
+// add adds a receipt, and drops the oldest if there are too many. It replaces the newest one if that
+// came soon after the one before, so that the receipts cover some intervals however often it is called.
 func (r *receipts) add(at time.Time, seq uint64) {
+	if r.n >= 2 && at.Sub(r.list[r.n-2].at) < verifyInterval/2 {
+		r.list[r.n-1] = receipt{at, seq}
+		return
+	}
 	if r.n == maxReceipts {
 		copy(r.list[:], r.list[1:])
 		r.n--
@@ -70,5 +76,20 @@
 			wantedAt = known
 		}
 		r.conn.Confirm(r.receipts.newest(wantedAt))
+		if !r.announced {
+			r.announced = true
+			r.conn.Send(&wire.ToAgent{}) // carries the confirmation, without which the runner starts nothing
+		}
+	}
+}
+
+// flush sends the frames that have accumulated. Sessions that were opened meanwhile get their first
+// confirmation, once for all that one batch of commands has opened.
+func (d *Dispatcher) flush(s *state) {
+	if s.verifySoon {
+		s.verifySoon = false
+		d.verifyWanted(s)
+		return
 	}
+	s.core.Flush()
 }
--- a/internal/dispatcher/confirm_test.go
+++ b/internal/dispatcher/confirm_test.go
@@ -206,3 +206,15 @@
 	g.Expect(r.newest(last.Add(-time.Nanosecond))).To(Equal(uint64(10 + 2*maxReceipts - 2)))
 	g.Expect(r.newest(last.Add(-maxReceipts*time.Second))).To(BeZero(), "it was dropped")
 }
+
+// Guards against runners that get no confirmations while many others open their sessions.
+func TestReceiptsCoverOldConfirmationsWhileSessionsOpen(t *testing.T) {
+	g := NewWithT(t)
+	var r receipts
+	start := time.Unix(1_800_000_000, 0)
+	for i := range 240 {
+		r.add(start.Add(time.Duration(i)*time.Millisecond), uint64(i+1))
+	}
+	now := start.Add(240 * time.Millisecond)
+	g.Expect(r.newest(now.Add(-90*time.Millisecond))).To(BeNumerically(">", 0), "no receipt of 90 ms ago")
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -89,6 +89,7 @@
 	// loadInterval is the minimum time between load reports that was last sent to runners.
 	loadInterval time.Duration
 	verifyAt     time.Time // when the callers are verified next
+	verifySoon   bool      // they are verified with the next flush
 }
 
 // Dispatcher is the daemon.
@@ -130,7 +131,7 @@
 	})
 	d.loop = control.New(control.Options[*state]{
 		State: d.newState(), Clock: d.clock, MaxCommands: maxCommands, MaxBatch: maxBatch,
-		Tick: d.tick, TickInterval: func(*state) time.Duration { return tickInterval }, Flush: func(s *state) { s.core.Flush() },
+		Tick: d.tick, TickInterval: func(*state) time.Duration { return tickInterval }, Flush: d.flush,
 		OnTurn: d.metrics.TurnObserver(log),
 	})
 	if err := d.listen(); err != nil {
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -83,7 +83,10 @@
 	id               dispatch.ConnID
 	host, dataCentre string // of the runner
 	opened           bool
-	receipts         receipts // owned by the control goroutine
+	// receipts and announced, whether a frame was sent after the first confirmation, are owned by the
+	// control goroutine.
+	receipts  receipts
+	announced bool
 }
 
 func (r *runnerSession) receive(f *wire.ToEntry) error {
@@ -134,7 +137,7 @@
 		r.runners[r.id] = r
 		s.directory.Name(now, membership.Source(r.id), fromWire(h.Entries))
 		s.core.Connect(now, r.id, h, r.conn.Extended())
-		r.verifyWanted(s) // the first frame confirms the hello, without which the runner starts nothing
+		s.verifySoon = true
 		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
 		s.core.QueueLoadInterval(r.id, s.loadInterval)
 		s.evacuations.PeerUp(evacuation.PeerID(r.id))
