Hand-over: a peer without a confirmation for 250 ms counts as lost

The confirmations of a peer that is late age those of this entry to all its runners. With 400 ms, heartbeats and the interval of verification, a proof reached over 800 ms, and little of its lease was left. Confirmations come every 50 ms or so.

--- a/internal/handover/serving.go
+++ b/internal/handover/serving.go
@@ -47,7 +47,7 @@
 	maxFrameBytes = 2 * maxSubmissionBytes
 	// maxCallerAge is the age of the last confirmation of an entry after which its jobs are given up
 	// here. Until then the leases of all targets are extended only as of that confirmation.
-	maxCallerAge = 400 * time.Millisecond
+	maxCallerAge = 250 * time.Millisecond
 )
 
 // servingSessions are the sessions that other entries have opened to this one.
--- a/internal/scheduler/lease/lease.go
+++ b/internal/scheduler/lease/lease.go
@@ -24,7 +24,8 @@
 	// meanwhile its acknowledgements prove nothing.
 	recallTime = 100 * time.Millisecond
 	// maxProofAge is the usual limit of the age of a Proof: the heartbeat intervals of both ends,
-	// a round trip, and the interval at which an entry verifies its callers, or recallTime.
+	// a round trip, and the interval at which an entry verifies its callers, or recallTime. An entry that
+	// takes jobs of others adds the age of their confirmations.
 	maxProofAge = 540 * time.Millisecond
 	// minLimit is the shortest Terms.Limit, below which a lease ends between two renewals.
 	minLimit = 400 * time.Millisecond
