Lease: one that a new incarnation may have granted for an unanswered call counts

A renewal or a start without an answer may be carried out by the next incarnation of the target, before that has seen a token of this agent. The time that it names is far ahead on the new clock, so it grants the longest lease that it ever does, to all that runs there. Without an answer nothing showed it, and a run with an old proof was started under it.

The first listing of the new incarnation ends that doubt: it has accepted a token above all earlier ones. Until then any such grant may have been made, so that one counts as made then. TestUnansweredRenewalMayExtendTheLeaseOfTheNextLife failed before.

--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -285,3 +286,32 @@
 		})
 	}
 }
+
+// Guards against a run that goes on under a lease that the target's next life granted for a renewal of its
+// last one, which had no answer.
+func TestUnansweredRenewalMayExtendTheLeaseOfTheNextLife(t *testing.T) {
+	l := newLeaseTarget(t)
+	l.sendOrder(testConn, 1, task("a", 0), 7)
+	l.accept(0)
+	l.renewWith(RunID{task("a", 0), 7})
+	call, _ := l.NextRenewal(l.now)
+	l.Expect(call.LeaseUntilMs).NotTo(BeZero())
+	l.now = l.now.Add(100 * time.Millisecond)
+	l.RenewFailed(l.now, call, Unresponsive)
+
+	l.now = l.now.Add(200 * time.Millisecond)
+	l.incarnation.StartedMs += 1000
+	grantedAt := l.now // the target has started again, and carries the renewal out
+	l.now = l.now.Add(10 * time.Millisecond)
+	l.Announce(l.now, Announcement{Incarnation: l.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}, ClockMs: 50, Seq: 1})
+	renewal, _ := l.NextRenewal(l.now)
+	l.Renewed(l.now, l.now, renewal, Listing{ClockMs: 50, StartedMs: l.incarnation.StartedMs})
+	wantedAt := l.now.Add(-700 * time.Millisecond)
+	l.outbox.wanted[testConn] = wantedAt
+	l.advance(time.Millisecond)
+	l.Expect(wantedAt.Add(resendDelay)).To(BeTemporally("<", grantedAt.Add(grantLimit)), "the lease lasts longer")
+	l.sendOrder(testConn, 2, task("b", 0), 8)
+	for _, start := range l.target.starts {
+		l.Expect(start.Run.Task).NotTo(Equal(task("b", 0)), "it may go on until its caller has sent the job again")
+	}
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -111,7 +111,18 @@
 			t.settleMissing(r, calledAt)
 		}
 	}
-	t.listed = true
+	if !t.listed {
+		t.listed = true
+		t.countUnansweredLease()
+	}
+}
+
+// countUnansweredLease counts the lease that this incarnation may have granted for a call for an earlier one
+// that had no answer. Any that follows is fenced: the incarnation has accepted a higher token.
+func (t *Table) countUnansweredLease() {
+	if t.earlierToken > 0 && !t.unansweredAt.IsZero() && t.now.Sub(t.unansweredAt) < maxStartDelay {
+		t.lease.GrantedByOtherClock(t.now)
+	}
 }
 
 // noteListedByNextLife records that the runs are at work in another life of the target than the known one,
@@ -174,6 +185,9 @@
 // RenewFailed handles a renewal that returned no listing.
 func (t *Table) RenewFailed(now time.Time, c RenewCall, failure RenewFailure) {
 	t.now = now
+	if failure == Unresponsive && c.LeaseUntilMs != 0 {
+		t.unansweredAt = now
+	}
 	if c.Incarnation != t.target.Incarnation {
 		return
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -305,9 +305,10 @@
 	// silentTasks are the tasks that were active when the target stopped answering.
 	silentTasks []wire.TaskRef
 
-	token             int64 // 0: not yet drawn
-	tokenRefusals     int   // refused tokens since the last listing
-	earlierToken      int64 // the highest token presented to earlier incarnations of the name
+	token             int64     // 0: not yet drawn
+	tokenRefusals     int       // refused tokens since the last listing
+	earlierToken      int64     // the highest token presented to earlier incarnations of the name
+	unansweredAt      time.Time // when a call that requests a lease last turned out to have no answer
 	lease             lease.Lease
 	leaseWithheld     bool         // the last renewal did not extend the lease, because of a run that is being stopped
 	meanAnswerMs      float64      // mean time to the answer to a start call
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -96,6 +96,9 @@
 // Started handles the answer to a start; clockMs is a reading of the target's clock, or 0.
 func (t *Table) Started(now time.Time, c StartCall, answer Answer, clockMs int64) {
 	t.now = now
+	if answer == NoAnswer {
+		t.unansweredAt = now
+	}
 	r := t.run(c.Run)
 	switch {
 	case r == nil || r.state == queued:
