Listings: a renewal waits after an incomplete one

No listing counts as the first one while one of its rows can't be read, and until then renewals don't wait: they followed each other without a pause.

--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -98,7 +98,7 @@
 			t.noteListed(r)
 		}
 	}
-	if l.Incomplete {
+	if t.incomplete = l.Incomplete; t.incomplete {
 		return
 	}
 	for _, id := range slices.Collect(t.foreignRuns.Keys()) {
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -314,6 +314,7 @@
 	meanAnswerMs      float64      // mean time to the answer to a start call
 	endCursor         uint64       // Seq of the last EndedRun that was processed
 	listed            bool         // a listing of this incarnation was processed
+	incomplete        bool         // the latest listing was incomplete
 	foreignRuns       *foreignRuns // runs of an earlier agent, with the time of the last stop call
 	lateStarts        *lateStarts  // calls of settled runs that may still be carried out
 	reachable         bool
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -59,6 +59,8 @@
 	switch {
 	case t.failures > 1:
 		c.Wait, c.ReplyTimeout = 0, maxCallTimeout // the target may be slow rather than unreachable
+	case t.incomplete:
+		c.Wait = minRenewWait
 	case t.failures > 0 || !t.listed || t.foreignRuns.Len() > 0:
 		c.Wait = 0
 	case t.runs.Len() == 0:
