Lease: calls that were under way when another incarnation was adopted count as unanswered

A renewal that the new incarnation answered after its announcement was ignored, and a start that was under way then counted only once it had timed out, after the first listing. Either may have granted a lease there. The tests of calls under way at a restart failed before.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -104,6 +104,11 @@
 	if t.earlierToken > 0 {
 		t.token = max(t.token, t.earlierToken+1) // fences the calls for earlier lives that are carried out late
 	}
+	for r := range t.runs.Values() {
+		if r.carried && r.startsOpen > 0 {
+			t.unansweredAt = t.now // its call may be under way
+		}
+	}
 	t.stopCarriedOver()
 	t.fenceLateStarts()
 	for s := range t.sessions.Values() {
--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -315,3 +315,41 @@
 		l.Expect(start.Run.Task).NotTo(Equal(task("b", 0)), "it may go on until its caller has sent the job again")
 	}
 }
+
+// Guards against the same where the calls are under way while the next life announces itself.
+func TestCallUnderWayAtARestartMayExtendTheLease(t *testing.T) {
+	for name, restart := range map[string]func(*leaseTarget){
+		"a renewal that the new life answers": func(l *leaseTarget) {
+			call, _ := l.NextRenewal(l.now)
+			l.Expect(call.LeaseUntilMs).NotTo(BeZero())
+			l.rebirth()
+			l.Renewed(l.now, l.now, call, Listing{ClockMs: 50, StartedMs: l.incarnation.StartedMs})
+			l.renewWith()
+		},
+		"a start that has no answer": func(l *leaseTarget) {
+			l.sendOrder(testConn, 3, task("c", 0), 9)
+			l.Expect(l.target.starts).To(HaveLen(2))
+			l.rebirth()
+			l.renewWith()
+			l.Started(l.now, l.target.starts[1], NoAnswer, 0)
+			l.Stopped(l.now, l.target.stops[len(l.target.stops)-1], Accepted)
+			l.renewWith()
+			l.renewWith()
+			l.Expect(l.run(RunID{task("c", 0), 9})).To(BeNil())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLeaseTarget(t)
+			l.sendOrder(testConn, 1, task("a", 0), 7)
+			l.accept(0)
+			l.renewWith(RunID{task("a", 0), 7})
+			restart(l)
+			l.outbox.wanted[testConn] = l.now.Add(-500 * time.Millisecond)
+			l.advance(time.Millisecond)
+			l.sendOrder(testConn, 2, task("b", 0), 8)
+			for _, start := range l.target.starts {
+				l.Expect(start.Run.Task).NotTo(Equal(task("b", 0)), "the lease may last for a second")
+			}
+		})
+	}
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -13,6 +13,9 @@
 func (t *Table) Renewed(now, calledAt time.Time, c RenewCall, l Listing) {
 	t.now = now
 	if c.Incarnation != t.target.Incarnation {
+		if c.LeaseUntilMs != 0 && !l.StaleToken {
+			t.unansweredAt = now // the present incarnation may have carried it out
+		}
 		return
 	}
 	if l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
