--- a/internal/handover/serving.go
+++ b/internal/handover/serving.go
@@ -219,7 +219,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[number]
-	if j == nil || j.lost {
+	if j == nil || j.lost || s.conn.Err() != nil {
 		return time.Time{}, true
 	}
 	if !s.conn.Confirms() {
