--- a/internal/dispatcher/confirm.go
+++ b/internal/dispatcher/confirm.go
@@ -52,11 +52,9 @@
 	return seq
 }
 
-// verifyWanted verifies that the callers of all jobs wait, recalls what nobody wants any more, and
-// confirms to each runner the frames that had been received by the time as of which everything that is
-// ordered there is wanted. The order matters: frames are received before the callers are verified, and
-// recalls are queued before the confirmation. It runs on the control goroutine, so that nothing is
-// confirmed while that is late.
+// verifyWanted verifies that callers wait, recalls what nobody wants any more, and confirms to each
+// runner the frames received by the time as of which all its orders are wanted. It runs on the control
+// goroutine, so that nothing is confirmed while that is late. Recalls are queued before confirmations.
 func (d *Dispatcher) verifyWanted(s *state) {
 	for _, r := range d.sessions.runners {
 		seq := r.conn.ReceivedSeq()
--- a/internal/handover/serving.go
+++ b/internal/handover/serving.go
@@ -228,11 +228,9 @@
 	return now.Add(-time.Since(s.confirmedAt)), false
 }
 
-// CallersKnownAt returns the time up to which the callers of all jobs that were taken from peers are
-// known to have waited; zero if there is no session to consider. The jobs of a peer that has confirmed
-// nothing for maxCallerAge are excluded: their callers count as left from now on. A submission of a peer whose
-// last confirmation is older than a time that was returned before is refused, because what runs
-// here has been confirmed as wanted since.
+// CallersKnownAt returns the time up to which the callers of all jobs taken from peers are known to have
+// waited; zero if there is no such peer. The callers of a peer that has confirmed nothing for maxCallerAge
+// count as left from now on. See behind for submissions of a peer whose last confirmation is older.
 func (e *Endpoint) CallersKnownAt() time.Time {
 	v := &e.serving
 	v.mu.Lock()
@@ -273,7 +271,7 @@
 }
 
 // behind reports whether the last confirmation of the session is older than what has been confirmed to
-// agents.
+// agents. The lease of a run for its callers would last too long.
 func (s *servingSession) behind() bool {
 	v := &s.endpoint.serving
 	v.mu.Lock()
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -128,8 +128,8 @@
 	}
 }
 
-// noteListedByNextIncarnation records that the runs are at work in another incarnation of the target than the known one,
-// with whose end they are therefore not over.
+// noteListedByNextIncarnation records that runs are at work in another incarnation of the target, so that
+// they are not over with the end of the known one.
 func (t *Table) noteListedByNextIncarnation(running []RunID) {
 	for _, id := range running {
 		if r := t.run(id); r != nil {
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -105,11 +105,10 @@
 // ReceivedSeq returns the number of the last frame that was received; 0: none.
 func (c *Conn[In, Out]) ReceivedSeq() uint64 { return c.receivedSeq.Load() }
 
-// Confirm confirms the peer's frames up to a number that ReceivedSeq returned: all work that it has
-// for this side was verified to be wanted after that, or its recall was queued before this call. The
-// confirmation goes with the next frame or heartbeat that leaves no earlier frame in the queue, so it
-// never reaches the peer before such a recall. A number below an earlier one has no effect, nor has a
-// call on a connection that does not confirm. Confirm is called by one goroutine at a time.
+// Confirm confirms the peer's frames up to a number that ReceivedSeq returned: all work that it has for
+// this side was verified to be wanted after that, or its recall was queued before this call, which the
+// confirmation never overtakes. A lower number, or a peer without ConfirmingProtocol, makes it do nothing.
+// It is called by one goroutine at a time.
 func (c *Conn[In, Out]) Confirm(seq uint64) {
 	if seq > c.confirmSeq.Load() && c.Confirms() {
 		c.confirmSeq.Store(seq)
