Runs: late starts of settled runs are fenced by the token alone

Since a new incarnation is shown a token above all earlier ones, the first call that it accepts turns away every start that was meant for an earlier one. The stops of such starts for 10 s, a second mechanism for the same, are gone.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -91,7 +91,6 @@
 		t.earlierToken = max(t.earlierToken, t.token)
 	} else {
 		t.earlierToken = 0
-		t.lateStarts = newLateStarts()
 		t.settleCarriedOver("another_name") // it rejects their starts
 	}
 	t.target, t.targetKnown, t.restored = a, true, false
@@ -110,7 +109,6 @@
 		}
 	}
 	t.stopCarriedOver()
-	t.fenceLateStarts()
 	for s := range t.sessions.Values() {
 		s.sendTarget, s.sendLoad = true, true
 	}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// maxStartDelay is how long after its time-out a call may still be carried out.
+const maxStartDelay = 10 * time.Second
+
 // countUnansweredLease counts the lease that this incarnation may have granted for a call for an earlier one
 // that had no answer. Any that follows is fenced: the incarnation has accepted a higher token.
 func (t *Table) countUnansweredLease() {
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -315,7 +315,6 @@
 // remove deletes an order from the table and releases its capacity.
 func (t *Table) remove(r *run) {
 	t.noteOutlived(r)
-	t.noteLateStart(r)
 	t.queueLoads.recordRemoval(t.now, r)
 	if r.state != queued {
 		t.inUse = t.inUse.Sub(r.order.Demand)
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -316,7 +316,6 @@
 	listed            bool         // a listing of this incarnation was processed
 	incomplete        bool         // the latest listing was incomplete
 	foreignRuns       *foreignRuns // runs of an earlier agent, with the time of the last stop call
-	lateStarts        *lateStarts  // calls of settled runs that may still be carried out
 	reachable         bool
 	refused           bool      // no process listened at the target's address since it was last reachable
 	failures          int       // consecutive failed renewals
@@ -358,7 +357,7 @@
 func New(o Options) *Table {
 	return &Table{&tableState{
 		options: o, log: o.Log, sessions: orderedmap.NewOrderedMap[ConnID, *session](), runs: orderedmap.NewOrderedMap[RunID, *run](), tasks: map[Task]*run{},
-		lease: lease.Lease{Terms: o.Lease}, foreignRuns: newForeignRuns(), lateStarts: newLateStarts(), evacuated: map[string]struct{}{}, health: newRating(), meanAnswerMs: initialAnswerMs,
+		lease: lease.Lease{Terms: o.Lease}, foreignRuns: newForeignRuns(), evacuated: map[string]struct{}{}, health: newRating(), meanAnswerMs: initialAnswerMs,
 		runTimes: runTimesState{queues: runtimes.NewByQueue[*queueRunTimes](wire.MaxRunTimes)},
 	}}
 }
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -52,7 +52,6 @@
 	if answer == StaleToken {
 		t.raiseToken(c.Token)
 	}
-	t.lateStartStopped(c.Run, answer)
 	r := t.run(c.Run)
 	if r == nil {
 		return
@@ -79,7 +78,6 @@
 			t.callStop(r)
 		}
 	}
-	t.retryLateStarts()
 	for id, calledAt := range t.foreignRuns.AllFromFront() {
 		if t.now.Sub(calledAt) > stopRetryInterval {
 			t.foreignRuns.Set(id, t.now)
