Lease: grants through calls for an earlier incarnation are counted at one place

Four places counted such a grant on evidence of their own. The first listing of the incarnation counts whatever was in doubt until then, and nothing comes after it, since the token fences it. What the other places see only marks the doubt.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -199,7 +199,6 @@
 	r.startsOpen = max(0, r.startsOpen-1)
 	if answer == Accepted {
 		r.everRan = true
-		t.lease.GrantedByOtherClock(t.now)
 		return
 	}
 	if r.startsOpen == 0 && !r.everRan {
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -20,7 +20,7 @@
 	}
 	if l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
 		if c.LeaseUntilMs != 0 && !l.StaleToken {
-			t.lease.GrantedByOtherClock(now)
+			t.unansweredAt = now
 		}
 		t.noteListedByNextIncarnation(l.Running)
 		t.RenewFailed(now, c, Replaced) // it has restarted under its name
@@ -123,8 +123,8 @@
 // maxStartDelay is how long after its time-out a call may still be carried out.
 const maxStartDelay = 10 * time.Second
 
-// countUnansweredLease counts the lease that this incarnation may have granted for a call for an earlier one
-// that had no answer. Any that follows is fenced: the incarnation has accepted a higher token.
+// countUnansweredLease counts the lease that this incarnation may have granted for a call for an earlier
+// one. Any such call that follows is fenced: the incarnation has accepted a higher token.
 func (t *Table) countUnansweredLease() {
 	if t.earlierToken > 0 && !t.unansweredAt.IsZero() && t.now.Sub(t.unansweredAt) < maxStartDelay {
 		t.lease.GrantedByOtherClock(t.now)
@@ -151,9 +151,6 @@
 
 // noteCarriedOut records that the present incarnation has carried out a start of a run.
 func (t *Table) noteCarriedOut(r *run) {
-	if r.carried && !r.seen {
-		t.lease.GrantedByOtherClock(t.now)
-	}
 	r.everRan, r.seen = true, true
 	if r.startRetries == 0 {
 		r.startsOpen = 0 // it was the only call
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -308,7 +308,7 @@
 	token             int64     // 0: not yet drawn
 	tokenRefusals     int       // refused tokens since the last listing
 	earlierToken      int64     // the highest token presented to earlier incarnations of the name
-	unansweredAt      time.Time // when a call that requests a lease last turned out to have no answer
+	unansweredAt      time.Time // when a call that requests a lease last had no answer of the incarnation that it was for
 	lease             lease.Lease
 	leaseWithheld     bool         // the last renewal did not extend the lease, because of a run that is being stopped
 	meanAnswerMs      float64      // mean time to the answer to a start call
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -111,8 +111,8 @@
 		return
 	}
 	r.startInFlight = false
-	sameLife := t.sameLife(r, clockMs)
-	if sameLife {
+	sameIncarnation := t.sameIncarnation(r, clockMs)
+	if sameIncarnation {
 		t.lease.Clock.Set(now, clockMs)
 	} else if answer == Accepted && clockMs > 0 {
 		t.lease.GrantedByOtherClock(now)
@@ -126,7 +126,7 @@
 	}
 	switch answer {
 	case Accepted:
-		r.everRan, r.seen = true, r.seen || sameLife
+		r.everRan, r.seen = true, r.seen || sameIncarnation
 		r.startedAt = now
 		if r.state == starting {
 			r.state = running
@@ -142,9 +142,9 @@
 // clockTolerance is how far below its estimate a reading of the target's clock may be.
 const clockTolerance = 20 * time.Millisecond
 
-// sameLife reports whether the answer to a start with this reading of the target's clock is from the
+// sameIncarnation reports whether the answer to a start with this reading of the target's clock is from the
 // incarnation that the call was meant for. The clock of the next one starts anew.
-func (t *Table) sameLife(r *run, clockMs int64) bool {
+func (t *Table) sameIncarnation(r *run, clockMs int64) bool {
 	return clockMs >= t.lease.Clock.Ms(r.startCalledAt)-clockTolerance.Milliseconds()
 }
 
