--- a/internal/handover/flight.go
+++ b/internal/handover/flight.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -159,38 +158,6 @@
 	return f.result.answer, f.result.taken // taken if it was cancelled before
 }
 
-// Watch makes the endpoint end the flight when callerLeft, of the request that called Begin or Attach,
-// and those of all other requests report that their callers have left. callerLeft must not block.
-// A request without Watch counts as waiting.
-func (f *Flight) Watch(callerLeft func() bool) {
-	f.endpoint.mu.Lock()
-	defer f.endpoint.mu.Unlock()
-	f.callers = append(f.callers, callerLeft)
-}
-
-// abandoned reports whether all callers have left. The caller holds the lock.
-func (f *Flight) abandoned() bool {
-	return len(f.callers) == f.joined && !slices.ContainsFunc(f.callers, func(left func() bool) bool { return !left() })
-}
-
-// verifyCallers cancels the jobs at peers whose callers have left, and confirms to the peers that those
-// of the others wait. The caller holds the lock.
-func (e *Endpoint) verifyCallers(now time.Time) {
-	for _, p := range e.peers {
-		if !p.open {
-			continue
-		}
-		received := p.conn.ReceivedSeq() // before the callers are verified
-		for _, f := range p.flights {
-			if f.abandoned() {
-				e.cancelAtPeer(now, f)
-				e.finishLocked(now, f, verdict{taken: true, answer: disconnected()})
-			}
-		}
-		p.conn.Confirm(received)
-	}
-}
-
 // InTime reports whether the job could still meet its objective if it started now.
 func (f *Flight) InTime(now time.Time) bool {
 	return f.outlook.InTime(float64(now.Sub(f.startedAt)) / float64(time.Millisecond))
--- a/internal/handover/serving.go
+++ b/internal/handover/serving.go
@@ -3,15 +3,12 @@
 import (
 	"math"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/dispatch"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
-	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/scheduler/peerchoice"
 	"github.com/camphorrack/camphorrack/internal/session"
 	"github.com/camphorrack/camphorrack/internal/wire"
@@ -204,84 +201,6 @@
 	return nil
 }
 
-// confirm records the time up to which the callers of the session's submissions have waited.
-func (s *servingSession) confirm(at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at.After(s.confirmedAt) {
-		s.confirmedAt = at
-	}
-}
-
-// waitingAt implements dispatch.Caller.WaitingAt for the submission with a number. The clock of now may
-// be another one than that of the sessions.
-func (s *servingSession) waitingAt(now time.Time, number uint64) (at time.Time, left bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	j := s.jobs[number]
-	if j == nil || j.lost || s.conn.Err() != nil {
-		return time.Time{}, true
-	}
-	if !s.conn.Confirms() {
-		return now, false // it confirms nothing: waiting until its session ends
-	}
-	return now.Add(-time.Since(s.confirmedAt)), false
-}
-
-// CallersKnownAt returns the time up to which the callers of all jobs taken from peers are known to have
-// waited; zero if there is no such peer. The callers of a peer that has confirmed nothing for maxCallerAge
-// count as left from now on. See behind for submissions of a peer whose last confirmation is older.
-func (e *Endpoint) CallersKnownAt() time.Time {
-	v := &e.serving
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	known, found := now, false
-	for s := range v.sessions {
-		if s.conn == nil || !s.conn.Confirms() || s.conn.Err() != nil {
-			continue
-		}
-		at, fresh := s.knownAt(now)
-		found = found || fresh
-		if fresh && at.Before(known) {
-			known = at
-		}
-	}
-	if known.After(v.verifiedTo) {
-		v.verifiedTo = known
-	}
-	if !found {
-		return time.Time{}
-	}
-	return known
-}
-
-// knownAt returns the time of the last confirmation. If that is too old, it marks the jobs of the
-// session as lost and returns false.
-func (s *servingSession) knownAt(now time.Time) (at time.Time, fresh bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.confirmedAt) <= maxCallerAge {
-		return s.confirmedAt, true
-	}
-	for _, j := range s.jobs {
-		j.lost = true
-	}
-	return time.Time{}, false
-}
-
-// behind reports whether the last confirmation of the session is older than what has been confirmed to
-// agents. The lease of a run for its callers would last too long.
-func (s *servingSession) behind() bool {
-	v := &s.endpoint.serving
-	v.mu.Lock()
-	verifiedTo := v.verifiedTo
-	v.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.conn.Confirms() && s.confirmedAt.Before(verifiedTo)
-}
-
 // handleHello validates the first frame.
 func (s *servingSession) handleHello(h *wire.HandoverHello) error {
 	switch {
@@ -334,12 +253,6 @@
 	return nil
 }
 
-// truncate returns a text of at most n bytes. It is valid UTF-8: the decoder of frames rejects
-// other texts, which would end the session with all its jobs.
-func truncate(text string, n int) string {
-	return strings.ToValidUTF8(text[:min(len(text), n)], "")
-}
-
 // markSubmitted records that the control state gets a submission. It returns false if the
 // submission was cancelled or its session has ended.
 func (s *servingSession) markSubmitted(number uint64) bool {
@@ -398,70 +311,3 @@
 	s.jobs = nil
 	return abandoned
 }
-
-// Limits of a submission, those of the callers' interface.
-const (
-	maxIDBytes        = 64
-	maxSpecBytes      = 4000
-	maxSteps          = 200
-	maxTasks          = 2000
-	maxResourceAmount = 1 << 30
-	maxEstimateMs     = 86_400_000
-	maxRemaining      = 30 * time.Second
-)
-
-// validateSubmission returns a fault for a submission that no entry may have accepted from a
-// caller. Its job has not run.
-func validateSubmission(s *wire.Submission) *fault.Fault {
-	switch {
-	case s.ID == "" || len(s.ID) > maxIDBytes:
-		return fault.Input(fault.BadID, "id", "has an invalid length")
-	case len(s.Spec) > maxSpecBytes:
-		return fault.Input(fault.BadField, "spec", "takes 4000 bytes at most")
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
-		return fault.Input(fault.BadTaskCount, "steps", "takes 1 to 200 steps")
-	case s.RemainingMs <= 0 || s.RemainingMs > maxRemaining.Milliseconds():
-		return fault.Input(fault.DeadlinePast, "remaining", "takes 1 to 30000 ms")
-	}
-	tasks := 0
-	for i := range s.Steps {
-		step := &s.Steps[i]
-		if step.Count < 1 || step.Count > maxTasks-tasks {
-			return fault.Input(fault.BadTaskCount, "steps.count", "takes 1 to 2000 tasks in all")
-		}
-		tasks += step.Count
-		if !validStep(step, i) {
-			return fault.Input(fault.BadField, "steps", "a step is out of bounds")
-		}
-	}
-	return nil
-}
-
-// validStep reports whether the demand, the estimate and the dependencies of a step are valid. A
-// step may depend only on earlier ones.
-func validStep(step *wire.SubmissionStep, index int) bool {
-	d := step.Demand
-	if min(d.CPUMilli, d.MemoryMB, d.Accelerators) < 0 || max(d.CPUMilli, d.MemoryMB, d.Accelerators) > maxResourceAmount {
-		return false
-	}
-	if !(step.EstimateMs >= 0 && step.EstimateMs <= maxEstimateMs) || step.MaxPerTarget < 0 {
-		return false
-	}
-	for _, dependency := range step.DependsOn {
-		if dependency < 0 || dependency >= index {
-			return false
-		}
-	}
-	return true
-}
-
-// NewJob returns the job of a valid submission. The configuration of this entry applies to it.
-func NewJob(s *wire.Submission) *dispatch.Job {
-	j := &dispatch.Job{ID: s.ID, Spec: s.Spec, Timeout: time.Duration(s.RemainingMs) * time.Millisecond, Steps: make([]dispatch.Step, len(s.Steps))}
-	for i := range s.Steps {
-		step := &s.Steps[i]
-		j.Steps[i] = dispatch.Step{Count: step.Count, Demand: job.Demand(step.Demand), Estimate: clock.FromMillis(step.EstimateMs),
-			DependsOn: step.DependsOn, Label: step.Label, DataRack: step.DataRack, MaxPerTarget: step.MaxPerTarget}
-	}
-	return j
-}
