--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -10,15 +10,14 @@
 const maxTokenStep = 40
 
 // raiseToken sets a fencing token above one that the target has refused. An earlier agent has usually
-// presented a time of the target's own clock, which the clock has passed since. A call for an earlier
-// incarnation under the same name may have left a token far above it: the highest that this agent has
-// presented is passed at once, that of an earlier agent after some tens of refusals, with steps that
-// double. A call with an older token than the present one says nothing.
+// presented a time of the target's own clock, which has passed since, but may have left a far higher one in
+// an earlier incarnation: steps that double pass it within some tens of refusals. A refusal of an older
+// token than the present one says nothing.
 func (t *Table) raiseToken(refused int64) {
 	if refused < t.token {
 		return
 	}
-	t.token = max(t.token+1<<min(t.tokenRefusals, maxTokenStep), t.lease.Clock.Ms(t.now), t.earlierToken+1)
+	t.token = max(t.token+1<<min(t.tokenRefusals, maxTokenStep), t.lease.Clock.Ms(t.now))
 	t.tokenRefusals++
 }
 
