--- a/internal/dispatcher/confirm.go
+++ b/internal/dispatcher/confirm.go
@@ -74,8 +74,8 @@
 			wantedAt = known
 		}
 		r.conn.Confirm(r.receipts.newest(wantedAt))
-		if !r.announced {
-			r.announced = true
+		if !r.confirmed {
+			r.confirmed = true
 			r.conn.Send(&wire.ToAgent{}) // carries the confirmation, without which the runner starts nothing
 		}
 	}
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -83,10 +83,10 @@
 	id               dispatch.ConnID
 	host, dataCentre string // of the runner
 	opened           bool
-	// receipts and announced, whether a frame was sent after the first confirmation, are owned by the
+	// receipts and confirmed, whether a frame was sent after the first confirmation, are owned by the
 	// control goroutine.
 	receipts  receipts
-	announced bool
+	confirmed bool
 }
 
 func (r *runnerSession) receive(f *wire.ToEntry) error {
