Observability: calls that another target answers, and what an adoption replaces

A 421 from the target's address and the adoption that follows left no line: 601 now names the target that was known before, the number of its unsettled runs and the announced address; 624 tells that a renewal for the known target was answered by another one. Gauges target.adopted and target.misdirected count both. With 621 (reason another_life) they tell a conclusion by announcement from one by a 421, and by the start times a late heartbeat from a live second target.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -106,6 +106,7 @@
 	RunConcluded      ID = 621
 	RunOutlived       ID = 622
 	RunCarriedOver    ID = 623
+	TargetMisdirected ID = 624
 )
 
 // Entry is the description of an event in Catalogue.
@@ -205,6 +206,7 @@
 	{RunConcluded, "run_concluded", "a run was settled although its target has not listed its end; the line has the reason and the state of the run"},
 	{RunOutlived, "run_outlived", "a run may have gone on until its caller may have sent the job again"},
 	{RunCarriedOver, "run_carried_over", "an incarnation of a target has ended, and the next one may carry out a start that was called for it; the run is over once that one has confirmed its stop"},
+	{TargetMisdirected, "target_misdirected", "another target answers at the address of the known one; the line has the call, and the runs that the known one had"},
 }
 
 var names = func() map[ID]string {
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -85,7 +85,9 @@
 // with it.
 func (t *Table) adoptIncarnation(a Announcement) {
 	event.Log(t.log, event.TargetAnnounced, "target", a.Incarnation.Name, "born_ms", a.Incarnation.StartedMs, "service", a.Service,
+		"address", a.Address, "seq", a.Seq, "was", t.target.Incarnation.Name, "was_born_ms", t.target.Incarnation.StartedMs, "was_known", t.targetKnown, "runs", t.runs.Len(),
 		"cpu_milli", a.Capacity.CPUMilli, "memory_mb", a.Capacity.MemoryMB, "labels", a.Labels, "leaving", a.Leaving)
+	t.counts.Adopted++
 	t.endIncarnation("another_life")
 	if a.Incarnation.Name == t.target.Incarnation.Name {
 		t.earlierToken = max(t.earlierToken, t.token)
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -197,6 +197,8 @@
 	t.failures++
 	switch {
 	case failure == Replaced:
+		t.counts.Misdirected++
+		event.Log(t.log, event.TargetMisdirected, "target", c.Incarnation.Name, "born_ms", c.Incarnation.StartedMs, "call", "renewal", "runs", t.runs.Len())
 		t.endIncarnation("replaced")
 		t.targetKnown = false // the new incarnation will announce itself
 		t.reportLoadNow()
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -58,6 +58,7 @@
 type Announcement struct {
 	Incarnation Incarnation
 	Service     string
+	Address     string // at which it says that it accepts calls; only logged
 	Labels      []string
 	Capacity    job.Demand
 	// DataCentre is the target's data centre; empty if it is the agent's.
@@ -348,6 +349,9 @@
 	// may have gone on until their callers may have sent their jobs again. CarriedOver counts the
 	// runs whose start an incarnation of the target may have left to the next one.
 	Concluded, Outlived, CarriedOver uint64
+	// Adopted counts the incarnations that became the known target, and Misdirected the renewals that
+	// another target answered.
+	Adopted, Misdirected uint64
 }
 
 // Table is the agent's control state. It is not safe for concurrent use.
