Runs: a target is adopted once it answers, and its predecessor's runs end by its own word or the lease

Callers saw tasks run twice at once on hosts that showed two targets by turns. An announcement of a second target of the host ended all runs of the first in the runner's books (621, another_life), without a stop and without a question; the entries started their tasks again while the first target went on. A 421 at the address did the same (replaced), and after it any announcement was adopted, also a late one of a target that had ended, so that the two changed places at each announcement.

Cause: that another target is there was taken for the end of the known one. An announcement shows that its sender was at work; a 421 shows who does not answer; neither shows that a run has ended.

An announcement of an unknown incarnation is now a claim. The runner asks for it at the address, with a call that has neither token nor lease, and adopts it once it has answered for its name and start time. Another name gets a state of its own (lease, token, runs, capacity, rating) and the new runs, if the known target is unreachable, leaving or was started earlier; the former one keeps its lease renewed and its stops repeated until its runs are listed as ended or, where it does not answer, its lease is over. A 421 makes the target unreachable and ends nothing. A 421 for a repeated start no longer settles the run, since the first call may have been carried out.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -107,6 +107,8 @@
 	RunOutlived       ID = 622
 	RunCarriedOver    ID = 623
 	TargetMisdirected ID = 624
+	TargetUnconfirmed ID = 625
+	TargetSuperseded  ID = 626
 )
 
 // Entry is the description of an event in Catalogue.
@@ -207,6 +209,8 @@
 	{RunOutlived, "run_outlived", "a run may have gone on until its caller may have sent the job again"},
 	{RunCarriedOver, "run_carried_over", "an incarnation of a target has ended, and the next one may carry out a start that was called for it; the run is over once that one has confirmed its stop"},
 	{TargetMisdirected, "target_misdirected", "another target answers at the address of the known one; the line has the call, and the runs that the known one had"},
+	{TargetUnconfirmed, "target_unconfirmed", "an announced target is not adopted: another one or none answers at the address, or the known one is preferred"},
+	{TargetSuperseded, "target_superseded", "another target of the host has answered and gets the new runs; those of this one go on and end by its word or with its lease"},
 }
 
 var names = func() map[ID]string {
--- a/internal/leased/replay_test.go
+++ b/internal/leased/replay_test.go
@@ -104,7 +104,8 @@
 }
 
 // Ended implements runs.Target.
-func (h *replayHost) Ended(uint64) {}
+func (h *replayHost) Ended(uint64)         {}
+func (h *replayHost) Renew(runs.RenewCall) {}
 
 // Stop implements runs.Target.
 func (h *replayHost) Stop(c runs.StopCall) {
--- a/internal/runner/counters.go
+++ b/internal/runner/counters.go
@@ -42,6 +42,8 @@
 	c.SetGauge("runs.carried_over", n.CarriedOver)
 	c.SetGauge("target.adopted", n.Adopted)
 	c.SetGauge("target.misdirected", n.Misdirected)
+	c.SetGauge("target.superseded", n.Superseded)
+	c.SetGauge("target.unconfirmed", n.Unconfirmed)
 	c.SetGauge("runs.sessions_ended", n.SessionsEnded)
 	c.SetGauge("runs.tail_p99", uint64(1000*t.TailP99()))
 	c.SetGauge("runs.reservations", uint64(t.Reservations()))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -123,7 +123,7 @@
 	r.dialers = newDialers(r)
 	r.loop = control.New(control.Options[*state]{
 		State: r.newState(), Clock: r.clock, MaxCommands: maxCommands, MaxBatch: maxBatch,
-		Tick: r.tick, TickInterval: tickInterval, Flush: func(s *state) { s.table.Flush(r.clock.Now()) },
+		Tick: r.tick, TickInterval: tickInterval, Flush: r.flush,
 		OnTurn: r.metrics.TurnObserver(log),
 	})
 	if err := r.listen(); err != nil {
@@ -187,6 +187,14 @@
 	})
 }
 
+// flush sends what is queued for the sessions, and stores the target for the next start of the daemon.
+func (r *Runner) flush(s *state) {
+	s.table.Flush(r.clock.Now())
+	if a, changed := s.table.UnstoredTarget(); changed {
+		r.storeTarget(a)
+	}
+}
+
 // Send implements runs.Outbox.
 func (s *state) Send(conn runs.ConnID, f *wire.ToEntry) {
 	if session := s.sessions[conn]; session != nil {
@@ -239,14 +247,9 @@
 		"incarnation", r.incarnation.String(), "memory_mb", r.options.MemoryMB)
 }
 
-// Announce handles an announcement of the target. It stores a new incarnation, a departure or a
-// changed capacity for the next start of the daemon, and requests a renewal of the lease.
+// Announce handles an announcement of a target, and requests a renewal of the lease.
 func (r *Runner) Announce(a runs.Announcement) {
-	r.enqueue(func(now time.Time, s *state) {
-		if s.table.Announce(now, a) {
-			r.storeTarget(a)
-		}
-	})
+	r.enqueue(func(now time.Time, s *state) { s.table.Announce(now, a) })
 	r.requestRenewal()
 }
 
--- a/internal/runner/target.go
+++ b/internal/runner/target.go
@@ -33,19 +33,27 @@
 			r.waitForRenewal(ctx, noTargetPollInterval)
 			continue
 		}
-		sentAt := r.clock.Now()
-		listing, err := r.options.Target.Renew(call)
-		if err != nil {
-			r.enqueue(func(now time.Time, s *state) { s.table.RenewFailed(now, call, r.options.ClassifyRenewError(err)) })
+		if !r.renew(call) {
 			r.waitForRenewal(ctx, retryDelay)
 			retryDelay = repeatedRenewRetryDelay
 			continue
 		}
 		retryDelay = renewRetryDelay
-		r.enqueue(func(now time.Time, s *state) { s.table.Renewed(now, sentAt, call, listing) })
 	}
 }
 
+// renew makes a renewal, passes its answer on, and reports whether there was a listing.
+func (r *Runner) renew(call runs.RenewCall) bool {
+	sentAt := r.clock.Now()
+	listing, err := r.options.Target.Renew(call)
+	if err != nil {
+		r.enqueue(func(now time.Time, s *state) { s.table.RenewFailed(now, call, r.options.ClassifyRenewError(err)) })
+		return false
+	}
+	r.enqueue(func(now time.Time, s *state) { s.table.Renewed(now, sentAt, call, listing) })
+	return true
+}
+
 // waitForRenewal waits for a delay, or until a renewal is requested or the context ends.
 func (r *Runner) waitForRenewal(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
@@ -80,6 +88,9 @@
 	return answer, clockMs
 }
 
+// Renew implements runs.Target.
+func (c *targetCalls) Renew(call runs.RenewCall) { go (*Runner)(c).renew(call) }
+
 // Ended implements runs.Target.
 func (c *targetCalls) Ended(epoch uint64) { c.epoch.Store(epoch) }
 
--- a/internal/runner/tick_test.go
+++ b/internal/runner/tick_test.go
@@ -19,6 +19,7 @@
 
 func (discard) Start(runs.StartCall)            {}
 func (discard) Stop(runs.StopCall)              {}
+func (discard) Renew(runs.RenewCall)            {}
 func (discard) Ended(uint64)                    {}
 func (discard) Send(runs.ConnID, *wire.ToEntry) {}
 func (discard) Close(runs.ConnID)               {}
--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -14,12 +14,14 @@
 
 // fakeTarget records the calls made to it.
 type fakeTarget struct {
-	starts []StartCall
-	stops  []StopCall
+	starts   []StartCall
+	stops    []StopCall
+	renewals []RenewCall
 }
 
 func (f *fakeTarget) Start(c StartCall) { f.starts = append(f.starts, c) }
 func (f *fakeTarget) Stop(c StopCall)   { f.stops = append(f.stops, c) }
+func (f *fakeTarget) Renew(c RenewCall) { f.renewals = append(f.renewals, c) }
 func (f *fakeTarget) Ended(uint64)      {}
 
 // fakeOutbox records the frames sent and the sessions closed.
@@ -70,6 +72,22 @@
 func (h *harness) announce(seq uint64, leaving bool) {
 	h.Announce(h.now, Announcement{Incarnation: h.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000},
 		ClockMs: h.clockMs(), Seq: seq, Leaving: leaving})
+	h.answerProbes(h.clockMs())
+}
+
+// answerProbes answers the probes for the present incarnation, and with 421 those for others.
+func (h *harness) answerProbes(clockMs int64) {
+	for len(h.target.renewals) > 0 {
+		c := h.target.renewals[0]
+		h.target.renewals = h.target.renewals[1:]
+		switch {
+		case !c.Probe:
+		case c.Incarnation.Name == h.incarnation.Name:
+			h.Renewed(h.now, h.now, c, Listing{ClockMs: clockMs, StartedMs: h.incarnation.StartedMs})
+		default:
+			h.RenewFailed(h.now, c, Replaced)
+		}
+	}
 }
 
 // clockMs returns the clock of the target.
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -10,29 +10,50 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// Announce handles an announcement of the target and reports whether it is worth storing: a new
-// incarnation, a departure or a changed capacity. An announcement older than the known one is
-// ignored.
-func (t *Table) Announce(now time.Time, a Announcement) (changed bool) {
+// Announce handles an announcement of a target. One of the known incarnation updates it, unless it is older
+// than the last. Any other is a claim, which ends nothing before its target has answered at the address; see
+// claim.
+func (t *Table) Announce(now time.Time, a Announcement) {
 	t.now = now
-	if t.targetKnown && a.Incarnation == t.target.Incarnation && a.Seq <= t.target.Seq {
-		return false
+	s := t.targetNamed(a.Incarnation.Name)
+	switch {
+	case s != nil && s.targetKnown && s.target.Incarnation == a.Incarnation:
+		t.update(s, a)
+	case !t.targetKnown && t.runs.Len() == 0:
+		if a.Incarnation.Name != t.target.Incarnation.Name {
+			t.targetState = newTargetState(t.options.Lease)
+		}
+		t.adoptIncarnation(a)
+	default:
+		t.claim(a)
 	}
-	if t.targetKnown && a.Incarnation != t.target.Incarnation && a.Incarnation.StartedMs < t.target.Incarnation.StartedMs {
-		event.Log(t.log, event.AnnouncementStale, "target", a.Incarnation.Name, "born_ms", a.Incarnation.StartedMs, "known_born_ms", t.target.Incarnation.StartedMs)
-		return false // a delayed announcement of an earlier incarnation
+}
+
+// update applies a further announcement of a known incarnation.
+func (t *Table) update(s *targetState, a Announcement) {
+	if a.Seq <= s.target.Seq {
+		return
 	}
-	if !t.targetKnown || a.Incarnation != t.target.Incarnation {
-		t.adoptIncarnation(a)
-		return true
+	end := t.on(s)
+	t.updateAnnouncement(a)
+	end()
+	if s.superseded && s.reachable && s.listed && t.prefers(a) {
+		t.makeCurrent(s)
 	}
+}
+
+func (t *Table) updateAnnouncement(a Announcement) {
 	nowLeaving := a.Leaving && !t.target.Leaving
 	if nowLeaving {
 		event.Log(t.log, event.TargetLeaving, "target", a.Incarnation.Name, "seq", a.Seq)
 	}
 	previous := t.target.Capacity
 	t.target, t.restored = a, false
-	t.lease.Clock.Set(now, a.ClockMs)
+	t.lease.Clock.Set(t.now, a.ClockMs)
+	t.loadChanged = true
+	if t.superseded {
+		return
+	}
 	if a.Leaving {
 		t.rejectQueued(wire.NotRunLeaving)
 	}
@@ -40,8 +61,15 @@
 	if a.Capacity != previous {
 		t.handleResize(previous)
 	}
-	t.loadChanged = true
-	return nowLeaving || a.Capacity != previous
+	t.unstored = t.unstored || nowLeaving || a.Capacity != previous
+}
+
+// UnstoredTarget returns the announcement of the target that gets new runs, and whether it is to be stored: it
+// is of a new incarnation, of a departure or has a changed capacity since the last call.
+func (t *Table) UnstoredTarget() (Announcement, bool) {
+	changed := t.unstored
+	t.unstored = false
+	return t.target, changed
 }
 
 // handleResize applies a changed capacity of a running target: it reevaluates the queue and
@@ -78,26 +106,21 @@
 	}
 	a.Seq, a.ClockMs = 0, 0
 	t.adoptIncarnation(a)
-	t.restored = true
+	t.restored, t.unstored = true, false
 }
 
-// adoptIncarnation replaces the known incarnation of the target. What ran in the previous one has ended
-// with it.
+// adoptIncarnation replaces the incarnation of the target by another one of its name. What ran in the previous
+// one has ended with it.
 func (t *Table) adoptIncarnation(a Announcement) {
 	event.Log(t.log, event.TargetAnnounced, "target", a.Incarnation.Name, "born_ms", a.Incarnation.StartedMs, "service", a.Service,
 		"address", a.Address, "seq", a.Seq, "was", t.target.Incarnation.Name, "was_born_ms", t.target.Incarnation.StartedMs, "was_known", t.targetKnown, "runs", t.runs.Len(),
 		"cpu_milli", a.Capacity.CPUMilli, "memory_mb", a.Capacity.MemoryMB, "labels", a.Labels, "leaving", a.Leaving)
 	t.counts.Adopted++
 	t.endIncarnation("another_life")
-	if a.Incarnation.Name == t.target.Incarnation.Name {
-		t.earlierToken = max(t.earlierToken, t.token)
-	} else {
-		t.earlierToken = 0
-		t.settleCarriedOver("another_name") // it rejects their starts
-	}
+	t.earlierToken = max(t.earlierToken, t.token)
 	t.target, t.targetKnown, t.restored = a, true, false
-	t.token, t.tokenRefusals, t.endCursor, t.listed = 0, 0, 0, false
-	t.reachable, t.refused, t.failures, t.lastAnswerAt = true, false, 0, t.now
+	t.tokenRefusals, t.endCursor, t.ackedCursor, t.listed, t.renewalOpen = 0, 0, 0, false, false
+	t.reachable, t.refused, t.misdirected, t.failures, t.lastAnswerAt = true, false, false, 0, t.now
 	t.health = newRating()
 	t.forgetEnds()
 	t.lease.Clock.Set(t.now, a.ClockMs)
@@ -111,6 +134,12 @@
 		}
 	}
 	t.stopCarriedOver()
+	t.unstored = true
+	t.describeTarget()
+}
+
+// describeTarget sends the description of the target to every session.
+func (t *Table) describeTarget() {
 	for s := range t.sessions.Values() {
 		s.sendTarget, s.sendLoad = true, true
 	}
@@ -120,11 +149,14 @@
 // Deregister handles the target's notice that it is shutting down.
 func (t *Table) Deregister(now time.Time, name string) {
 	t.now = now
-	if t.targetKnown && t.target.Incarnation.Name == name && !t.target.Leaving {
-		t.target.Leaving = true
-		t.rejectQueued(wire.NotRunLeaving)
-		t.loadChanged = true
+	s := t.targetNamed(name)
+	if s == nil || !s.targetKnown || s.target.Leaving {
+		return
 	}
+	defer t.on(s)()
+	t.target.Leaving = true
+	t.rejectQueued(wire.NotRunLeaving)
+	t.loadChanged = true
 }
 
 // endIncarnation settles the orders of an incarnation that has ended, except those whose start the next
@@ -183,15 +215,6 @@
 	}
 }
 
-// settleCarriedOver settles the runs that were carried over.
-func (t *Table) settleCarriedOver(reason string) {
-	for _, r := range slices.Collect(t.runs.Values()) {
-		if r.carried {
-			t.settleGone(r, reason)
-		}
-	}
-}
-
 // startedEarlier handles the answer to a start that was called for an earlier incarnation. Which one has
 // answered is not known.
 func (t *Table) startedEarlier(r *run, answer Answer) {
@@ -212,8 +235,8 @@
 // awaitsNextIncarnation reports whether only the next incarnation of an absent target could settle a run:
 // that can't be stopped, and doesn't end with the lease.
 func (t *Table) awaitsNextIncarnation(r *run) bool {
-	absent := !t.targetKnown || !t.reachable
-	return absent && (r.carried || t.refused && r.state != queued && !r.endsWithItsIncarnation())
+	absent := !t.superseded && (!t.targetKnown || !t.reachable)
+	return absent && (r.carried || (t.refused || t.misdirected) && r.state != queued && !r.endsWithItsIncarnation())
 }
 
 // settleGone settles a run that has certainly ended but was not listed as ended. reason states why that
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -12,6 +12,24 @@
 // Renewed handles the answer to a renewal that was called at the time calledAt.
 func (t *Table) Renewed(now, calledAt time.Time, c RenewCall, l Listing) {
 	t.now = now
+	if c.Probe {
+		t.probed(c, l)
+		return
+	}
+	s := t.targetNamed(c.Incarnation.Name)
+	if s == nil {
+		return
+	}
+	t.renewalAnswered(s, calledAt, c, l)
+	t.probeClaims()
+	t.updateFormer()
+	t.startQueued()
+}
+
+func (t *Table) renewalAnswered(s *targetState, calledAt time.Time, c RenewCall, l Listing) {
+	defer t.on(s)()
+	now := t.now
+	t.renewalOpen = false
 	if c.Incarnation != t.target.Incarnation {
 		if c.LeaseUntilMs != 0 && !l.StaleToken {
 			t.unansweredAt = now // the present incarnation may have carried it out
@@ -23,7 +41,7 @@
 			t.unansweredAt = now
 		}
 		t.noteListedByNextIncarnation(l.Running)
-		t.RenewFailed(now, c, Replaced) // it has restarted under its name
+		t.endKnownIncarnation("replaced") // it has restarted under its name
 		return
 	}
 	t.lease.Clock.Set(now, l.ClockMs)
@@ -37,10 +55,10 @@
 	}
 	t.lastAnswerAt, t.tokenRefusals = now, 0
 	t.endTimesUncertain = t.failures > 0
-	t.reachable, t.refused, t.failures = true, false, 0
+	t.reachable, t.refused, t.misdirected, t.failures = true, false, false, 0
+	t.ackedCursor = max(t.ackedCursor, c.AckCursor)
 	t.applyEnds(l.Ended)
 	t.reconcile(calledAt, &l)
-	t.startQueued()
 }
 
 // applyEnds settles the runs that the target newly lists as ended.
@@ -188,28 +206,73 @@
 // RenewFailed handles a renewal that returned no listing.
 func (t *Table) RenewFailed(now time.Time, c RenewCall, failure RenewFailure) {
 	t.now = now
+	if c.Probe {
+		t.probeFailed(c, failure)
+		return
+	}
+	s := t.targetNamed(c.Incarnation.Name)
+	if s == nil {
+		return
+	}
+	t.renewalFailed(s, c, failure)
+	t.probeClaims()
+	t.updateFormer()
+}
+
+func (t *Table) renewalFailed(s *targetState, c RenewCall, failure RenewFailure) {
+	defer t.on(s)()
+	t.renewalOpen = false
 	if failure == Unresponsive && c.LeaseUntilMs != 0 {
-		t.unansweredAt = now
+		t.unansweredAt = t.now
 	}
-	if c.Incarnation != t.target.Incarnation {
+	if c.Incarnation != t.target.Incarnation || !t.targetKnown {
 		return
 	}
 	t.failures++
 	switch {
 	case failure == Replaced:
-		t.counts.Misdirected++
-		event.Log(t.log, event.TargetMisdirected, "target", c.Incarnation.Name, "born_ms", c.Incarnation.StartedMs, "call", "renewal", "runs", t.runs.Len())
-		t.endIncarnation("replaced")
-		t.targetKnown = false // the new incarnation will announce itself
-		t.reportLoadNow()
+		t.recordMisdirection(c)
 	case failure == Refused:
 		t.recordRefusal()
 		t.setUnreachable(failure)
-	case now.Sub(t.lastAnswerAt) >= unreachableAfter: // one lost or rejected call proves little, and the next one follows at once
+	case t.now.Sub(t.lastAnswerAt) >= unreachableAfter: // one lost or rejected call proves little, and the next one follows at once
 		t.setUnreachable(failure)
 	}
 }
 
+// endKnownIncarnation records that the incarnation has ended; the next one will announce itself.
+func (t *Table) endKnownIncarnation(reason string) {
+	t.failures++
+	t.endIncarnation(reason)
+	t.targetKnown = false
+	t.reportLoadNow()
+}
+
+// recordMisdirection handles a renewal that another target has answered. The known one may go on, and answer
+// again: its runs are over with the lease.
+func (t *Table) recordMisdirection(c RenewCall) {
+	t.counts.Misdirected++
+	if !t.misdirected {
+		event.Log(t.log, event.TargetMisdirected, "target", c.Incarnation.Name, "born_ms", c.Incarnation.StartedMs, "call", "renewal", "runs", t.runs.Len())
+	}
+	t.misdirected = true
+	if t.startedRuns() == 0 && !t.superseded {
+		t.endKnownIncarnation("replaced")
+		return
+	}
+	t.setUnreachable(Replaced)
+}
+
+// startedRuns returns the number of unsettled runs whose start was called.
+func (t *Table) startedRuns() (n int) {
+	for r := range t.runs.Values() {
+		if r.state != queued {
+			n++
+		}
+	}
+	return n
+}
+
 // recordRefusal handles a connection to the target that was refused: no process listens at its address. It
 // is reported as a crash, but a target that has only stopped listening goes on with its runs, so these are
 // over with the lease, or once another incarnation is there.
@@ -237,13 +300,14 @@
 }
 
 // settleExpiredLease settles the runs under a lease that has expired: a target that was
-// unreachable for so long has killed them.
+// unreachable for so long has killed them. It turns away starts that name a lease that is over, so that of a
+// target that was superseded all runs are over.
 func (t *Table) settleExpiredLease() {
-	if t.reachable || !t.lease.Over(t.now) {
+	if t.reachable && t.targetKnown || !t.lease.Over(t.now) && !(t.superseded && t.lease.End().IsZero()) {
 		return
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
-		if r.state != queued && r.endsWithItsIncarnation() {
+		if r.state != queued && (r.endsWithItsIncarnation() || t.superseded) {
 			t.settleGone(r, "lease_over")
 		}
 	}
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		stopped++
-		t.stop(r, wire.NotRunRecalled)
+		t.stopOn(r, wire.NotRunRecalled)
 	}
 	if stopped > 0 {
 		event.Log(t.log, event.RunsStopped, "conn", uint64(conn), "runs", stopped, "reason", "session_ended")
@@ -54,9 +54,11 @@
 // must not start now.
 func (t *Table) DisconnectAll(now time.Time, suspended time.Duration) {
 	t.now = now
-	for r := range t.runs.Values() {
-		t.abandon(r)
-		r.wantedAt = r.wantedAt.Add(-suspended) // the clock may not have counted that time
+	for s := range t.targets() {
+		for r := range s.runs.Values() {
+			t.abandon(r)
+			r.wantedAt = r.wantedAt.Add(-suspended) // the clock may not have counted that time
+		}
 	}
 	for _, conn := range slices.Collect(t.sessions.Keys()) {
 		t.Disconnect(now, conn)
@@ -101,6 +103,7 @@
 	t.loadChanged = true
 	r := &run{
 		id:            RunID{Task{order.Job, order.Step, order.Index}, order.RunNumber},
+		on:            t.targetState,
 		session:       s,
 		order:         *order,
 		receivedAt:    t.now,
@@ -238,7 +241,7 @@
 
 // mayStart reports whether the target can start tasks, apart from their demand.
 func (t *Table) mayStart() bool {
-	return t.targetKnown && t.reachable && t.listed && t.foreignRuns.Len() == 0 && !t.target.Leaving && !t.Evacuated()
+	return !t.superseded && t.targetKnown && t.reachable && t.listed && t.foreignRuns.Len() == 0 && !t.target.Leaving && !t.Evacuated()
 }
 
 // maxOvertakeTime is how long smaller tasks may overtake one that does not fit. Tasks are of
@@ -277,17 +280,20 @@
 		t.settleNotRun(r, wire.NotRunRecalled)
 		return
 	}
-	t.stop(r, wire.NotRunRecalled)
+	t.stopOn(r, wire.NotRunRecalled)
 }
 
-// enforceDeadlines returns orders that were queued for too long and stops runs whose callers no
-// longer wait for them.
-func (t *Table) enforceDeadlines() {
+// returnExpired returns the orders that were queued for too long.
+func (t *Table) returnExpired() {
 	for _, r := range slices.Clone(t.queue) {
 		if t.now.After(r.queueDeadline) {
 			t.settleNotRun(r, wire.NotRunExpired)
 		}
 	}
+}
+
+// stopOverdue stops the runs whose callers no longer wait for them.
+func (t *Table) stopOverdue() {
 	for _, r := range slices.Collect(t.runs.Values()) {
 		if (r.state == starting || r.state == running) && t.now.After(r.runDeadline) {
 			t.abandon(r)
@@ -296,8 +302,12 @@
 	}
 }
 
-// rejectQueued returns every queued order as not run, and drops reservations and offers.
+// rejectQueued returns every queued order as not run, and drops reservations and offers. These are for the
+// target that gets new runs.
 func (t *Table) rejectQueued(reason wire.NotRunReason) {
+	if t.superseded {
+		return
+	}
 	t.rejectOffers(reason)
 	for _, r := range slices.Clone(t.queue) {
 		t.settleNotRun(r, reason)
--- a/internal/runs/reserve.go
+++ b/internal/runs/reserve.go
@@ -166,6 +166,9 @@
 
 // rejectReservations drops every reservation and offer.
 func (t *Table) rejectReservations(reason wire.NotRunReason) {
+	if t.superseded {
+		return
+	}
 	for s := range t.sessions.Values() {
 		t.rejectSessionReservations(s, reason)
 	}
--- a/internal/runs/retire.go
+++ b/internal/runs/retire.go
@@ -30,7 +30,10 @@
 // finished reports whether no run of a session can still end.
 func (t *Table) finished(s *session) bool {
 	for _, r := range s.runs {
-		if !t.awaitsNextIncarnation(r) {
+		end := t.on(r.on)
+		awaits := t.awaitsNextIncarnation(r)
+		end()
+		if !awaits {
 			return false
 		}
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -13,6 +13,9 @@
 // a pause of its own, and the new owner can't know of the runs of the old one. A stop may be lost,
 // so the lease is renewed only for as long as no run can outlast that pause (package lease).
 //
+// Two targets of a host may be at work at the same time. One of them gets new runs; each has its own runs,
+// lease and capacity (succession.go).
+//
 // The package uses no network, clock or goroutine. A single goroutine calls it and passes the
 // current time.
 package runs
@@ -96,6 +99,8 @@
 	AckCursor    uint64        // Seq of the last EndedRun that was processed
 	Wait         time.Duration // how long the target may wait for a run to end before it answers
 	ReplyTimeout time.Duration // limit of the call beyond Wait
+	// Probe states that the call only shows whether the incarnation answers at the address.
+	Probe bool
 }
 
 // Answer is a target's answer to a StartCall or a StopCall.
@@ -155,13 +160,19 @@
 	Replaced                             // another incarnation answers at the address
 )
 
-// Target sends calls to the target; the answers go to the Table's Started and Stopped. No method
-// may block.
+var renewFailureNames = [...]string{"", "unresponsive", "refused", "overloaded", "another_target"}
+
+func (f RenewFailure) String() string { return renewFailureNames[f] }
+
+// Target sends calls to the targets of the host; the answers go to the Table's Started, Stopped, Renewed
+// and RenewFailed. No method may block.
 type Target interface {
 	Start(StartCall)
 	Stop(StopCall)
-	// Ended reports that the incarnation has ended. Starts with a lower Epoch that were not sent yet
-	// must not be sent: their answer is NotDelivered.
+	// Renew makes a renewal beside those of NextRenewal.
+	Renew(RenewCall)
+	// Ended reports that the incarnation has ended or gets no further runs. Starts with a lower Epoch that
+	// were not sent yet must not be sent: their answer is NotDelivered.
 	Ended(epoch uint64)
 }
 
@@ -204,7 +215,8 @@
 // run is an order and the state of its execution.
 type run struct {
 	id         RunID
-	session    *session // nil once the session has ended
+	on         *targetState // the target that it is for
+	session    *session     // nil once the session has ended
 	order      wire.Order
 	state      state
 	receivedAt time.Time
@@ -280,29 +292,50 @@
 	log     logr.Logger
 	now     time.Time
 
-	// sessions, runs and foreignRuns are iterated in the order in which they were added, so that the
-	// same calls always have the same result.
+	// sessions is iterated in the order in which they were added, so that the same calls always have the
+	// same result.
 	sessions *orderedmap.OrderedMap[ConnID, *session]
-	runs     *orderedmap.OrderedMap[RunID, *run]
-	tasks    map[Task]*run // the unsettled run of each task
+	tasks    map[Task]*run // the unsettled run of each task, on any target
 	queue    []*run        // orders and reservations, by compareStartBy
-	inUse    job.Demand
 	// reservations and lastTick, the time of the last Tick, bound how long capacity is held.
 	reservations reservations
 	lastTick     time.Time
 
-	target      Announcement
-	targetKnown bool   // a target has announced itself or was restored
-	epoch       uint64 // rises with each end of an incarnation
-	draining    bool   // the agent accepts no new work
+	// targetState is the target that gets new runs, and while a former one is handled, that one; see on.
+	*targetState
+	former []*targetState // targets that get no new runs, while their runs go on
+	claims []*claim       // announcements of targets that are not adopted
+	// unstored states that the announcement of the target has changed since UnstoredTarget was called.
+	unstored bool
+	epoch    uint64 // rises with each end of an incarnation, and when another target gets the new runs
+	draining bool   // the agent accepts no new work
 	// evacuated holds the data centres in which nothing may start.
 	evacuated map[string]struct{}
-	health    rating
 	runTimes  runTimesState
 
+	loadChanged  bool // the load has changed since the last Flush
+	loadUrgent   bool // the change is to be reported at once
+	simulator    queuesim.Simulator
+	runningTasks []queuesim.RunningTask
+	queuedTasks  []queuesim.QueuedTask
+	queueLoads   queueLoads
+
+	counts Counts
+}
+
+// targetState is the state of the target of one name: what it said of itself, the calls to it, its
+// lease and its runs. Its incarnations follow one another.
+type targetState struct {
+	target      Announcement
+	targetKnown bool // the target has announced itself or was restored
 	// restored reports that target is from the record of an earlier agent and not from an
 	// announcement.
-	restored bool
+	restored   bool
+	superseded bool // another target gets the new runs
+
+	runs   *orderedmap.OrderedMap[RunID, *run] // in the order of their arrival
+	inUse  job.Demand
+	health rating
 	// silentTasks are the tasks that were active when the target stopped answering.
 	silentTasks []wire.TaskRef
 
@@ -314,23 +347,25 @@
 	leaseWithheld     bool         // the last renewal did not extend the lease, because of a run that is being stopped
 	meanAnswerMs      float64      // mean time to the answer to a start call
 	endCursor         uint64       // Seq of the last EndedRun that was processed
+	ackedCursor       uint64       // of endCursor, what the target has seen in a renewal
 	listed            bool         // a listing of this incarnation was processed
 	incomplete        bool         // the latest listing was incomplete
 	foreignRuns       *foreignRuns // runs of an earlier agent, with the time of the last stop call
 	reachable         bool
 	refused           bool      // no process listened at the target's address since it was last reachable
+	misdirected       bool      // another target answered at the address since it was last reachable
 	failures          int       // consecutive failed renewals
+	renewalOpen       bool      // a renewal is not answered yet
+	renewalCalledAt   time.Time // when it was last called
 	lastAnswerAt      time.Time // when the target last answered a call
 	endTimesUncertain bool      // the latest listing followed failed renewals, so its ends may be old
+}
 
-	loadChanged  bool // the load has changed since the last Flush
-	loadUrgent   bool // the change is to be reported at once
-	simulator    queuesim.Simulator
-	runningTasks []queuesim.RunningTask
-	queuedTasks  []queuesim.QueuedTask
-	queueLoads   queueLoads
-
-	counts Counts
+func newTargetState(terms lease.Terms) *targetState {
+	return &targetState{
+		runs: orderedmap.NewOrderedMap[RunID, *run](), lease: lease.Lease{Terms: terms}, foreignRuns: newForeignRuns(),
+		health: newRating(), meanAnswerMs: initialAnswerMs,
+	}
 }
 
 // foreignRuns are runs of an earlier agent, with the time of the last stop call.
@@ -349,9 +384,10 @@
 	// may have gone on until their callers may have sent their jobs again. CarriedOver counts the
 	// runs whose start an incarnation of the target may have left to the next one.
 	Concluded, Outlived, CarriedOver uint64
-	// Adopted counts the incarnations that became the known target, and Misdirected the renewals that
-	// another target answered.
-	Adopted, Misdirected uint64
+	// Adopted counts the incarnations that became the known target, Superseded the targets that another
+	// one has replaced while they were known, Unconfirmed the announced targets that did not answer at the
+	// address, and Misdirected the renewals that another target answered.
+	Adopted, Superseded, Unconfirmed, Misdirected uint64
 }
 
 // Table is the agent's control state. It is not safe for concurrent use.
@@ -360,8 +396,8 @@
 // New returns an empty table.
 func New(o Options) *Table {
 	return &Table{&tableState{
-		options: o, log: o.Log, sessions: orderedmap.NewOrderedMap[ConnID, *session](), runs: orderedmap.NewOrderedMap[RunID, *run](), tasks: map[Task]*run{},
-		lease: lease.Lease{Terms: o.Lease}, foreignRuns: newForeignRuns(), evacuated: map[string]struct{}{}, health: newRating(), meanAnswerMs: initialAnswerMs,
+		options: o, log: o.Log, sessions: orderedmap.NewOrderedMap[ConnID, *session](), tasks: map[Task]*run{},
+		targetState: newTargetState(o.Lease), evacuated: map[string]struct{}{},
 		runTimes: runTimesState{queues: runtimes.NewByQueue[*queueRunTimes](wire.MaxRunTimes)},
 	}}
 }
@@ -382,7 +418,12 @@
 func (t *Table) Counts() Counts { return t.counts }
 
 // Runs returns the number of unsettled orders.
-func (t *Table) Runs() int { return t.runs.Len() }
+func (t *Table) Runs() (n int) {
+	for s := range t.targets() {
+		n += s.runs.Len()
+	}
+	return n
+}
 
 // Waiting returns the number of queued orders.
 func (t *Table) Waiting() int { return len(t.queue) - t.reservations.waiting }
@@ -399,13 +440,14 @@
 
 // Unfinished returns the number of unsettled orders, without those that only the next incarnation of
 // an absent target could settle.
-func (t *Table) Unfinished() int {
-	n := t.runs.Len()
-	for r := range t.runs.Values() {
-		if t.awaitsNextIncarnation(r) {
-			n--
+func (t *Table) Unfinished() (n int) {
+	t.onEach(func() {
+		for r := range t.runs.Values() {
+			if !t.awaitsNextIncarnation(r) {
+				n++
+			}
 		}
-	}
+	})
 	return n
 }
 
@@ -414,9 +456,14 @@
 func (t *Table) Tick(now time.Time) {
 	t.now, t.lastTick = now, now
 	t.lapseOffers()
-	t.enforceDeadlines()
-	t.retryStops()
-	t.settleExpiredLease()
+	t.returnExpired()
+	t.onEach(func() {
+		t.stopOverdue()
+		t.retryStops()
+		t.settleExpiredLease()
+	})
+	t.updateFormer()
+	t.probeClaims()
 	t.avoidIfStalled()
 	t.health.updateIdle(now, t.runs.Len() == 0)
 	t.startQueued()
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -94,13 +94,20 @@
 	}
 }
 
-// The first start is not answered because the target crashes, and the repeated one reaches
-// another incarnation. Whatever the first call started has ended, but it may have run.
+// The first start is not answered, and the repeated one reaches another target. The first target may run the
+// task until its lease is over.
 func TestRepeatedStartReachesAnotherIncarnation(t *testing.T) {
 	h := newHarness(t)
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.answerStart(0, NoAnswer)
 	h.answerStart(1, OtherIncarnation)
+	h.Expect(h.outcomes(testConn)).To(BeEmpty())
+	h.Expect(h.target.stops).To(HaveLen(1))
+	h.loseRenewals(1, time.Millisecond, Replaced)
+	h.incarnation = Incarnation{Name: "t-2", StartedMs: 2000}
+	h.announce(1, false)
+	h.Expect(h.outcomes(testConn)).To(BeEmpty())
+	h.advance(1500 * time.Millisecond)
 	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
 }
 
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -31,6 +31,12 @@
 	t.callStop(r)
 }
 
+// stopOn begins to stop a run, on whichever target it is.
+func (t *Table) stopOn(r *run, reason wire.NotRunReason) {
+	defer t.on(r.on)()
+	t.stop(r, reason)
+}
+
 func (t *Table) callStop(r *run) {
 	r.stopInFlight, r.stopCalledAt = true, t.now
 	if r.stopAttempts++; r.stopAttempts > 1 {
@@ -42,6 +48,11 @@
 // Stopped handles the answer to a stop.
 func (t *Table) Stopped(now time.Time, c StopCall, answer Answer) {
 	t.now = now
+	s := t.targetNamed(c.Incarnation.Name)
+	if s == nil {
+		return
+	}
+	defer t.on(s)()
 	if t.foreignRuns.Has(c.Run) && answer != Accepted {
 		t.foreignRuns.Set(c.Run, time.Time{}) // retry at the next Tick
 	}
--- /dev/null
+++ b/internal/runs/succession_test.go
@@ -0,0 +1,226 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/wire"
+)
+
+// second is a second target of the host, alive beside the harness's.
+type second struct {
+	*harness
+	incarnation Incarnation
+	seq         uint64
+	answers     bool // at the address
+	running     []RunID
+	ended       []EndedRun
+}
+
+func (s *second) announce(leaving bool) {
+	s.seq++
+	s.Announce(s.now, Announcement{Incarnation: s.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}, ClockMs: youngClockMs, Seq: s.seq, Leaving: leaving})
+}
+
+// announceFirst announces the first target.
+func (s *second) announceFirst(seq uint64, leaving bool) {
+	s.Announce(s.now, Announcement{Incarnation: s.harness.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}, ClockMs: s.clockMs(), Seq: seq, Leaving: leaving})
+}
+
+// answer answers the calls of the table: those for the second target, and with firstRuns those for the first.
+func (s *second) answer(firstAnswers bool, firstEnds []EndedRun, firstRuns ...RunID) {
+	calls := s.target.renewals
+	s.target.renewals = nil
+	for _, c := range calls {
+		switch {
+		case c.Incarnation.Name == s.incarnation.Name && s.answers:
+			s.Renewed(s.now, s.now, c, Listing{ClockMs: youngClockMs, StartedMs: s.incarnation.StartedMs, Running: s.running, Ended: s.ended, StaleToken: c.Probe && s.listed2()})
+		case c.Incarnation.Name == s.harness.incarnation.Name && firstAnswers:
+			s.Renewed(s.now, s.now, c, Listing{ClockMs: s.clockMs(), StartedMs: s.harness.incarnation.StartedMs, Running: firstRuns, Ended: firstEnds, StaleToken: c.Probe})
+		default:
+			s.RenewFailed(s.now, c, Replaced)
+		}
+	}
+}
+
+func (s *second) listed2() bool {
+	state := s.targetNamed(s.incarnation.Name)
+	return state != nil && state.listed
+}
+
+// newSecond returns the second target, and the first with one run, accepted and listed.
+func newSecond(t *testing.T, startedMs int64) (*second, RunID) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.answerStart(0, Accepted)
+	run := h.target.starts[0].Run
+	h.renewWith(run)
+	return &second{harness: h, incarnation: Incarnation{Name: "t-2", StartedMs: startedMs}, answers: true}, run
+}
+
+// startTimes are those of the second target, beside 1000 of the first.
+var startTimes = map[string]int64{"later": 2000, "equal": 1000, "absent": 0, "earlier": 500}
+
+// Guards against two runs of a task at once: another target of the host announces itself, and the runs of the
+// one that answers are reported as stopped.
+func TestAnnouncementOfAnotherTargetEndsNoRun(t *testing.T) {
+	for name, startedMs := range startTimes {
+		t.Run(name, func(t *testing.T) {
+			s, run := newSecond(t, startedMs)
+			s.answers = false
+			for seq := uint64(2); seq < 6; seq++ {
+				s.announce(false)
+				s.answer(true, nil, run)
+				s.announceFirst(seq, false)
+				s.renewWith(run)
+				s.advance(300 * time.Millisecond)
+				s.Expect(s.outcomes(testConn)).To(BeEmpty())
+			}
+			s.Expect(s.Table.target.Incarnation).To(Equal(s.harness.incarnation))
+			s.renewWithEnds([]EndedRun{s.nextEnd(run, Done)})
+			s.Expect(s.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndDone)))
+		})
+	}
+}
+
+// Guards against the same where both targets answer for their names, by turns.
+func TestRunsOfAPredecessorGoOnBesideItsSuccessor(t *testing.T) {
+	for name, startedMs := range startTimes {
+		t.Run(name, func(t *testing.T) {
+			s, run := newSecond(t, startedMs)
+			for seq := uint64(2); seq < 6; seq++ {
+				s.announce(false)
+				s.answer(true, nil, run)
+				s.announceFirst(seq, seq > 2)
+				s.answer(true, nil, run)
+				s.advance(300 * time.Millisecond)
+				s.answer(true, nil, run)
+				s.Expect(s.outcomes(testConn)).To(BeEmpty())
+			}
+			s.Expect(s.Table.target.Incarnation).To(Equal(s.incarnation), "the first one is leaving")
+			s.Expect(s.targetNamed("t-1").lease.End()).To(BeTemporally(">", s.now), "its lease is renewed")
+			s.advance(time.Millisecond)
+			s.answer(true, []EndedRun{s.nextEnd(run, Done)})
+			s.Expect(s.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndDone)))
+			s.Expect(s.former).To(HaveLen(1), "its end is not acknowledged")
+			s.advance(time.Millisecond)
+			s.answer(true, nil)
+			s.Expect(s.former).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a successor that waits for the room of its predecessor, and against a second run of a task that
+// the predecessor has.
+func TestSuccessorHasRoomOfItsOwn(t *testing.T) {
+	s, run := newSecond(t, 2000)
+	s.sendOrder(testConn, 2, task("b", 0), 7)
+	s.answerStart(1, Accepted)
+	s.renewWith(run, s.target.starts[1].Run)
+	s.announce(false)
+	s.answer(true, nil, run, s.target.starts[1].Run)
+	s.answer(true, nil, run, s.target.starts[1].Run)
+	s.sendOrder(testConn, 3, task("c", 0), 9)
+	s.sendOrder(testConn, 4, task("d", 0), 9)
+	s.sendOrder(testConn, 5, task("a", 0), 9)
+	s.Expect(s.target.starts).To(HaveLen(4))
+	s.Expect(s.target.starts[3].Incarnation).To(Equal(s.incarnation))
+	s.Expect(s.outcomes(testConn)).To(Equal(map[uint64]wire.RunOutcome{5: {Seq: 5, End: wire.EndNotRun, Reason: wire.NotRunAlreadyRunning}}))
+	s.Expect(s.Runs()).To(Equal(4))
+}
+
+// Guards against a recalled run of a predecessor that nobody stops.
+func TestRunOfAPredecessorIsRecalled(t *testing.T) {
+	s, run := newSecond(t, 2000)
+	s.announce(false)
+	s.answer(true, nil, run)
+	s.Receive(s.now, testConn, &wire.LeasedToAgent{Recalls: []uint64{1}})
+	s.Expect(s.target.stops).To(HaveLen(1))
+	s.Expect(s.target.stops[0].Incarnation).To(Equal(s.harness.incarnation))
+	s.Stopped(s.now, s.target.stops[0], Accepted)
+	s.advance(time.Millisecond)
+	s.answer(true, nil)
+	s.advance(60 * time.Millisecond)
+	s.answer(true, nil)
+	s.Expect(s.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+}
+
+// Guards against runs that count as over because another target has answered at the address of theirs: that one
+// may go on until its lease is over.
+func TestRunsOfAMisdirectedTargetEndWithTheirLease(t *testing.T) {
+	s, run := newSecond(t, 2000)
+	s.loseRenewals(1, time.Millisecond, Replaced)
+	s.announce(false)
+	s.answer(false, nil)
+	s.Expect(s.Table.target.Incarnation).To(Equal(s.incarnation))
+	over := s.targetNamed("t-1").lease.End()
+	for s.now.Before(over) {
+		s.Expect(s.outcomes(testConn)).To(BeEmpty())
+		s.advance(50 * time.Millisecond)
+		s.answer(false, nil)
+	}
+	s.advance(100 * time.Millisecond)
+	s.Expect(s.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+	s.Expect(s.former).To(BeEmpty())
+	s.Expect(s.run(run)).To(BeNil())
+}
+
+// Guards against the lease of a target that answers no more being extended by calls that others answer.
+func TestLeaseOfAMisdirectedTargetIsNotExtended(t *testing.T) {
+	s, _ := newSecond(t, 2000)
+	s.loseRenewals(1, time.Millisecond, Replaced)
+	call, _ := s.NextRenewal(s.now)
+	s.Expect(call.LeaseUntilMs).To(BeZero())
+}
+
+// Guards against runs of the live target that end because a late announcement of an ended one is adopted, after
+// the live one could not be reached.
+func TestLateAnnouncementOfAnEndedTargetEndsNoRun(t *testing.T) {
+	for name, failure := range map[string]RenewFailure{"refused": Refused, "misdirected": Replaced, "unresponsive": Unresponsive} {
+		t.Run(name, func(t *testing.T) {
+			s, run := newSecond(t, 500)
+			s.answers = false
+			s.loseRenewals(3, 150*time.Millisecond, failure)
+			s.announce(false)
+			s.answer(true, nil, run)
+			s.Expect(s.Table.target.Incarnation).To(Equal(s.harness.incarnation))
+			s.renewWith(run)
+			s.Expect(s.outcomes(testConn)).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a live target that is ignored for good because its start time is not later than that of the
+// one before.
+func TestSuccessorIsAdoptedWhateverItsStartTime(t *testing.T) {
+	for name, startedMs := range startTimes {
+		t.Run(name, func(t *testing.T) {
+			s, _ := newSecond(t, startedMs)
+			s.answers = false
+			s.announce(false)
+			s.answer(true, nil)
+			s.answers = true
+			s.loseRenewals(1, time.Millisecond, Refused)
+			s.advance(probeInterval)
+			s.answer(false, nil)
+			s.Expect(s.Table.target.Incarnation).To(Equal(s.incarnation))
+		})
+	}
+}
+
+// Guards against a runner that serves the target of its stored record, and not the one that answers.
+func TestRestoredTargetGivesWayToTheOneThatAnswers(t *testing.T) {
+	h := newHarness(t)
+	fresh := New(Options{Log: h.log, Target: h.target, Outbox: h.outbox, Lease: testLease})
+	fresh.Restore(h.now, Announcement{Incarnation: Incarnation{Name: "t-0", StartedMs: 3000}, Service: "s"})
+	h.Table = fresh
+	h.announce(2, false)
+	h.renewWith()
+	h.Expect(fresh.target.Incarnation).To(Equal(h.incarnation))
+	stored, changed := fresh.UnstoredTarget()
+	h.Expect(changed).To(BeTrue())
+	h.Expect(stored.Incarnation).To(Equal(h.incarnation))
+}
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -49,12 +49,18 @@
 	idleRenewWait = 150 * time.Millisecond
 )
 
-// NextRenewal returns the next call that renews the lease, and false while no target is known.
+// NextRenewal returns the next call that renews the lease of the target that gets new runs, and false while
+// none is known.
 func (t *Table) NextRenewal(now time.Time) (RenewCall, bool) {
 	t.now = now
 	if !t.targetKnown {
 		return RenewCall{}, false
 	}
+	return t.nextRenewal(), true
+}
+
+func (t *Table) nextRenewal() RenewCall {
+	t.renewalOpen, t.renewalCalledAt = true, t.now
 	c := RenewCall{Incarnation: t.target.Incarnation, Token: t.token, AckCursor: t.endCursor, Wait: maxRenewWait, ReplyTimeout: t.callTimeout()}
 	switch {
 	case t.failures > 1:
@@ -69,7 +75,7 @@
 		c.Wait = t.renewalWait()
 	}
 	c.LeaseUntilMs = t.extendLease()
-	return c, true
+	return c
 }
 
 // renewalWait returns how long a renewal should wait for an end: until the next one is expected.
@@ -98,6 +104,17 @@
 // Started handles the answer to a start; clockMs is a reading of the target's clock, or 0.
 func (t *Table) Started(now time.Time, c StartCall, answer Answer, clockMs int64) {
 	t.now = now
+	s := t.targetNamed(c.Incarnation.Name)
+	if s == nil {
+		return
+	}
+	t.startAnswered(s, c, answer, clockMs)
+	t.startQueued()
+}
+
+func (t *Table) startAnswered(s *targetState, c StartCall, answer Answer, clockMs int64) {
+	defer t.on(s)()
+	now := t.now
 	if answer == NoAnswer {
 		t.unansweredAt = now
 	}
@@ -136,7 +153,6 @@
 	default:
 		t.startRejected(r, c.Token, answer)
 	}
-	t.startQueued()
 }
 
 // clockTolerance is how far below its estimate a reading of the target's clock may be.
@@ -163,7 +179,7 @@
 		t.stop(r, wire.NotRunEvacuated)
 		return
 	}
-	if r.startRetries >= maxStartRetries || !t.inUse.Fits(t.target.Capacity) {
+	if t.superseded || r.startRetries >= maxStartRetries || !t.inUse.Fits(t.target.Capacity) {
 		t.stop(r, wire.NotRunNoAnswer)
 		return
 	}
@@ -204,8 +220,6 @@
 		if r.state == starting {
 			r.state = running
 		}
-	case OtherIncarnation:
-		t.settleGone(r, "other_incarnation")
 	default:
 		t.stop(r, wire.NotRunNoAnswer)
 	}
