Dispatcher: what is reported of a host's next target says nothing about runs on the former one

What callers saw: a job whose task runs on a target that goes on beside its successor was answered 504 40 ms after the successor was reported as down, and its run was recalled. A successor that rejects work had such runs stopped as overdue at half of the usual limit, and run times of the former target corrected the estimates of their queue by the speed of the new one.

Cause: a session holds one target, and its load, its speed and its share of hung runs applied to every open order of the session, whichever target it was placed on. The last case needs no run that outlives the change: an end that is reported in one frame with the new target is enough.

An attempt now keeps the name of the target that it was placed on. Where that is not the present one, the load and the share of hung runs of the present one are not used; the run ends by its outcome, by the usual limit for overdue tasks, or by its caller. An order that was in flight when the target changed runs on the new one and counts as one of the former: it then is judged with less knowledge, and is not given up before its agent reports its outcome.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -84,9 +84,9 @@
 }
 
 // learnRunTime adds the run time of a completed task, converted to a target of speed 1, to
-// the calibration of its queue.
+// the calibration of its queue. The speed of a former target is not known any more.
 func (c *Core) learnRunTime(at *attempt, out *wire.RunOutcome, a *agent) {
-	if out.End != wire.EndDone {
+	if out.End != wire.EndDone || at.onFormerTarget(a) {
 		return
 	}
 	declaredMs := clock.Millis(at.job.submitted.Steps[at.task.step].Estimate)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -140,6 +140,7 @@
 	seq      uint64 // of the order in the agent's session
 	run      uint64 // run number
 	agent    *agent // nil once its session has ended
+	target   string // name of the agent's target when it was placed
 	job      *liveJob
 	task     *task
 	placedAt time.Time
--- a/internal/dispatch/overdue.go
+++ b/internal/dispatch/overdue.go
@@ -53,8 +53,8 @@
 			continue
 		}
 		event.Log(c.log, event.TaskOverdue, "job", l.ID, "step", at.task.step, "task", at.task.index, "host", at.agent.host,
-			"target", at.agent.targetName(), "after_ms", clock.Millis(c.now.Sub(at.placedAt)), "expected_ms", clock.Millis(at.expectedTime),
-			"shunned", at.agent.load.Rejecting, "speed", at.agent.load.Speed, "load_age_ms", clock.Millis(c.now.Sub(at.agent.loadAt)))
+			"target", at.target, "after_ms", clock.Millis(c.now.Sub(at.placedAt)), "expected_ms", clock.Millis(at.expectedTime),
+			"shunned", at.targetRejecting(), "speed", at.agent.load.Speed, "load_age_ms", clock.Millis(c.now.Sub(at.agent.loadAt)))
 		if !c.worthPlacing(l, at.task) {
 			l.mayHaveRun = true // the order was sent and may have started
 			c.giveUp(l, fault.New(fault.DeadlineExceeded, "a task of it stands still, and it can't be done in time elsewhere"))
@@ -75,7 +75,7 @@
 		return false
 	}
 	factor := time.Duration(overdueFactor)
-	if at.agent.load.Rejecting {
+	if at.targetRejecting() {
 		factor = rejectingFactor
 	}
 	return c.now.Sub(at.placedAt) > factor*at.firstExpectedTime()+overdueMargin
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -197,7 +197,7 @@
 func (c *Core) sendOrder(l *liveJob, t *task, a *agent, request earliest.Task, choice earliest.Choice) {
 	s := &l.Steps[t.step]
 	a.nextSeq++
-	at := &attempt{seq: a.nextSeq, run: c.nextRunNumber(l), agent: a, job: l, task: t, placedAt: c.now,
+	at := &attempt{seq: a.nextSeq, run: c.nextRunNumber(l), agent: a, target: a.targetName(), job: l, task: t, placedAt: c.now,
 		expectedTime: clock.FromMillis(choice.EndMs), expectedRun: c.expectedRun(l, t, a), level: l.level, hadRoom: choice.FitsNow}
 	c.link.Enqueue(c.now, c.orderBytesOnLink(a, l))
 	t.state, t.attempt = taskPlaced, at
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -75,7 +75,7 @@
 	if out.End != wire.EndDone {
 		return
 	}
-	a.hungShare.Record(false)
+	at.hungShareAt(a).Record(false)
 	l, t := at.job, at.task
 	if at.expectedRun <= 0 || !(out.RunMs > 0) {
 		return
@@ -131,12 +131,12 @@
 // a run again only after its ratio has grown, another run of its job has ended at its usual time, or
 // its target has started or stopped rejecting work.
 func (c *Core) keepRunning(l *liveJob, at *attempt) bool {
-	if c.now.Before(at.keepUntil) && at.keptRejecting == at.agent.load.Rejecting {
+	if c.now.Before(at.keepUntil) && at.keptRejecting == at.targetRejecting() {
 		return true
 	}
 	e := runtimes.Evidence{
 		Ratio: c.ratio(at), Completed: l.completedRuns(at.agent), AsLong: c.runsAsLong(l, at),
-		HungShare: at.agent.hungShare.Value(), Rejecting: at.agent.load.Rejecting, Distribution: c.runTimesOf(l.Queue.Name),
+		HungShare: at.hungShareAt(at.agent).Value(), Rejecting: at.targetRejecting(), Distribution: c.runTimesOf(l.Queue.Name),
 	}
 	v := runtimes.Judge(e)
 	if !v.Keep {
@@ -144,12 +144,12 @@
 		return false
 	}
 	at.keepUntil = at.placedAt.Add(clock.FromMillis(v.AgainAt*clock.Millis(at.firstExpectedTime())) + overdueMargin)
-	at.keptRejecting = at.agent.load.Rejecting
+	at.keptRejecting = at.targetRejecting()
 	if !at.kept {
 		at.kept = true
 		c.counts.RunsKept++
 		event.Log(c.log, event.RunKept, "job", l.ID, "queue", l.Queue.Name, "step", at.task.step, "task", at.task.index, "host", at.agent.host,
-			"target", at.agent.targetName(), "reason", string(v.Reason), "ratio", e.Ratio, "completed", len(e.Completed), "as_long", len(e.AsLong),
+			"target", at.target, "reason", string(v.Reason), "ratio", e.Ratio, "completed", len(e.Completed), "as_long", len(e.AsLong),
 			"hung_share", e.HungShare, "longer_share", e.Distribution.Survival(e.Ratio))
 	}
 	switch v.Reason {
@@ -164,7 +164,7 @@
 // noteHung records that a run is judged hung.
 func (c *Core) noteHung(l *liveJob, at *attempt, e *runtimes.Evidence) {
 	c.counts.RunsJudgedHung++
-	at.agent.hungShare.Record(true)
+	at.hungShareAt(at.agent).Record(true)
 	at.task.stoppedRatio, at.task.stoppedOn = e.Ratio, at.agent.conn
 	if len(e.AsLong) > 0 && len(e.Completed) == 0 && !l.lengthRecorded {
 		l.lengthRecorded = true
@@ -188,11 +188,11 @@
 			shares = append(shares, share)
 		}
 		other := t.attempt
-		if other == nil || other.agent == nil || other.agent == at.agent || !other.hadRoom || other.agent.load.Rejecting {
+		if other == nil || other.agent == nil || other.agent == at.agent || !other.hadRoom || other.targetRejecting() {
 			continue
 		}
 		if runtimes.AsLong(c.ratio(other), ratio) {
-			shares = append(shares, other.agent.hungShare.Value())
+			shares = append(shares, other.hungShareAt(other.agent).Value())
 		}
 	}
 	return shares
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -121,7 +121,8 @@
 
 // giveUpOnDownTargets gives up the jobs that have a task running on a target that is down.
 // After maxReturnWait, orders that had not started have been returned and placed elsewhere.
-// Those that had started end with the lease of the target, too late for most callers.
+// Those that had started end with the lease of the target, too late for most callers. Runs on a
+// former target of the agent are not concerned: whether that one answers is not reported.
 func (c *Core) giveUpOnDownTargets() {
 	for _, a := range c.agentsByAge {
 		if !a.load.Down || c.now.Sub(a.downSince) < maxReturnWait {
@@ -129,7 +130,7 @@
 		}
 		for _, seq := range slices.Sorted(maps.Keys(a.attempts)) {
 			at := a.attempts[seq]
-			if at.job.answered || at.job.givingUp {
+			if at.job.answered || at.job.givingUp || at.onFormerTarget(a) {
 				continue
 			}
 			at.job.mayHaveRun = true
