Dispatcher: a session that its host has replaced gets no orders

What callers saw: 504 for jobs that were placed just after a runner had connected again, before the end of its former connection was noticed, although its new session could have taken them.

Cause: the former session is closed when the new one opens, but it stayed a candidate for placements until the control state had handled the end of its connection. Orders to it are dropped with the connection, the job is given up as unknown, and its caller sends it again only after its pause. Meanwhile one target counted twice.

The replaced session is not usable any more. It is not removed at once, because outcomes that its connection delivered before its end are still read and are true.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 	host       string
 	dataCentre string
 	extended   bool               // it understands the extended fields of frames
+	replaced   bool               // by a newer session with the same host; its connection is being closed
 	target     *wire.LeasedTarget // nil until the agent has reported it
 	load       wire.Load
 	loadAt     time.Time
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -40,9 +40,9 @@
 	maxCrowdedReturns = 2
 )
 
-// usable reports whether the agent has a target that accepts new orders.
+// usable reports whether the agent has a target that accepts new orders and a session that delivers them.
 func (a *agent) usable() bool {
-	return a.target != nil && !a.load.Leaving && !a.load.Down && !a.load.Rejecting
+	return a.target != nil && !a.replaced && !a.load.Leaving && !a.load.Down && !a.load.Rejecting
 }
 
 // collectCandidates rebuilds candidates and candidateAgents from the usable agents of the
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -12,7 +12,8 @@
 )
 
 // Connect opens a session with an agent; extended states that it understands the extended
-// fields of frames. An older session with the same host is closed.
+// fields of frames. An older session with the same host is closed. Its outcomes count until its
+// connection has ended.
 func (c *Core) Connect(now time.Time, conn ConnID, h *wire.Hello, extended bool) {
 	c.now = now
 	a := &agent{conn: conn, host: h.Worker, dataCentre: h.DataCentre, extended: extended, attempts: map[uint64]*attempt{}, loadAt: now}
@@ -21,6 +22,7 @@
 	for _, other := range c.agentsByAge {
 		if other != a && other.host == a.host {
 			event.Log(c.log, event.SessionReplaced, "conn", uint64(other.conn), "host", a.host)
+			other.replaced = true
 			c.options.Outbox.Close(other.conn)
 		}
 	}
