Dispatcher: a runner that connects again is not turned away for its own former session

What callers saw: at a dispatcher that has as many runners as it may, a host whose connection broke at its own end only was lost for 5 s and more, and the orders placed on its former session until the dispatcher found that silent were lost with it.

Cause: the limit of sessions counted the session that the new one replaces. The runner was told that the dispatcher is full, and selected another one.

A runner of a host with a session takes the place of that session, which is closed then, so the limit is exceeded only until its end is handled.

--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -130,7 +130,7 @@
 	r.opened, r.host, r.dataCentre = true, h.Worker, h.DataCentre
 	event.Log(r.log, event.SessionOpened, "conn", uint64(r.id), "host", h.Worker, "peer", r.conn.RemoteAddr())
 	return r.loop.Push(func(now time.Time, s *state) {
-		if len(r.runners) >= r.limit {
+		if len(r.runners) >= r.limit && !r.hasSession(r.host) {
 			r.turnAway(s)
 			return
 		}
@@ -145,6 +145,16 @@
 	})
 }
 
+// hasSession reports whether a session with a host is registered. The next one with it takes its place.
+func (s *sessions) hasSession(host string) bool {
+	for _, r := range s.runners {
+		if r.host == host {
+			return true
+		}
+	}
+	return false
+}
+
 // turnAway names other dispatchers to a runner and asks it to leave. The session is not registered:
 // nothing is sent on it any more, and a runner that stays gets no orders.
 func (r *runnerSession) turnAway(s *state) {
