--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -40,9 +40,9 @@
 	maxCrowdedReturns = 2
 )
 
-// usable reports whether the agent has a target that accepts new orders.
+// usable reports whether the agent has a target that accepts new orders and a session that delivers them.
 func (a *agent) usable() bool {
-	return a.target != nil && !a.load.Leaving && !a.load.Down && !a.load.Rejecting
+	return a.target != nil && !a.replaced && !a.load.Leaving && !a.load.Down && !a.load.Rejecting
 }
 
 // collectCandidates rebuilds candidates and candidateAgents from the usable agents of the
@@ -197,7 +197,7 @@
 func (c *Core) sendOrder(l *liveJob, t *task, a *agent, request earliest.Task, choice earliest.Choice) {
 	s := &l.Steps[t.step]
 	a.nextSeq++
-	at := &attempt{seq: a.nextSeq, run: c.nextRunNumber(l), agent: a, job: l, task: t, placedAt: c.now,
+	at := &attempt{seq: a.nextSeq, run: c.nextRunNumber(l), agent: a, target: a.targetName(), job: l, task: t, placedAt: c.now,
 		expectedTime: clock.FromMillis(choice.EndMs), expectedRun: c.expectedRun(l, t, a), level: l.level, hadRoom: choice.FitsNow}
 	c.link.Enqueue(c.now, c.orderBytesOnLink(a, l))
 	t.state, t.attempt = taskPlaced, at
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -12,7 +12,8 @@
 )
 
 // Connect opens a session with an agent; extended states that it understands the extended
-// fields of frames. An older session with the same host is closed.
+// fields of frames. An older session with the same host is closed. Its outcomes count until its
+// connection has ended.
 func (c *Core) Connect(now time.Time, conn ConnID, h *wire.Hello, extended bool) {
 	c.now = now
 	a := &agent{conn: conn, host: h.Worker, dataCentre: h.DataCentre, extended: extended, attempts: map[uint64]*attempt{}, loadAt: now}
@@ -21,6 +22,7 @@
 	for _, other := range c.agentsByAge {
 		if other != a && other.host == a.host {
 			event.Log(c.log, event.SessionReplaced, "conn", uint64(other.conn), "host", a.host)
+			other.replaced = true
 			c.options.Outbox.Close(other.conn)
 		}
 	}
@@ -121,7 +123,8 @@
 
 // giveUpOnDownTargets gives up the jobs that have a task running on a target that is down.
 // After maxReturnWait, orders that had not started have been returned and placed elsewhere.
-// Those that had started end with the lease of the target, too late for most callers.
+// Those that had started end with the lease of the target, too late for most callers. Runs on a
+// former target of the agent are not concerned: whether that one answers is not reported.
 func (c *Core) giveUpOnDownTargets() {
 	for _, a := range c.agentsByAge {
 		if !a.load.Down || c.now.Sub(a.downSince) < maxReturnWait {
@@ -129,7 +132,7 @@
 		}
 		for _, seq := range slices.Sorted(maps.Keys(a.attempts)) {
 			at := a.attempts[seq]
-			if at.job.answered || at.job.givingUp {
+			if at.job.answered || at.job.givingUp || at.onFormerTarget(a) {
 				continue
 			}
 			at.job.mayHaveRun = true
