Stand-in: a host may have a second target, alive beside the first

Targets of a host that shows two names by turns can't be played by rebirths, which have one target at a time.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -16,12 +16,13 @@
 
 const bufferBytes = 32 << 10
 
-// Relay is a TCP proxy that forwards each accepted connection to its target address.
+// Relay is a TCP proxy that forwards each accepted connection to a target address.
 type Relay struct {
 	listener net.Listener
 
 	mu           sync.Mutex
-	target       string
+	targets      []string
+	accepted     int // connections since SetTarget
 	conns        map[*proxiedConn]bool
 	blackholeNew bool         // new connections are accepted, but their data is dropped
 	delay        atomic.Int64 // added before each write, in nanoseconds
@@ -51,11 +52,12 @@
 // Addr returns the address that the relay listens on.
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
-// SetTarget sets the address to which connections accepted later are forwarded.
-func (r *Relay) SetTarget(addr string) {
+// SetTarget sets the address to which connections accepted later are forwarded; of several, they take
+// turns.
+func (r *Relay) SetTarget(addrs ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.target = addr
+	r.targets, r.accepted = addrs, 0
 }
 
 // BlackholeOpen drops all further data of the connections that are open now, in the given
@@ -121,7 +123,8 @@
 // closes the client connection if the target can't be reached.
 func (r *Relay) proxy(client net.Conn) {
 	r.mu.Lock()
-	target := r.target
+	target := r.targets[r.accepted%len(r.targets)]
+	r.accepted++
 	r.mu.Unlock()
 	server, err := net.Dial("tcp", target)
 	if err != nil {
