Soak: successors of targets under another name, as scenarios and as a group of faults

The faults so far replace a target only by one of its own name. Now a second target of the host starts, both announce themselves, the first drains and ends; calls to the address reach either of them in five ways, start times are later, equal, missing or earlier, heartbeats late or repeated, the runner is killed or the first has crashed before. The group draws among all these beside the other faults.

The runner's log has the first target's runs concluded for another_life as the second announces itself, and both names by turns, 120 and 180 ms apart.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,12 +33,17 @@
 
 // Groups of faults; see Options.Groups.
 const (
-	GroupRebirth = "rebirth" // targets that are back under the same name within milliseconds
-	GroupSlow    = "slow"    // processes without processor time, for milliseconds to seconds
-	GroupLoss    = "loss"    // many runners killed at once, lost answers, silent connections
+	GroupRebirth    = "rebirth"    // targets that are back under the same name within milliseconds
+	GroupSlow       = "slow"       // processes without processor time, for milliseconds to seconds
+	GroupLoss       = "loss"       // many runners killed at once, lost answers, silent connections
+	GroupSuccessors = "successors" // hosts with two targets at once, under different names
 )
 
 var faultGroups = map[string][]fault{
+	GroupSuccessors: {
+		{"target replaced by another", replaceTarget},
+		{"targets replaced by others", replaceTargets},
+	},
 	GroupRebirth: {
 		{"target reborn", rebearTarget},
 		{"targets of a data centre reborn", rebearDataCentre},
--- a/internal/soak/scenarios.go
+++ b/internal/soak/scenarios.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -51,6 +50,17 @@
 	"rebirth-runner-paused":              {2, 3, rebirthRunnerPaused},
 	"rebirth-runner-throttled":           {2, 3, rebirthRunnerThrottled},
 	"rebirth-start-seconds-late":         {2, 3, rebirthStartSecondsLate},
+	"successor-address-kept":             {2, 3, succeeded(succession{lead: keepAddress})},
+	"successor-address-taken-over":       {2, 3, succeeded(succession{lead: takeAddress})},
+	"successor-connections-reset":        {2, 3, succeeded(succession{lead: takeAddressAndReset})},
+	"successor-address-shared":           {2, 3, succeeded(succession{lead: shareAddress})},
+	"successor-led-by-name":              {2, 3, succeeded(succession{lead: leadByName})},
+	"successor-same-start-time":          {2, 3, succeeded(succession{lead: takeAddress, born: sameBorn})},
+	"successor-no-start-time":            {2, 3, succeeded(succession{lead: takeAddress, born: noBorn})},
+	"successor-earlier-start-time":       {2, 3, succeeded(succession{lead: takeAddress, born: earlierBorn})},
+	"successor-heartbeats-late":          {2, 3, succeeded(succession{lead: takeAddress, heartbeatDelay: maxHeartbeatDelay, repeats: maxRepeats})},
+	"successor-runner-killed":            {2, 3, succeeded(succession{lead: takeAddress, killRunner: true})},
+	"successor-after-crash":              {2, 3, succeeded(succession{lead: takeAddress, crash: true, repeats: maxRepeats})},
 	"handed-over-first-entry-paused":     {3, 4, handedOver(pauseFirst)},
 	"handed-over-path-silent":            {3, 4, handedOver(silencePeer)},
 	"handed-over-caller-leaves":          {3, 4, handedOver(nil)},
@@ -68,7 +78,7 @@
 	r.warmUp(ctx)
 	for until := time.Now().Add(r.Duration); time.Now().Before(until) && ctx.Err() == nil; {
 		r.faults++
-		breaches := len(r.fleet.Checker.Breaches())
+		breaches, discarded := len(r.fleet.Checker.Breaches()), r.fleet.Checker.Discarded()
 		id := fmt.Sprintf("%016x", r.faults)
 		chosen.play(r, ctx, rnd, id)
 		clock.Sleep(ctx, settleTime)
@@ -76,7 +86,8 @@
 			fmt.Fprintln(r.Out, "  ", line)
 		}
 		r.clearFaults()
-		fmt.Fprintf(r.Out, "%s play %d of %s: %d breaches\n", time.Now().Format(time.StampMilli), r.faults, r.Scenario, len(r.fleet.Checker.Breaches())-breaches)
+		fmt.Fprintf(r.Out, "%s play %d of %s: %d breaches, %d runs discarded on draining targets\n", time.Now().Format(time.StampMilli), r.faults, r.Scenario,
+			len(r.fleet.Checker.Breaches())-breaches, r.fleet.Checker.Discarded()-discarded)
 	}
 }
 
@@ -116,8 +127,8 @@
 func (r *run) runningOn(ctx context.Context, id string) int {
 	for until := time.Now().Add(startWait); time.Now().Before(until) && ctx.Err() == nil; clock.Sleep(ctx, 2*time.Millisecond) {
 		if targets := r.fleet.Checker.RunningOn(id); len(targets) > 0 {
-			i, err := strconv.Atoi(strings.TrimPrefix(targets[0], "t"))
-			if err == nil {
+			i := 0
+			if _, err := fmt.Sscanf(targets[0], "t%d", &i); err == nil {
 				return i
 			}
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -2,7 +2,7 @@
 // outside, drawn from a seed: relays that delay data, drop it in one or both directions or
 // reset connections; processes that are killed, paused, terminated and restarted; a store
 // that hangs, is unavailable, is truncated or loses answers; targets that crash, fail, slow
-// down, drain and carry out orders late. Faults overlap. Meanwhile callers submit jobs and
+// down, drain, are replaced and carry out orders late. Faults overlap. Meanwhile callers submit jobs and
 // resend them as real ones do, and the run checks the platform's guarantees by what targets
 // and callers observe.
 package soak
--- /dev/null
+++ b/internal/soak/successor.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/camphorrack/camphorrack/internal/clock"
+	"github.com/camphorrack/camphorrack/platform/standin"
+)
+
+// lead says which of two targets of a host the calls to their common address reach, while both are alive.
+type lead int
+
+const (
+	keepAddress         lead = iota // the first
+	takeAddress                     // the second, on new connections
+	takeAddressAndReset             // the second; open connections are reset
+	shareAddress                    // each new connection another one
+	leadByName                      // the one that the call is for
+	leads
+)
+
+// born says which start time a successor states.
+type born int
+
+const (
+	laterBorn born = iota
+	sameBorn
+	noBorn
+	earlierBorn
+	borns
+)
+
+const (
+	// bornStep is how much earlier a successor's clock of the day may be.
+	bornStep = 5 * time.Second
+	// maxHeartbeatDelay bounds the delay of late heartbeats, and maxRepeats how often one is repeated.
+	maxHeartbeatDelay = time.Second
+	maxRepeats        = 5
+	repeatInterval    = 250 * time.Millisecond
+	// Bounds of the time for which two targets are ready at once, and of that for which the first then
+	// drains.
+	minBeside, maxBeside = 500 * time.Millisecond, 2 * time.Second
+	minDrain, maxDrain   = 500 * time.Millisecond, 6 * time.Second
+	// heartbeatInterval is that of the targets.
+	heartbeatInterval = 300 * time.Millisecond
+)
+
+// succession is the replacement of a host's target by one under another name.
+type succession struct {
+	lead           lead
+	born           born
+	heartbeatDelay time.Duration // bound of the delay of the heartbeats of both
+	repeats        int           // of the last heartbeat of the first, once it has ended
+	crash          bool          // the first crashes before the second starts
+	killRunner     bool          // while both are alive
+}
+
+func (b born) startTime(first *standin.Target) int64 {
+	switch b {
+	case sameBorn:
+		return first.BornMs()
+	case noBorn:
+		return standin.NoBorn
+	case earlierBorn:
+		return time.Now().Add(-bornStep).UnixMilli()
+	}
+	return time.Now().UnixMilli()
+}
+
+// succeed starts a second target on a host, beside the first one unless that crashes, and ends the first
+// after it has drained.
+func (r *run) succeed(ctx context.Context, rnd *rand.Rand, host int, s succession) {
+	first, second := r.fleet.TargetsOf(host)
+	bornMs := s.born.startTime(first)
+	late := standin.TargetFaults{MaxAnnounceDelay: s.heartbeatDelay}
+	first.SetFaults(late)
+	second.SetFaults(late)
+	if s.crash {
+		first.End(false)
+	}
+	if err := second.StartSuccessor(bornMs, between(rnd, 0, heartbeatInterval)); err != nil {
+		r.addBreach("stand-in", "", err.Error())
+		return
+	}
+	if !s.crash {
+		r.drainBeside(ctx, rnd, host, s, first, second)
+	}
+	r.fleet.LeadTo(host, second)
+	if s.repeats > 0 {
+		first.RepeatAnnouncement(s.repeats, repeatInterval)
+	}
+}
+
+// drainBeside has both targets of a host alive until the first has drained, and ends it.
+func (r *run) drainBeside(ctx context.Context, rnd *rand.Rand, host int, s succession, first, second *standin.Target) {
+	switch s.lead {
+	case takeAddress:
+		r.fleet.LeadTo(host, second)
+	case takeAddressAndReset:
+		r.fleet.LeadTo(host, second)
+		r.fleet.TargetPaths[host].Reset()
+	case shareAddress:
+		r.fleet.LeadTo(host, second, first)
+	case leadByName:
+		r.fleet.LeadByName(host)
+		r.fleet.TargetPaths[host].Reset()
+	}
+	clock.Sleep(ctx, between(rnd, minBeside, maxBeside))
+	if s.killRunner {
+		r.restartRunner(host)
+	}
+	first.Drain()
+	clock.Sleep(ctx, between(rnd, minDrain, maxDrain))
+	first.End(true)
+}
+
+// restartRunner kills a runner and starts it again, unless another fault has it.
+func (r *run) restartRunner(host int) {
+	p := runnerProcesses(r)[host]
+	if !p.mu.TryLock() {
+		return
+	}
+	defer p.mu.Unlock()
+	r.checkStillRunning(p)
+	p.Kill()
+	r.startProcess(p)
+}
+
+// succeeded returns the play of a succession while jobs are sent.
+func succeeded(s succession) func(*run, context.Context, *rand.Rand, string) {
+	return func(r *run, ctx context.Context, rnd *rand.Rand, id string) {
+		r.duringStream(ctx, id, 20*time.Millisecond, 500*time.Millisecond, func() {
+			r.succeed(ctx, rnd, rnd.IntN(len(r.fleet.Targets)), s)
+			clock.Sleep(ctx, time.Second)
+		})
+	}
+}
+
+// replaceTarget replaces the target of a host by another one and that by a third, each in another way,
+// unless another fault has the target.
+func replaceTarget(r *run, rnd *rand.Rand, _ time.Duration) func() {
+	host := rnd.IntN(len(r.fleet.Targets))
+	for _, t := range []*standin.Target{r.fleet.Targets[host], r.fleet.SecondTargets[host]} {
+		mu, _ := faultLocks.LoadOrStore(t, &sync.Mutex{})
+		if !mu.(*sync.Mutex).TryLock() {
+			return nil
+		}
+		defer mu.(*sync.Mutex).Unlock()
+	}
+	for range 2 {
+		s := succession{lead: lead(rnd.IntN(int(leads))), born: born(rnd.IntN(int(borns))), repeats: rnd.IntN(maxRepeats), crash: rnd.IntN(4) == 0, killRunner: rnd.IntN(4) == 0}
+		if rnd.IntN(2) == 0 {
+			s.heartbeatDelay = between(rnd, 0, maxHeartbeatDelay)
+		}
+		r.succeed(context.Background(), rnd, host, s)
+	}
+	return nil
+}
+
+// replaceTargets does the same on half of the hosts, as a release does.
+func replaceTargets(r *run, rnd *rand.Rand, duration time.Duration) func() {
+	var wg sync.WaitGroup
+	for range (len(r.fleet.Targets) + 1) / 2 {
+		hostRand := rand.New(rand.NewPCG(rnd.Uint64(), 0))
+		wg.Go(func() { replaceTarget(r, hostRand, duration) })
+	}
+	wg.Wait()
+	return nil
+}
