--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -144,7 +144,7 @@
 func (r *run) clearFaults() {
 	r.fleet.Store.SetMode("", standin.StoreNormal)
 	r.fleet.Store.SetDelay(0)
-	for _, t := range r.fleet.Targets {
+	for _, t := range slices.Concat(r.fleet.Targets, r.fleet.SecondTargets) {
 		t.SetCapacity(standin.DefaultCPUMilli)
 		t.SetFaults(standin.TargetFaults{})
 	}
--- a/internal/soak/successor.go
+++ b/internal/soak/successor.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -34,14 +35,13 @@
 )
 
 const (
-	// bornStep is how much earlier a successor's clock of the day may be.
+	// bornStep is by how much a successor that was born earlier by its clock was.
 	bornStep = 5 * time.Second
 	// maxHeartbeatDelay bounds the delay of late heartbeats, and maxRepeats how often one is repeated.
 	maxHeartbeatDelay = time.Second
 	maxRepeats        = 5
 	repeatInterval    = 250 * time.Millisecond
-	// Bounds of the time for which two targets are ready at once, and of that for which the first then
-	// drains.
+	// Bounds of a scenario's succession.beside and succession.drain.
 	minBeside, maxBeside = 500 * time.Millisecond, 2 * time.Second
 	minDrain, maxDrain   = 500 * time.Millisecond, 6 * time.Second
 	// heartbeatInterval is that of the targets.
@@ -52,6 +52,8 @@
 type succession struct {
 	lead           lead
 	born           born
+	beside         time.Duration // time for which both are ready
+	drain          time.Duration // time for which the first drains thereafter
 	heartbeatDelay time.Duration // bound of the delay of the heartbeats of both
 	repeats        int           // of the last heartbeat of the first, once it has ended
 	crash          bool          // the first crashes before the second starts
@@ -65,7 +67,7 @@
 	case noBorn:
 		return standin.NoBorn
 	case earlierBorn:
-		return time.Now().Add(-bornStep).UnixMilli()
+		return cmp.Or(first.BornMs(), time.Now().UnixMilli()) - bornStep.Milliseconds()
 	}
 	return time.Now().UnixMilli()
 }
@@ -75,9 +77,10 @@
 func (r *run) succeed(ctx context.Context, rnd *rand.Rand, host int, s succession) {
 	first, second := r.fleet.TargetsOf(host)
 	bornMs := s.born.startTime(first)
-	late := standin.TargetFaults{MaxAnnounceDelay: s.heartbeatDelay}
-	first.SetFaults(late)
-	second.SetFaults(late)
+	for _, t := range []*standin.Target{first, second} {
+		t.SetFaults(standin.TargetFaults{MaxAnnounceDelay: s.heartbeatDelay})
+		defer t.SetFaults(standin.TargetFaults{})
+	}
 	if s.crash {
 		first.End(false)
 	}
@@ -86,7 +89,7 @@
 		return
 	}
 	if !s.crash {
-		r.drainBeside(ctx, rnd, host, s, first, second)
+		r.drainBeside(ctx, host, s, first, second)
 	}
 	r.fleet.LeadTo(host, second)
 	if s.repeats > 0 {
@@ -95,7 +98,7 @@
 }
 
 // drainBeside has both targets of a host alive until the first has drained, and ends it.
-func (r *run) drainBeside(ctx context.Context, rnd *rand.Rand, host int, s succession, first, second *standin.Target) {
+func (r *run) drainBeside(ctx context.Context, host int, s succession, first, second *standin.Target) {
 	switch s.lead {
 	case takeAddress:
 		r.fleet.LeadTo(host, second)
@@ -108,12 +111,12 @@
 		r.fleet.LeadByName(host)
 		r.fleet.TargetPaths[host].Reset()
 	}
-	clock.Sleep(ctx, between(rnd, minBeside, maxBeside))
+	clock.Sleep(ctx, s.beside)
 	if s.killRunner {
 		r.restartRunner(host)
 	}
 	first.Drain()
-	clock.Sleep(ctx, between(rnd, minDrain, maxDrain))
+	clock.Sleep(ctx, s.drain)
 	first.End(true)
 }
 
@@ -132,8 +135,10 @@
 // succeeded returns the play of a succession while jobs are sent.
 func succeeded(s succession) func(*run, context.Context, *rand.Rand, string) {
 	return func(r *run, ctx context.Context, rnd *rand.Rand, id string) {
+		drawn := s
+		drawn.beside, drawn.drain = between(rnd, minBeside, maxBeside), between(rnd, minDrain, maxDrain)
 		r.duringStream(ctx, id, 20*time.Millisecond, 500*time.Millisecond, func() {
-			r.succeed(ctx, rnd, rnd.IntN(len(r.fleet.Targets)), s)
+			r.succeed(ctx, rnd, rnd.IntN(len(r.fleet.Targets)), drawn)
 			clock.Sleep(ctx, time.Second)
 		})
 	}
@@ -141,7 +146,7 @@
 
 // replaceTarget replaces the target of a host by another one and that by a third, each in another way,
 // unless another fault has the target.
-func replaceTarget(r *run, rnd *rand.Rand, _ time.Duration) func() {
+func replaceTarget(r *run, rnd *rand.Rand, duration time.Duration) func() {
 	host := rnd.IntN(len(r.fleet.Targets))
 	for _, t := range []*standin.Target{r.fleet.Targets[host], r.fleet.SecondTargets[host]} {
 		mu, _ := faultLocks.LoadOrStore(t, &sync.Mutex{})
@@ -151,7 +156,8 @@
 		defer mu.(*sync.Mutex).Unlock()
 	}
 	for range 2 {
-		s := succession{lead: lead(rnd.IntN(int(leads))), born: born(rnd.IntN(int(borns))), repeats: rnd.IntN(maxRepeats), crash: rnd.IntN(4) == 0, killRunner: rnd.IntN(4) == 0}
+		s := succession{lead: lead(rnd.IntN(int(leads))), born: born(rnd.IntN(int(borns))), beside: between(rnd, 0, duration), drain: between(rnd, 0, duration),
+			repeats: rnd.IntN(maxRepeats), crash: rnd.IntN(4) == 0, killRunner: rnd.IntN(4) == 0}
 		if rnd.IntN(2) == 0 {
 			s.heartbeatDelay = between(rnd, 0, maxHeartbeatDelay)
 		}
