Dispatcher: a failure on a host's former target doesn't count against the next one

What callers saw: a task that failed on a target whose host has another one by now was not placed on that one, and waited for room elsewhere although it could start there at once. The log named the new target as the one it failed on.

Cause: the targets on which a task has failed are kept as sessions, and a session keeps its number when its target changes.

Evidence, TestFailureOnAFormerTargetDoesNotCountAgainstTheNextOne on the code before: one order sent to the host, expected two ("it can start there at once").

The session is excluded only if the attempt was placed on its present target. The failure counts as one of the task's attempts as before.

--- a/internal/dispatch/formertarget_test.go
+++ b/internal/dispatch/formertarget_test.go
@@ -72,3 +72,15 @@
 	h.Expect(h.Counts().Complete).To(BeEquivalentTo(len(outcomes)))
 	h.Expect(h.calibration("q").Reliability()).To(Equal(before))
 }
+
+// Guards against a task that avoids the next target of a host because it failed on the former one.
+func TestFailureOnAFormerTargetDoesNotCountAgainstTheNextOne(t *testing.T) {
+	h := newHarness(t, 2)
+	h.orderWaitingTasks()
+	h.setLoad(2, h.fullLoad(50))
+	h.submit(h.newJob("j", 1))
+	h.replaceTarget(1, h.idleLoad(), wire.RunOutcome{Seq: 1, End: wire.EndFailed})
+	h.Expect(h.sentOrders()[1]).To(HaveLen(2), "it can start there at once")
+	h.reportOutcome(1, 2, wire.EndFailed, 0)
+	h.Expect(h.Counts().Failed).To(BeEquivalentTo(1), "it counts for the task")
+}
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -54,7 +54,7 @@
 		l.lastDone = doneTask{attempt: at, host: a.host, speed: a.load.Speed, waitMs: out.WaitMs, runMs: out.RunMs}
 		c.taskSucceeded(l, t)
 	case wire.EndFailed:
-		c.taskFailed(l, t, a)
+		c.taskFailed(at, a)
 	default:
 		c.taskReturned(l, t, out, a)
 	}
@@ -90,12 +90,15 @@
 	}
 }
 
-// taskFailed records that a task failed on an agent's target. It places the task again, or
-// fails the job if the task has failed Queue.MaxAttempts times.
-func (c *Core) taskFailed(l *liveJob, t *task, a *agent) {
+// taskFailed records that an attempt failed on the target it was placed on, at agent a. It places the
+// task again, or fails the job if the task has failed Queue.MaxAttempts times.
+func (c *Core) taskFailed(at *attempt, a *agent) {
+	l, t := at.job, at.task
 	t.failures++
-	t.failedAt = append(t.failedAt, a.conn)
-	event.Log(c.log, event.TargetFailed, "job", l.ID, "step", t.step, "task", t.index, "host", a.host, "target", a.targetName(),
+	if !at.onFormerTarget(a) {
+		t.failedAt = append(t.failedAt, a.conn)
+	}
+	event.Log(c.log, event.TargetFailed, "job", l.ID, "step", t.step, "task", t.index, "host", a.host, "target", at.target,
 		"failures", t.failures, "most", l.Queue.MaxAttempts)
 	if t.failures >= max(l.Queue.MaxAttempts, 1) {
 		c.finish(l, Answer{Kind: AnswerFailed})
