Daemon: a signal during the start ends it gracefully

A runner that was sent SIGTERM just after its process_started line was killed by it: its sessions broke and running tasks were stopped, in place of a drain. Signals were taken over only after the start hooks, which write that line. They are taken over before the start now; one that comes meanwhile ends the daemon right after. TestSignalDuringTheStart was killed by its signal before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,10 +15,11 @@
 // stderr and exits with status 1.
 func Run(program string, module fx.Option) {
 	app := fx.New(fx.NopLogger, module)
+	ended := app.Wait() // takes over the handling of signals
 	if err := app.Start(context.Background()); err != nil {
 		exit(program, err)
 	}
-	<-app.Wait()
+	<-ended
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(ctx); err != nil {
