Runs: an answer to a probe ends nothing of the incarnation that was adopted meanwhile

An announced target could be adopted by its next announcement while a claim of it was open. The answer to an earlier probe, or to a later one once the target was leaving or silent, then adopted it again, and its runs were reported as stopped while they went on.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -23,6 +23,7 @@
 		if a.Incarnation.Name != t.target.Incarnation.Name {
 			t.targetState = newTargetState(t.options.Lease)
 		}
+		t.claims = slices.DeleteFunc(t.claims, func(c *claim) bool { return c.Incarnation.Name == a.Incarnation.Name })
 		t.adoptIncarnation(a)
 	default:
 		t.claim(a)
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -130,6 +130,10 @@
 	c := t.claims[i]
 	c.probeOpen = false
 	s := t.targetNamed(c.Incarnation.Name)
+	if s != nil && s.targetKnown && s.target.Incarnation == c.Incarnation {
+		t.claims = slices.Delete(t.claims, i, i+1) // it was adopted meanwhile: its runs go on
+		return
+	}
 	if !answersFor(c, s, l) {
 		event.Log(t.log, event.AnnouncementStale, "target", c.Incarnation.Name, "born_ms", c.Incarnation.StartedMs, "known_born_ms", l.StartedMs)
 		return
