Runs: a former target that is reborn or drains keeps to one state, and what may start there is not over

Found by review, each with a test that failed (TestFormerTargetThatIsRebornHasOneState, TestRunOfAFormerTargetCarriedOverIsNotOverWithItsLease, TestLeavingTargetDoesNotReplaceAnotherOne, TestDrainingTargetIsNotAdoptedAsReadyAgain): - With no current target known, the announcement of a former one was adopted into a second state of its name; answers to its calls went to the other state, and its runs were never over. It is probed and adopted in place, and gets the new runs then. - A run that was carried over to the next incarnation of a former target was over with the lease of the one before, although the start names a time of another clock. It waits until no start can be carried out. - A draining target took the place of its successor after a moment without answers. - After a 421 an announcement that had been overtaken by "draining" made the target ready again. Such an announcement is ignored, whether its incarnation is known or was given up. The test expects that no target is known then, in place of one that is draining.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -17,9 +17,11 @@
 	t.now = now
 	s := t.targetNamed(a.Incarnation.Name)
 	switch {
+	case s != nil && s.target.Incarnation == a.Incarnation && a.Seq <= s.target.Seq:
+		return
 	case s != nil && s.targetKnown && s.target.Incarnation == a.Incarnation:
 		t.update(s, a)
-	case !t.targetKnown && t.runs.Len() == 0:
+	case !t.targetKnown && t.runs.Len() == 0 && (s == nil || s == t.targetState):
 		if a.Incarnation.Name != t.target.Incarnation.Name {
 			t.targetState = newTargetState(t.options.Lease)
 		}
@@ -32,9 +34,6 @@
 
 // update applies a further announcement of a known incarnation.
 func (t *Table) update(s *targetState, a Announcement) {
-	if a.Seq <= s.target.Seq {
-		return
-	}
 	end := t.on(s)
 	t.updateAnnouncement(a)
 	end()
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -300,14 +300,15 @@
 }
 
 // settleExpiredLease settles the runs under a lease that has expired: a target that was
-// unreachable for so long has killed them. It turns away starts that name a lease that is over, so that of a
-// target that was superseded all runs are over.
+// unreachable for so long has killed them. It turns away starts that name a lease that is over, so that all runs
+// of a target that was superseded are over, but for those that its next incarnation may carry out.
 func (t *Table) settleExpiredLease() {
 	if t.reachable && t.targetKnown || !t.lease.Over(t.now) && !(t.superseded && t.lease.End().IsZero()) {
 		return
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
-		if r.state != queued && (r.endsWithItsIncarnation() || t.superseded) {
+		mayStart := r.carried && t.now.Sub(r.startCalledAt) < maxStartDelay+t.lease.Terms.GrantLimit
+		if r.state != queued && (r.endsWithItsIncarnation() || t.superseded && !mayStart) {
 			t.settleGone(r, "lease_over")
 		}
 	}
--- a/internal/runs/readoption_test.go
+++ b/internal/runs/readoption_test.go
@@ -154,7 +154,8 @@
 	h.announce(5, true)
 	h.loseRenewals(1, time.Millisecond, Replaced)
 	h.announce(4, false)
-	h.renewWith()
+	_, known := h.NextRenewal(h.now)
+	h.Expect(known).To(BeFalse())
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.Expect(h.target.starts).To(BeEmpty())
 }
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -151,6 +151,9 @@
 		t.makeCurrent(s)
 	}
 	t.adoptOn(s, c.Announcement)
+	if s.superseded && t.prefers(c.Announcement) {
+		t.makeCurrent(s)
+	}
 }
 
 // answersFor reports whether an answer to a probe is of the incarnation that was announced. An answer without
@@ -194,11 +197,9 @@
 // is of no use, leaving, or only recorded, or the other one was started later.
 func (t *Table) prefers(a Announcement) bool {
 	switch {
-	case !t.targetKnown || !t.reachable || t.restored && !t.listed:
-		return true
 	case a.Leaving:
-		return false
-	case t.target.Leaving:
+		return !t.targetKnown
+	case !t.targetKnown || !t.reachable || t.restored && !t.listed || t.target.Leaving:
 		return true
 	}
 	return a.Incarnation.StartedMs > t.target.Incarnation.StartedMs
