Runs: the next incarnation of a target without runs sees higher tokens than the one before

A former target was forgotten with its last run. Adopted again after a restart under its name, it was shown a token of its new clock, and carried out a late start of a settled run, which tokens above the earlier ones turn away (TestNextLifeOfADroppedTargetGetsAHigherToken failed). Up to four targets without runs are kept, with their tokens and the end of their leases.

--- a/internal/runner/target.go
+++ b/internal/runner/target.go
@@ -16,7 +16,8 @@
 }
 
 // renewLoop renews the lease and reads the target's list of runs until the context ends. It
-// makes one call at a time: the answers of concurrent calls could arrive in the wrong order.
+// makes one call at a time: the answers of concurrent calls could arrive in the wrong order. The control state
+// makes those for other targets, and the first for an adopted one (targetCalls.Renew).
 func (r *Runner) renewLoop(ctx context.Context) {
 	retryDelay := renewRetryDelay
 	for ctx.Err() == nil {
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -11,8 +11,8 @@
 )
 
 // Announce handles an announcement of a target. One of the known incarnation updates it, unless it is older
-// than the last. Any other is a claim, which ends nothing before its target has answered at the address; see
-// claim.
+// than the last. One of another incarnation is a claim, which ends nothing before its target has answered at
+// the address; see claim. Where no target is known, and no run that could end, it is adopted at once.
 func (t *Table) Announce(now time.Time, a Announcement) {
 	t.now = now
 	s := t.targetNamed(a.Incarnation.Name)
@@ -23,7 +23,8 @@
 		t.update(s, a)
 	case !t.targetKnown && t.runs.Len() == 0 && (s == nil || s == t.targetState):
 		if a.Incarnation.Name != t.target.Incarnation.Name {
-			t.targetState = newTargetState(t.options.Lease)
+			t.drop(t.targetState)
+			t.targetState = t.stateFor(a.Incarnation.Name)
 		}
 		t.claims = slices.DeleteFunc(t.claims, func(c *claim) bool { return c.Incarnation.Name == a.Incarnation.Name })
 		t.adoptIncarnation(a)
@@ -178,8 +179,10 @@
 		}
 		t.carryOver(r, reason)
 	}
-	t.epoch++
-	t.options.Target.Ended(t.epoch)
+	if !t.superseded { // of one that was superseded no start is left to be sent
+		t.epoch++
+		t.options.Target.Ended(t.epoch)
+	}
 	t.foreignRuns = newForeignRuns()
 	t.lease.Restarted()
 	if ended > 0 {
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -307,9 +307,14 @@
 		return
 	}
 	for _, r := range slices.Collect(t.runs.Values()) {
-		mayStart := r.carried && t.now.Sub(r.startCalledAt) < maxStartDelay+t.lease.Terms.GrantLimit
-		if r.state != queued && (r.endsWithItsIncarnation() || t.superseded && !mayStart) {
+		if r.state != queued && (r.endsWithItsIncarnation() || t.superseded && (!r.carried || t.carriedOutAndOver(r))) {
 			t.settleGone(r, "lease_over")
 		}
 	}
 }
+
+// carriedOutAndOver reports whether a run that was carried over has had the time to start as late as a start may
+// be carried out, and to end with the longest lease.
+func (t *Table) carriedOutAndOver(r *run) bool {
+	return t.now.Sub(r.startCalledAt) >= maxCallTimeout+maxStartDelay+t.lease.LongestGrant()
+}
--- a/internal/runs/readoption_test.go
+++ b/internal/runs/readoption_test.go
@@ -127,6 +127,10 @@
 		s.answer(false, nil)
 	}
 	s.Expect(s.outcomes(testConn)).To(BeEmpty(), "the next life may carry out the start")
+	s.advance(maxStartDelay)
+	s.Expect(s.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndStopped)))
+	s.advance(time.Millisecond)
+	s.Expect(s.former).To(BeEmpty())
 }
 
 // Guards against a draining predecessor that takes the place of its successor after a moment without answers:
@@ -159,3 +163,26 @@
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.Expect(h.target.starts).To(BeEmpty())
 }
+
+// Guards against a late start of a settled run that the next life of a dropped former target carries out: the
+// tokens shown to the next life must be above those of the life before, or it is not fenced.
+func TestNextLifeOfADroppedTargetGetsAHigherToken(t *testing.T) {
+	s := &second{harness: newHarness(t), incarnation: Incarnation{Name: "t-2", StartedMs: 2000}, answers: true}
+	s.sendOrder(testConn, 1, task("a", 0), 7)
+	s.answerStart(0, NoAnswer)
+	s.announce(false)
+	s.answer(true, nil)
+	for range 20 { // the first target answers no more
+		s.advance(100 * time.Millisecond)
+		s.answer(false, nil)
+	}
+	s.Expect(s.outcomes(testConn)).To(HaveKey(uint64(1)))
+	s.Expect(s.former).To(BeEmpty())
+	s.RenewFailed(s.now, RenewCall{Incarnation: s.incarnation}, Replaced)
+	s.harness.incarnation.StartedMs = 9000
+	s.Announce(s.now, Announcement{Incarnation: s.harness.incarnation, Service: "s", ClockMs: youngClockMs, Seq: 1})
+	s.harness.answerProbes(youngClockMs)
+	s.Expect(s.Table.target.Incarnation).To(Equal(s.harness.incarnation))
+	call, _ := s.NextRenewal(s.now)
+	s.Expect(call.Token).To(BeNumerically(">", s.target.starts[0].Token))
+}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -304,7 +304,10 @@
 	// targetState is the target that gets new runs, and while a former one is handled, that one; see on.
 	*targetState
 	former []*targetState // targets that get no new runs, while their runs go on
-	claims []*claim       // announcements of targets that are not adopted
+	// dropped holds the targets whose runs are settled, most recent last: the next incarnation of one may be
+	// sent late calls for the one before, and has to see higher tokens.
+	dropped []*targetState
+	claims  []*claim // announcements of targets that are not adopted
 	// unstored states that the announcement of the target has changed since UnstoredTarget was called.
 	unstored bool
 	epoch    uint64 // rises with each end of an incarnation, and when another target gets the new runs
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -16,9 +16,9 @@
 // its own word or with its lease.
 
 const (
-	// maxClaims bounds the announced targets that are not adopted, and maxFormer the superseded ones with
-	// unsettled runs.
-	maxClaims, maxFormer = 4, 4
+	// maxClaims bounds the announced targets that are not adopted, maxFormer the superseded ones with
+	// unsettled runs, and maxDropped those without.
+	maxClaims, maxFormer, maxDropped = 4, 4, 4
 	// claimLifetime is how long after its last announcement a target may be adopted: three announcement
 	// intervals.
 	claimLifetime = 5 * time.Second
@@ -147,7 +147,7 @@
 		c.ClockMs = l.ClockMs
 	}
 	if s == nil {
-		s = newTargetState(t.options.Lease)
+		s = t.stateFor(c.Incarnation.Name)
 		t.makeCurrent(s)
 	}
 	t.adoptOn(s, c.Announcement)
@@ -194,7 +194,8 @@
 }
 
 // prefers reports whether a target that has answered is to get the new runs in place of the known one: that one
-// is of no use, leaving, or only recorded, or the other one was started later.
+// is of no use, leaving, or only recorded, or the other one was started later. One that is leaving gets none, so
+// that it doesn't take the place of one that may answer again.
 func (t *Table) prefers(a Announcement) bool {
 	switch {
 	case a.Leaving:
@@ -237,10 +238,35 @@
 		if t.targetKnown && !t.reachable && !t.refused {
 			t.reportCrash() // it has not come back
 		}
+		t.drop(s)
 		return true
 	})
 }
 
+// drop keeps a target without unsettled runs for its next incarnation.
+func (t *Table) drop(s *targetState) {
+	if s.target.Incarnation.Name == "" {
+		return
+	}
+	s.targetKnown = false
+	if len(t.dropped) == maxDropped {
+		t.dropped = slices.Delete(t.dropped, 0, 1)
+	}
+	t.dropped = append(t.dropped, s)
+}
+
+// stateFor returns the state for a target that is neither current nor former.
+func (t *Table) stateFor(name string) *targetState {
+	i := slices.IndexFunc(t.dropped, func(s *targetState) bool { return s.target.Incarnation.Name == name })
+	if i < 0 {
+		return newTargetState(t.options.Lease)
+	}
+	s := t.dropped[i]
+	t.dropped = slices.Delete(t.dropped, i, i+1)
+	s.superseded = false
+	return s
+}
+
 func (t *Table) renewFormer() {
 	since := t.now.Sub(t.renewalCalledAt)
 	if !t.targetKnown || t.renewalOpen && since < maxRenewalTime || t.failures > 0 && since < formerRetryInterval {
--- a/internal/scheduler/lease/lease.go
+++ b/internal/scheduler/lease/lease.go
@@ -159,11 +159,16 @@
 // GrantedByOtherClock records that by now the target has carried out a call for an earlier incarnation. The time
 // that it named is of another clock, so that the lease may be as long as the target grants any.
 func (l *Lease) GrantedByOtherClock(now time.Time) {
-	if end := now.Add(time.Duration(float64(l.Terms.GrantLimit) / (1 - maxClockDrift))); end.After(l.end) {
+	if end := now.Add(l.LongestGrant()); end.After(l.end) {
 		l.end = end
 	}
 }
 
+// LongestGrant returns how long a lease may last, whatever time a call has named.
+func (l *Lease) LongestGrant() time.Duration {
+	return time.Duration(float64(l.Terms.GrantLimit) / (1 - maxClockDrift))
+}
+
 // Request returns the end of the longest lease, on the target's clock, that ends by the given time.
 // It returns 0 if that time has come, or for an unknown clock.
 func (l *Lease) Request(now, by time.Time) int64 {
