Announcements: one that comes late is no news of a target that was dropped

The number of a target's last announcement was forgotten when the target was dropped, after another one had taken its place and its runs were settled. An older announcement that arrived then was taken for the newest: the target was adopted again with a capacity that it no longer had, or as not leaving. The case "dropped" of the test fails without the change; "misdirected" passes on its parent too.

--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -15,6 +15,9 @@
 // claim.
 func (t *Table) Announce(now time.Time, a Announcement) {
 	t.now = now
+	if t.isLate(a) {
+		return
+	}
 	s := t.targetNamed(a.Incarnation.Name)
 	switch {
 	case s != nil && s.target.Incarnation == a.Incarnation && a.Seq <= s.target.Seq:
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -305,6 +305,7 @@
 	*targetState
 	former []*targetState // targets that get no new runs, while their runs go on
 	claims []*claim       // announcements of targets that are not adopted
+	heard  []heard        // the newest announcements, in the order of their arrival
 	// unstored states that the announcement of the target has changed since UnstoredTarget was called.
 	unstored bool
 	epoch    uint64 // rises with each end of an incarnation, and when another target gets the new runs
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -19,6 +19,8 @@
 	// maxClaims bounds the announced targets that are not adopted, and maxFormer the superseded ones with
 	// unsettled runs.
 	maxClaims, maxFormer = 4, 4
+	// maxHeard bounds the incarnations whose newest announcement is remembered.
+	maxHeard = 8
 	// claimLifetime is how long after its last announcement a target may be adopted: three announcement
 	// intervals.
 	claimLifetime = 5 * time.Second
@@ -39,6 +41,28 @@
 	reported    bool // that it is not adopted was logged
 }
 
+// heard is the newest announcement of an incarnation, whether or not that is known.
+type heard struct {
+	incarnation Incarnation
+	seq         uint64
+}
+
+// isLate reports whether an announcement is not newer than the last one of its incarnation. A target that was
+// superseded or misdirected may be adopted again, but not with what it said before its last announcement.
+func (t *Table) isLate(a Announcement) bool {
+	i := slices.IndexFunc(t.heard, func(h heard) bool { return h.incarnation == a.Incarnation })
+	switch {
+	case i >= 0 && a.Seq <= t.heard[i].seq:
+		return true
+	case i >= 0:
+		t.heard = slices.Delete(t.heard, i, i+1)
+	case len(t.heard) == maxHeard:
+		t.heard = slices.Delete(t.heard, 0, 1)
+	}
+	t.heard = append(t.heard, heard{a.Incarnation, a.Seq})
+	return false
+}
+
 // on makes the methods act on another target until the returned function is called.
 func (t *Table) on(s *targetState) (end func()) {
 	previous := t.targetState
--- a/internal/runs/succession_test.go
+++ b/internal/runs/succession_test.go
@@ -224,3 +224,36 @@
 	h.Expect(changed).To(BeTrue())
 	h.Expect(stored.Incarnation).To(Equal(h.incarnation))
 }
+
+// Guards against a late announcement that is taken for news of its target once another one has answered in its
+// place: the target is leaving, and gets work as if it were not.
+func TestLateAnnouncementIsNoNewsOfATargetKnownBefore(t *testing.T) {
+	for name, replace := range map[string]func(*second){
+		"misdirected": func(s *second) { s.loseRenewals(1, time.Millisecond, Replaced) },
+		"dropped": func(s *second) {
+			s.announce(false)
+			s.answer(true, nil)
+			s.advance(time.Millisecond)
+			s.Expect(s.former).To(BeEmpty())
+			s.answers = false
+			s.loseRenewals(1, time.Millisecond, Refused)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			s := &second{harness: h, incarnation: Incarnation{Name: "t-2", StartedMs: 2000}, answers: true}
+			s.announceFirst(3, true)
+			replace(s)
+			s.announceFirst(2, false)
+			s.answer(true, nil)
+			if call, known := s.NextRenewal(s.now); known && call.Incarnation == s.harness.incarnation {
+				s.renewWith()
+			}
+			s.sendOrder(testConn, 1, task("a", 0), 7)
+			s.Expect(s.target.starts).To(BeEmpty())
+			s.announceFirst(4, false)
+			s.answer(true, nil)
+			s.Expect(s.Table.target.Incarnation).To(Equal(s.harness.incarnation))
+		})
+	}
+}
