Starts: the clock of another target is not that of the named one

A start that another target answers with 421 may come with that target's reading of its clock. If that clock was ahead, it was taken for the clock of the named target until the next renewal, and the next start asked for a lease that ends as much later as the clocks differ: the new test sees 71001 in place of at most 61001.

--- a/internal/runs/succession_test.go
+++ b/internal/runs/succession_test.go
@@ -257,3 +257,13 @@
 		})
 	}
 }
+
+// Guards against a lease in the time of another target's clock, which ends later than the runner counts on.
+func TestClockOfAnotherTargetIsNotTakenForThatOfTheNamedOne(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.Started(h.now, h.target.starts[0], OtherIncarnation, h.clockMs()+10_000)
+	h.sendOrder(testConn, 2, task("b", 0), 8)
+	h.Expect(h.target.starts).To(HaveLen(2))
+	h.Expect(h.target.starts[1].LeaseUntilMs).To(BeNumerically("<=", h.clockMs()+testLease.Limit.Milliseconds()))
+}
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -128,7 +128,7 @@
 		return
 	}
 	r.startInFlight = false
-	sameIncarnation := t.sameIncarnation(r, clockMs)
+	sameIncarnation := answer != OtherIncarnation && t.sameIncarnation(r, clockMs)
 	if sameIncarnation {
 		t.lease.Clock.Set(now, clockMs)
 	} else if answer == Accepted && clockMs > 0 {
