Schedules: a second target of a host beside the first

Schedules had one target on each host, so none met two that are alive at once. Now a second one may start under another name, with a token, runs, lease, clock and capacity of its own. Calls reach the first, the second, either or the one that they name; announcements are delayed and repeated; start times are later, equal, absent or earlier; the first one drains, or either crashes, and a runner may restart with the record of any of them. An unanswered start comes without a reading of a clock now, as it does on the platform.

--- a/internal/leased/schedule_test.go
+++ b/internal/leased/schedule_test.go
@@ -21,7 +21,8 @@
 
 // This file simulates the control states of entries and runners with targets, sessions and
 // callers. Random schedules lose and delay orders, end sessions at different times at their
-// two ends, kill and suspend entries, kill runners, crash targets, and make callers disconnect and
+// two ends, kill and suspend entries, kill runners, crash targets, start a second target of a host beside
+// the first, and make callers disconnect and
 // resubmit. In half of the schedules the targets are small, so that tasks wait and are reserved.
 // Answers are checked against what the simulated targets executed.
 
@@ -106,7 +107,7 @@
 	if len(w.activeRuns[id.Task]) > 1 {
 		w.fail(id.Task.Job, "task %v runs on two targets at once: %v", id.Task, w.activeRuns[id.Task])
 	}
-	w.checkEvacuated(id, target)
+	w.checkEvacuated(id, target%hostCount)
 	for _, j := range w.jobs {
 		if j.id == id.Task.Job && j.finished && j.refused {
 			w.fail(j.id, "task %v starts after its job was refused", id.Task)
@@ -140,7 +141,7 @@
 func (w *simWorld) newTable(h *simHost) {
 	h.table = runs.New(runs.Options{Log: logr.Discard(), Target: h, Outbox: hostOutbox{w}, DataCentre: dataCentre(h.n), Lease: terms})
 	h.resetEvacuations()
-	h.announce()
+	h.restore()
 }
 
 var simQueue = &routing.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, LatencyAllowance: 900 * time.Millisecond}
@@ -217,7 +218,9 @@
 
 // injectFault injects one random fault or change.
 func (w *simWorld) injectFault() {
-	switch w.draw(14) {
+	switch w.draw(15) {
+	case 14: // a second target starts on a host, and one of the two ends later
+		w.hosts[w.draw(hostCount)].succeed()
 	case 13: // the control state of an entry is late, and its sessions go on acknowledging frames
 		if !w.confirms() {
 			return
@@ -318,6 +321,9 @@
 	}
 	for _, h := range w.hosts {
 		h.target.advance()
+		if second := h.succession.second; second != nil {
+			second.advance()
+		}
 		h.table.Tick(w.now)
 		if w.elapsed%(6*step) == time.Duration(h.n)*step {
 			h.renew()
@@ -343,7 +349,8 @@
 const defaultSchedules = 60
 
 // Guards against violated guarantees under combined faults: sessions break, processes are killed,
-// targets crash, orders are lost or late, callers disconnect and resubmit. No task runs twice at
+// targets crash or are at work beside their successors, orders are lost or late, callers disconnect and
+// resubmit. No task runs twice at
 // once, no job is answered as "not run" whose tasks ran or as "complete" whose tasks did not
 // complete, every job gets an answer, nothing starts in an evacuated data centre or beyond the
 // capacity that a target announced, and no task crashes target after target.
@@ -402,7 +409,7 @@
 	}
 	for n := range hostCount {
 		h := &simHost{w: w, n: n}
-		h.target = &simTarget{w: w, n: n, capacityMilli: w.defaultCPUMilli()}
+		h.target = &simTarget{w: w, host: h, n: n, capacityMilli: w.defaultCPUMilli()}
 		h.target.restart()
 		w.newTable(h)
 		w.hosts = append(w.hosts, h)
--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -10,15 +10,14 @@
 	"github.com/camphorrack/camphorrack/internal/runs"
 )
 
-// simHost is a host: the control state of its runner, and its target.
+// simHost is a host: the control state of its runner, its target, and at times a second one.
 type simHost struct {
 	w           *simWorld
 	n           int
 	table       *runs.Table
 	target      *simTarget
+	succession  simSuccession
 	seq         uint64
-	announced   runs.Incarnation // the life that was announced last
-	announcedAt time.Duration    // when it was first, since the start of the schedule
 	evacuations *evacuation.Replica
 	// evacuated are the data centres that are evacuated according to the runner's replica.
 	evacuated       map[string]bool
@@ -27,51 +26,63 @@
 
 // Start implements runs.Target.
 func (h *simHost) Start(c runs.StartCall) {
-	table := h.table
+	table, name := h.table, c.Incarnation.Name
 	if h.evacuated[dataCentre(h.n)] {
 		h.w.fail(c.Run.Task.Job, "runner %d starts a task although its replica has its data centre as evacuated", h.n)
 	}
-	answer := func(a runs.Answer) {
+	answer := func(a runs.Answer, by *simTarget) {
+		h.w.schedule(step, func() {
+			if h.table == table {
+				table.Started(h.w.now, c, a, by.clock())
+			}
+		})
+	}
+	unanswered := func() {
 		h.w.schedule(step, func() {
 			if h.table == table {
-				table.Started(h.w.now, c, a, h.target.clock())
+				table.Started(h.w.now, c, runs.NoAnswer, 0)
 			}
 		})
 	}
-	if h.target.down || h.w.elapsed < h.ordersLostUntil {
-		h.w.schedule(10*time.Millisecond, func() { answer(runs.NoAnswer) })
+	s := h.reached(name)
+	if s.down || h.w.elapsed < h.ordersLostUntil {
+		h.w.schedule(10*time.Millisecond, unanswered)
 		return
 	}
 	switch h.w.draw(12) {
 	case 0: // the call is executed late
 		h.w.schedule(time.Duration(2000+h.w.draw(3000))*time.Millisecond, func() {
-			if c.Incarnation != h.target.incarnation && !(h.table == table && h.canHaveFenced()) {
+			s := h.named(name)
+			if s == nil || c.Incarnation != s.incarnation && !(h.table == table && s.canHaveFenced()) {
 				return
 			}
 			h.w.applyingLateStart = true
-			h.target.start(c)
+			s.start(c)
 			h.w.applyingLateStart = false
 		})
-		h.w.schedule(40*time.Millisecond, func() { answer(runs.NoAnswer) })
+		h.w.schedule(40*time.Millisecond, unanswered)
 	case 1: // the answer is lost
-		h.target.start(c)
-		h.w.schedule(40*time.Millisecond, func() { answer(runs.NoAnswer) })
+		s.start(c)
+		h.w.schedule(40*time.Millisecond, unanswered)
 	case 2: // the call is under way for a while, and whatever life of the target is there then gets it
-		delay, announcedMilli := time.Duration(h.w.draw(35))*time.Millisecond, h.target.announcedMilli
+		delay, announcedMilli := time.Duration(h.w.draw(35))*time.Millisecond, s.announcedMilli
 		h.w.schedule(delay, func() {
-			h.w.applyingLateStart = h.target.announcedMilli < announcedMilli
+			s := h.reached(name)
+			h.w.applyingLateStart = s.announcedMilli < announcedMilli
 			defer func() { h.w.applyingLateStart = false }()
-			answer(h.target.start(c))
+			answer(s.start(c), s)
 		})
 	default:
-		answer(h.target.start(c))
+		answer(s.start(c), s)
 	}
 }
 
 // canHaveFenced reports whether the runner has known the target's life for long enough to have stopped
 // in it what it had ordered from the lives before.
-func (h *simHost) canHaveFenced() bool {
-	return !h.target.down && h.announced == h.target.incarnation && h.w.elapsed > max(h.announcedAt, h.ordersLostUntil)+fenceTime
+func (s *simTarget) canHaveFenced() bool {
+	h := s.host
+	since := max(s.announcedAt, h.ordersLostUntil, h.succession.endedAt)
+	return !s.down && h.succession.second == nil && s.announced == s.incarnation && h.w.elapsed > since+fenceTime
 }
 
 // fenceTime is enough for a stop that is lost several times.
@@ -90,11 +101,12 @@
 			}
 		})
 	}
-	if h.target.down || h.w.elapsed < h.ordersLostUntil || h.w.draw(10) == 0 {
+	s := h.reached(c.Incarnation.Name)
+	if s.down || h.w.elapsed < h.ordersLostUntil || h.w.draw(10) == 0 {
 		h.w.schedule(40*time.Millisecond, func() { answer(runs.NoAnswer) })
 		return
 	}
-	answer(h.target.stop(c))
+	answer(s.stop(c))
 }
 
 // renew makes one renewal of the lease.
@@ -105,7 +117,14 @@
 }
 
 // Renew implements runs.Target.
-func (h *simHost) Renew(c runs.RenewCall) { h.w.schedule(0, func() { h.callRenew(c) }) }
+func (h *simHost) Renew(c runs.RenewCall) {
+	table := h.table
+	h.w.schedule(0, func() {
+		if h.table == table {
+			h.callRenew(c)
+		}
+	})
+}
 
 func (h *simHost) callRenew(c runs.RenewCall) {
 	sentAt, table := h.w.now, h.table
@@ -117,7 +136,7 @@
 		})
 		return
 	}
-	s := h.target
+	s := h.reached(c.Incarnation.Name)
 	if s.down {
 		table.RenewFailed(h.w.now, c, runs.Refused)
 		return
@@ -146,16 +165,30 @@
 	})
 }
 
-func (h *simHost) announce() {
-	if h.target.down {
-		return
+func (h *simHost) announce() { h.target.announce() }
+
+func (s *simTarget) announce() {
+	if a, alive := s.announcement(); alive {
+		s.host.receive(s, a)
 	}
-	h.seq++
-	h.target.announcedMilli = h.target.capacityMilli
-	if h.announced != h.target.incarnation {
-		h.announced, h.announcedAt = h.target.incarnation, h.w.elapsed
+}
+
+func (s *simTarget) announcement() (a runs.Announcement, alive bool) {
+	if s.down || s.gone {
+		return a, false
 	}
-	h.table.Announce(h.w.now, runs.Announcement{
-		Incarnation: h.target.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: h.target.capacityMilli, MemoryMB: 1000}, ClockMs: h.target.clock(), Seq: h.seq,
-	})
+	s.host.seq++
+	return runs.Announcement{Incarnation: s.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: s.capacityMilli, MemoryMB: 1000},
+		Leaving: s.leaving, ClockMs: s.clock(), Seq: s.host.seq}, true
+}
+
+// receive passes an announcement of a target on to the runner.
+func (h *simHost) receive(s *simTarget, a runs.Announcement) {
+	if a.Incarnation == s.incarnation && a.Seq > s.announcedSeq {
+		s.announcedSeq, s.announcedMilli = a.Seq, a.Capacity.CPUMilli
+	}
+	if a.Incarnation == s.incarnation && s.announced != s.incarnation {
+		s.announced, s.announcedAt = s.incarnation, h.w.elapsed
+	}
+	h.table.Announce(h.w.now, a)
 }
--- a/internal/leased/simtarget_test.go
+++ b/internal/leased/simtarget_test.go
@@ -13,7 +13,8 @@
 // simTarget is a target that follows the platform's rules for starts, stops, fencing and leases.
 type simTarget struct {
 	w           *simWorld
-	n           int
+	host        *simHost
+	n           int // modulo hostCount that of its host
 	incarnation runs.Incarnation
 	startedAt   time.Time
 	token       int64
@@ -26,7 +27,11 @@
 	// capacityMilli is the target's capacity, and announcedMilli the capacity that it last announced,
 	// in thousandths of a core.
 	capacityMilli, announcedMilli int
-	down                          bool // it has crashed and not restarted yet
+	announcedSeq                  uint64           // of the newest announcement that the runner has got
+	announced                     runs.Incarnation // the life that was announced last
+	announcedAt                   time.Duration    // when it was first, since the start of the schedule
+	down                          bool             // it has crashed and not restarted yet
+	leaving, gone, beating        bool
 }
 
 // taskCPUMilli is the demand of each task in thousandths of a core.
@@ -41,16 +46,23 @@
 
 // restart ends all runs and begins a new incarnation.
 func (s *simTarget) restart() {
-	for _, id := range slices.SortedFunc(maps.Keys(s.running), compareRuns) {
-		s.w.taskEnded(id, s.n)
-	}
+	s.endRuns()
 	s.incarnation = runs.Incarnation{Name: fmt.Sprintf("t%d", s.n), StartedMs: s.w.now.UnixMilli()}
 	s.w.logf("", "target %d restarts", s.n)
 	s.startedAt, s.token, s.leaseUntil = s.w.now, 0, time.Time{}
 	s.running, s.failing = map[runs.RunID]time.Time{}, map[runs.RunID]bool{}
+	s.announcedSeq = 0
 	s.fenced, s.ended, s.lastEndSeq = map[runs.Task]uint64{}, nil, 0
 }
 
+// endRuns ends all runs without listing them.
+func (s *simTarget) endRuns() {
+	for _, id := range slices.SortedFunc(maps.Keys(s.running), compareRuns) {
+		s.w.taskEnded(id, s.n)
+	}
+	clear(s.running)
+}
+
 // crasherPrefix is the prefix of the ids of jobs whose tasks crash the targets that start them.
 const crasherPrefix = "c"
 
@@ -72,19 +84,19 @@
 	s.down = true
 	if s.w.draw(2) == 0 {
 		s.w.schedule(time.Duration(s.w.draw(30))*time.Millisecond, func() { s.down = false })
-		s.w.schedule(time.Duration(30+s.w.draw(500))*time.Millisecond, s.w.hosts[s.n].announce)
+		s.w.schedule(time.Duration(30+s.w.draw(500))*time.Millisecond, s.announce)
 		return
 	}
 	s.w.schedule(time.Duration(s.w.draw(3000))*time.Millisecond, func() {
 		s.down = false
-		s.w.hosts[s.n].announce()
+		s.announce()
 	})
 }
 
 // accepts reports whether the target carries out a call. It can't tell one that was meant for an earlier
 // life, because a call names the target alone.
 func (s *simTarget) accepts(incarnation runs.Incarnation) bool {
-	return !s.down && incarnation.Name == s.incarnation.Name
+	return !s.down && !s.gone && incarnation.Name == s.incarnation.Name
 }
 
 // extendLease extends the lease up to a time of the target's clock, at most by the lease duration.
