--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -15,10 +15,11 @@
 // the address; see claim. Where no target is known, and no run that could end, it is adopted at once.
 func (t *Table) Announce(now time.Time, a Announcement) {
 	t.now = now
+	if t.isLate(a) {
+		return
+	}
 	s := t.targetNamed(a.Incarnation.Name)
 	switch {
-	case s != nil && s.target.Incarnation == a.Incarnation && a.Seq <= s.target.Seq:
-		return
 	case s != nil && s.targetKnown && s.target.Incarnation == a.Incarnation:
 		t.update(s, a)
 	case !t.targetKnown && t.runs.Len() == 0 && (s == nil || s == t.targetState):
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -308,6 +308,7 @@
 	// sent late calls for the one before, and has to see higher tokens.
 	dropped []*targetState
 	claims  []*claim // announcements of targets that are not adopted
+	heard   []heard  // the newest announcements, in the order of their arrival
 	// unstored states that the announcement of the target has changed since UnstoredTarget was called.
 	unstored bool
 	epoch    uint64 // rises with each end of an incarnation, and when another target gets the new runs
--- a/internal/runs/succession_test.go
+++ b/internal/runs/succession_test.go
@@ -224,3 +224,46 @@
 	h.Expect(changed).To(BeTrue())
 	h.Expect(stored.Incarnation).To(Equal(h.incarnation))
 }
+
+// Guards against a late announcement that is taken for news of its target once another one has answered in its
+// place: the target is leaving, and gets work as if it were not.
+func TestLateAnnouncementIsNoNewsOfATargetKnownBefore(t *testing.T) {
+	for name, replace := range map[string]func(*second){
+		"misdirected": func(s *second) { s.loseRenewals(1, time.Millisecond, Replaced) },
+		"dropped": func(s *second) {
+			s.announce(false)
+			s.answer(true, nil)
+			s.advance(time.Millisecond)
+			s.Expect(s.former).To(BeEmpty())
+			s.answers = false
+			s.loseRenewals(1, time.Millisecond, Refused)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			s := &second{harness: h, incarnation: Incarnation{Name: "t-2", StartedMs: 2000}, answers: true}
+			s.announceFirst(3, true)
+			replace(s)
+			s.announceFirst(2, false)
+			s.answer(true, nil)
+			if call, known := s.NextRenewal(s.now); known && call.Incarnation == s.harness.incarnation {
+				s.renewWith()
+			}
+			s.sendOrder(testConn, 1, task("a", 0), 7)
+			s.Expect(s.target.starts).To(BeEmpty())
+			s.announceFirst(4, false)
+			s.answer(true, nil)
+			s.Expect(s.Table.target.Incarnation).To(Equal(s.harness.incarnation))
+		})
+	}
+}
+
+// Guards against a lease in the time of another target's clock, which ends later than the runner counts on.
+func TestClockOfAnotherTargetIsNotTakenForThatOfTheNamedOne(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.Started(h.now, h.target.starts[0], OtherIncarnation, h.clockMs()+10_000)
+	h.sendOrder(testConn, 2, task("b", 0), 8)
+	h.Expect(h.target.starts).To(HaveLen(2))
+	h.Expect(h.target.starts[1].LeaseUntilMs).To(BeNumerically("<=", h.clockMs()+testLease.Limit.Milliseconds()))
+}
