--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -12,7 +12,7 @@
 
 // Announce handles an announcement of a target. One of the known incarnation updates it, unless it is older
 // than the last. One of another incarnation is a claim, which ends nothing before its target has answered at
-// the address; see claim. Where no target is known, and no run that could end, it is adopted at once.
+// the address; see recordClaim. Where no target is known, and no run that could end, it is adopted at once.
 func (t *Table) Announce(now time.Time, a Announcement) {
 	t.now = now
 	if t.isLate(a) {
@@ -30,7 +30,7 @@
 		t.claims = slices.DeleteFunc(t.claims, func(c *claim) bool { return c.Incarnation.Name == a.Incarnation.Name })
 		t.adoptIncarnation(a)
 	default:
-		t.claim(a)
+		t.recordClaim(a)
 	}
 }
 
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -103,8 +103,8 @@
 	return nil
 }
 
-// claim handles the announcement of an incarnation that is not known: it asks at the address for it.
-func (t *Table) claim(a Announcement) {
+// recordClaim handles the announcement of an incarnation that is not known: it asks at the address for it.
+func (t *Table) recordClaim(a Announcement) {
 	i := slices.IndexFunc(t.claims, func(c *claim) bool { return c.Incarnation.Name == a.Incarnation.Name })
 	if i < 0 {
 		if len(t.claims) == maxClaims {
--- a/internal/runs/succession_test.go
+++ b/internal/runs/succession_test.go
@@ -37,7 +37,7 @@
 	for _, c := range calls {
 		switch {
 		case c.Incarnation.Name == s.incarnation.Name && s.answers:
-			s.Renewed(s.now, s.now, c, Listing{ClockMs: youngClockMs, StartedMs: s.incarnation.StartedMs, Running: s.running, Ended: s.ended, StaleToken: c.Probe && s.listed2()})
+			s.Renewed(s.now, s.now, c, Listing{ClockMs: youngClockMs, StartedMs: s.incarnation.StartedMs, Running: s.running, Ended: s.ended, StaleToken: c.Probe && s.hasToken()})
 		case c.Incarnation.Name == s.harness.incarnation.Name && firstAnswers:
 			s.Renewed(s.now, s.now, c, Listing{ClockMs: s.clockMs(), StartedMs: s.harness.incarnation.StartedMs, Running: firstRuns, Ended: firstEnds, StaleToken: c.Probe})
 		default:
@@ -46,7 +46,8 @@
 	}
 }
 
-func (s *second) listed2() bool {
+// hasToken reports whether the second target has seen a token.
+func (s *second) hasToken() bool {
 	state := s.targetNamed(s.incarnation.Name)
 	return state != nil && state.listed
 }
