--- a/internal/soak/successor.go
+++ b/internal/soak/successor.go
@@ -23,51 +23,51 @@
 	leads
 )
 
-// born says which start time a successor states.
-type born int
+// startOrder says which start time a successor states.
+type startOrder int
 
 const (
-	laterBorn born = iota
-	sameBorn
-	noBorn
-	earlierBorn
-	borns
+	startedLater startOrder = iota
+	startedTogether
+	startUnknown
+	startedEarlier
+	startOrders
 )
 
 const (
-	// bornStep is by how much a successor that was born earlier by its clock was.
-	bornStep = 5 * time.Second
-	// maxHeartbeatDelay bounds the delay of late heartbeats, and maxRepeats how often one is repeated.
-	maxHeartbeatDelay = time.Second
-	maxRepeats        = 5
-	repeatInterval    = 250 * time.Millisecond
+	// startStep is by how much a successor that started earlier by its clock did.
+	startStep = 5 * time.Second
+	// maxAnnouncementDelay bounds the delay of late announcements, and maxRepeats how often one is repeated.
+	maxAnnouncementDelay = time.Second
+	maxRepeats           = 5
+	repeatInterval       = 250 * time.Millisecond
 	// Bounds of a scenario's succession.beside and succession.drain.
 	minBeside, maxBeside = 500 * time.Millisecond, 2 * time.Second
 	minDrain, maxDrain   = 500 * time.Millisecond, 6 * time.Second
-	// heartbeatInterval is that of the targets.
-	heartbeatInterval = 300 * time.Millisecond
+	// announceInterval is that of the targets.
+	announceInterval = 300 * time.Millisecond
 )
 
 // succession is the replacement of a host's target by one under another name.
 type succession struct {
-	lead           lead
-	born           born
-	beside         time.Duration // time for which both are ready
-	drain          time.Duration // time for which the first drains thereafter
-	heartbeatDelay time.Duration // bound of the delay of the heartbeats of both
-	repeats        int           // of the last heartbeat of the first, once it has ended
-	crash          bool          // the first crashes before the second starts
-	killRunner     bool          // while both are alive
+	lead          lead
+	order         startOrder
+	beside        time.Duration // time for which both are ready
+	drain         time.Duration // time for which the first drains thereafter
+	announceDelay time.Duration // bound of the delay of the announcements of both
+	repeats       int           // of the last announcement of the first, once it has ended
+	crash         bool          // the first crashes before the second starts
+	killRunner    bool          // while both are alive
 }
 
-func (b born) startTime(first *standin.Target) int64 {
-	switch b {
-	case sameBorn:
+func (o startOrder) startTime(first *standin.Target) int64 {
+	switch o {
+	case startedTogether:
 		return first.BornMs()
-	case noBorn:
+	case startUnknown:
 		return standin.NoBorn
-	case earlierBorn:
-		return cmp.Or(first.BornMs(), time.Now().UnixMilli()) - bornStep.Milliseconds()
+	case startedEarlier:
+		return cmp.Or(first.BornMs(), time.Now().UnixMilli()) - startStep.Milliseconds()
 	}
 	return time.Now().UnixMilli()
 }
@@ -76,15 +76,15 @@
 // after it has drained.
 func (r *run) succeed(ctx context.Context, rnd *rand.Rand, host int, s succession) {
 	first, second := r.fleet.TargetsOf(host)
-	bornMs := s.born.startTime(first)
+	startedMs := s.order.startTime(first)
 	for _, t := range []*standin.Target{first, second} {
-		t.SetFaults(standin.TargetFaults{MaxAnnounceDelay: s.heartbeatDelay})
+		t.SetFaults(standin.TargetFaults{MaxAnnounceDelay: s.announceDelay})
 		defer t.SetFaults(standin.TargetFaults{})
 	}
 	if s.crash {
 		first.End(false)
 	}
-	if err := second.StartSuccessor(bornMs, between(rnd, 0, heartbeatInterval)); err != nil {
+	if err := second.StartSuccessor(startedMs, between(rnd, 0, announceInterval)); err != nil {
 		r.addBreach("stand-in", "", err.Error())
 		return
 	}
@@ -156,10 +156,10 @@
 		defer mu.(*sync.Mutex).Unlock()
 	}
 	for range 2 {
-		s := succession{lead: lead(rnd.IntN(int(leads))), born: born(rnd.IntN(int(borns))), beside: between(rnd, 0, duration), drain: between(rnd, 0, duration),
+		s := succession{lead: lead(rnd.IntN(int(leads))), order: startOrder(rnd.IntN(int(startOrders))), beside: between(rnd, 0, duration), drain: between(rnd, 0, duration),
 			repeats: rnd.IntN(maxRepeats), crash: rnd.IntN(4) == 0, killRunner: rnd.IntN(4) == 0}
 		if rnd.IntN(2) == 0 {
-			s.heartbeatDelay = between(rnd, 0, maxHeartbeatDelay)
+			s.announceDelay = between(rnd, 0, maxAnnouncementDelay)
 		}
 		r.succeed(context.Background(), rnd, host, s)
 	}
--- a/internal/soak/successor_test.go
+++ b/internal/soak/successor_test.go
@@ -15,7 +15,7 @@
 	playScenarios(t, successorDuration, "successor-address-kept", "successor-address-taken-over", "successor-address-shared", "successor-led-by-name")
 }
 
-// Guards against the same if the start times or the order of the heartbeats don't tell which target is
+// Guards against the same if the start times or the order of the announcements don't tell which target is
 // the newer one.
 func TestRunsGoOnBesideASuccessorOfUnknownAge(t *testing.T) {
 	t.Parallel()
@@ -28,7 +28,7 @@
 	playScenarios(t, successorDuration, "successor-runner-killed", "successor-after-crash-same-start", "successor-after-crash-no-start")
 }
 
-// Guards against runs that count as over because a late heartbeat of an earlier target of their host
+// Guards against runs that count as over because a late announcement of an earlier target of their host
 // arrives.
 func TestSuccessorOfACrashedTarget(t *testing.T) {
 	t.Parallel()
