--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -9,11 +9,9 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// Two targets of one host may be at work at the same time: a successor starts before its predecessor has
-// drained, and announcements of a target that has ended may arrive late. An announcement shows that its
-// sender was at work, neither that it is the one that answers at the address, nor that another target has
-// ended. A target is therefore adopted once it has answered for its name, and the runs of the one before end by
-// its own word or with its lease.
+// An announcement shows neither that its sender answers at the address, nor that another target has ended: a
+// successor may start before its predecessor has drained, and announcements may arrive late. A target is adopted
+// once it has answered for its name; the runs of the one before end by its own word or with its lease.
 
 const (
 	// maxClaims bounds the announced targets that are not adopted, maxFormer the superseded ones with
@@ -232,7 +230,9 @@
 	t.rejectReservations(wire.NotRunDown)
 	t.rejectQueued(wire.NotRunDown)
 	previous := t.targetState
-	t.counts.Superseded++
+	if previous.targetKnown {
+		t.counts.Superseded++
+	}
 	event.Log(t.log, event.TargetSuperseded, "target", previous.target.Incarnation.Name, "born_ms", previous.target.Incarnation.StartedMs,
 		"known", previous.targetKnown, "leaving", previous.target.Leaving, "reachable", previous.reachable, "refused", previous.refused,
 		"misdirected", previous.misdirected, "runs", previous.runs.Len())
