Review: a cancellation leaves a waiting copy of its job to start

A job whose outcome is in doubt is answered 504, and the copy that its client sends waits at the dispatcher until the start in doubt is settled. DELETE is answered 200 then, but ends only the first submission: all eight tasks start 3.2 s after the acknowledgement (UNASKED, cancel_ms 3 s), and the POST is answered as completed. The disruption is a target that is silent for 4.8 s. The case of the label plays seven targets in place of two.

--- a/review/harness2/kinds.go
+++ b/review/harness2/kinds.go
@@ -78,15 +78,16 @@
 // and meanwhile a target crashes and starts again as one of kind b, under another id at the same address.
 func otherKind(p *play) ([]string, error) {
 	const (
+		targets  = 7
 		rounds   = 6
-		interval = 25 * time.Millisecond
+		interval = 12 * time.Millisecond
 		frozen   = 450 * time.Millisecond
 		down     = 150 * time.Millisecond
 	)
-	if err := p.startFleet(standin.FleetOptions{Entries: 1, Targets: 2, Seed: 3}); err != nil {
+	if err := p.startFleet(standin.FleetOptions{Entries: 1, Targets: targets, Seed: 3}); err != nil {
 		return nil, err
 	}
-	minions := make([]*minion, 2)
+	minions := make([]*minion, targets)
 	for i := range minions {
 		m, err := p.newMinion(i)
 		if err != nil {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,8 +28,9 @@
 
 // Bounds of the rules, as the pages state them for a small deployment.
 const (
-	cancelBound = 3 * time.Second       // cancel_ms
-	stopBound   = 50 * time.Millisecond // stopMs
+	cancelBound = 3 * time.Second         // cancel_ms
+	stopBound   = 50 * time.Millisecond   // stopMs
+	resendDelay = 1300 * time.Millisecond // resendMs
 )
 
 // playTimeout ends a case that takes too long.
