Review: case 4, an unanswered start runs in its target's next incarnation

Shows TWICE: a start and its two repeats get no answer, the runner stops and fences the run and reports it as not run, and the dispatcher places the task elsewhere. The target crashes, is back under its id and carries out one of the calls, which is still on its way. The runner learns of the new incarnation within milliseconds, from the answer to its renewal, but neither stops what that lists nor raises its fencing token before the next heartbeat, so that both runs go on side by side.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
 for program in target/camphorrack-dispatcher target/camphorrack-runner target/review-2/harness2; do
 	[ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review-2/harness2 cancel-elsewhere target "$dir/record.txt"
+exec target/review-2/harness2 reborn target "$dir/record.txt"
