Runs: log open start calls, fencing tokens and the first answer of a restarted target

The lines of a run that was settled (621) or carried over (623) didn't say how many of its start calls could still be carried out, 601 not which tokens earlier incarnations had seen, and nothing was written when an answer showed that the target had restarted: whether a start that runs twice was settled with a call under way, was carried over, or came after the first contact could not be told apart.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -109,6 +109,7 @@
 	TargetMisdirected ID = 624
 	TargetUnconfirmed ID = 625
 	TargetSuperseded  ID = 626
+	TargetRestarted   ID = 627
 )
 
 // Entry is the description of an event in Catalogue.
@@ -211,6 +212,7 @@
 	{TargetMisdirected, "target_misdirected", "another target answers at the address of the known one; the line has the call, and the runs that the known one had"},
 	{TargetUnconfirmed, "target_unconfirmed", "an announced target is not adopted: another one or none answers at the address, or the known one is preferred"},
 	{TargetSuperseded, "target_superseded", "another target of the host has answered and gets the new runs; those of this one go on and end by its word or with its lease"},
+	{TargetRestarted, "target_restarted", "an answer of a target shows that it has restarted under its name, before the new incarnation has announced itself"},
 }
 
 var names = func() map[ID]string {
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -115,7 +115,7 @@
 // one has ended with it.
 func (t *Table) adoptIncarnation(a Announcement) {
 	event.Log(t.log, event.TargetAnnounced, "target", a.Incarnation.Name, "born_ms", a.Incarnation.StartedMs, "service", a.Service,
-		"address", a.Address, "seq", a.Seq, "was", t.target.Incarnation.Name, "was_born_ms", t.target.Incarnation.StartedMs, "was_known", t.targetKnown, "runs", t.runs.Len(),
+		"address", a.Address, "seq", a.Seq, "was", t.target.Incarnation.Name, "was_born_ms", t.target.Incarnation.StartedMs, "was_known", t.targetKnown, "runs", t.runs.Len(), "earlier_token", max(t.earlierToken, t.token),
 		"cpu_milli", a.Capacity.CPUMilli, "memory_mb", a.Capacity.MemoryMB, "labels", a.Labels, "leaving", a.Leaving)
 	t.counts.Adopted++
 	t.endIncarnation("another_life")
@@ -204,7 +204,7 @@
 		t.counts.CarriedOver++
 		event.Log(t.log, event.RunCarriedOver, "job", r.id.Task.Job, "step", r.id.Task.Step, "task", r.id.Task.Index, "run", r.id.Number,
 			"target", t.target.Incarnation.Name, "born_ms", t.target.Incarnation.StartedMs, "reason", reason, "state", r.state.String(), "ran", r.everRan,
-			"start_calls", r.startRetries+1, "called_ms_ago", clock.Millis(t.now.Sub(r.startCalledAt)))
+			"start_calls", r.startRetries+1, "starts_open", r.startsOpen, "called_ms_ago", clock.Millis(t.now.Sub(r.startCalledAt)))
 	}
 	r.state, r.carried, r.seen = stopping, true, false
 	r.stopInFlight, r.stopAttempts, r.stopConfirmedAt = false, 0, time.Time{}
@@ -268,7 +268,7 @@
 	t.counts.Concluded++
 	event.Log(t.log, event.RunConcluded, "job", r.id.Task.Job, "step", r.id.Task.Step, "task", r.id.Task.Index, "run", r.id.Number,
 		"target", t.target.Incarnation.Name, "born_ms", t.target.Incarnation.StartedMs, "reason", reason, "state", r.state.String(), "ran", r.everRan,
-		"start_calls", r.startRetries+1, "called_ms_ago", clock.Millis(t.now.Sub(r.startCalledAt)), "stop_confirmed", !r.stopConfirmedAt.IsZero(),
+		"start_calls", r.startRetries+1, "starts_open", r.startsOpen, "called_ms_ago", clock.Millis(t.now.Sub(r.startCalledAt)), "stop_confirmed", !r.stopConfirmedAt.IsZero(),
 		"carried_over", r.carried)
 }
 
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -40,6 +40,9 @@
 		if c.LeaseUntilMs != 0 && !l.StaleToken {
 			t.unansweredAt = now
 		}
+		event.Log(t.log, event.TargetRestarted, "target", t.target.Incarnation.Name, "born_ms", l.StartedMs, "clock_ms", l.ClockMs,
+			"known_born_ms", t.target.Incarnation.StartedMs, "silent_ms", clock.Millis(now.Sub(t.lastAnswerAt)), "token", c.Token, "stale_token", l.StaleToken,
+			"running", len(l.Running), "runs", t.runs.Len())
 		t.noteListedByNextIncarnation(l.Running)
 		t.endKnownIncarnation("replaced") // it has restarted under its name
 		return
