Runs: fence unanswered starts with the first call that reaches a restarted target

A start and its repetitions got no answer, the run was stopped and reported as not run, and its task was started elsewhere. Then the target restarted under its name, and its next incarnation, which knows no fencing token, carried one of the calls out.

Cause: all calls to an incarnation bore one token, so that the first renewal that reached the next one fenced nothing. The runner saw by the start time in the answer that the target had restarted, and then called nothing until its announcement, up to an announcement interval later: it neither stopped what that answer listed nor showed the higher token that it had ready.

Change: - A start without an answer raises the token: every later call, and so the first that reaches the next incarnation, fences it. A start that a later call overtakes is answered as fenced and sent again. - An incarnation that an answer shows is called on, and what it runs for earlier ones is stopped, at once. New work waits for its announcement, as before, since it may be of another kind. - While nothing listens at the address and an unanswered start may be under way, the runner calls every 5 ms in place of every 50 ms. - An unanswered start is repeated while its task can be in time, and not only twice. A repetition is idempotent and needs no report.

Related paths: the same token fences what was settled as stopped, recalled or over with a lease.

--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -77,16 +77,16 @@
 	}
 }
 
-// canHaveFenced reports whether the runner has known the target's life for long enough to have stopped
-// in it what it had ordered from the lives before.
+// canHaveFenced reports whether the runner has called the target's life for long enough to have fenced off in it
+// what it had ordered from the lives before, whether or not that one has been announced.
 func (s *simTarget) canHaveFenced() bool {
 	h := s.host
-	since := max(s.announcedAt, h.ordersLostUntil, h.succession.endedAt)
-	return !s.down && h.succession.second == nil && s.announced == s.incarnation && h.w.elapsed > since+fenceTime
+	since := max(s.renewedAt, h.ordersLostUntil, h.succession.endedAt)
+	return !s.down && h.succession.second == nil && s.renewed == s.incarnation && s.renewedBy == h.table && h.w.elapsed > since+fenceTime
 }
 
-// fenceTime is enough for a stop that is lost several times.
-const fenceTime = 600 * time.Millisecond
+// fenceTime is enough for a start that times out, and for a renewal after it that is lost several times.
+const fenceTime = 300 * time.Millisecond
 
 // Ended implements runs.Target. Starts are sent at once.
 func (h *simHost) Ended(uint64) {}
@@ -150,6 +150,9 @@
 		return
 	}
 	s.token = c.Token
+	if !c.Probe && (s.renewed != s.incarnation || s.renewedBy != table) {
+		s.renewed, s.renewedBy, s.renewedAt = s.incarnation, table, h.w.elapsed
+	}
 	if c.LeaseUntilMs > 0 {
 		s.extendLease(c.LeaseUntilMs)
 	}
@@ -187,8 +190,5 @@
 	if a.Incarnation == s.incarnation && a.Seq > s.announcedSeq {
 		s.announcedSeq, s.announcedMilli = a.Seq, a.Capacity.CPUMilli
 	}
-	if a.Incarnation == s.incarnation && s.announced != s.incarnation {
-		s.announced, s.announcedAt = s.incarnation, h.w.elapsed
-	}
 	h.table.Announce(h.w.now, a)
 }
--- a/internal/leased/simtarget_test.go
+++ b/internal/leased/simtarget_test.go
@@ -27,11 +27,14 @@
 	// capacityMilli is the target's capacity, and announcedMilli the capacity that it last announced,
 	// in thousandths of a core.
 	capacityMilli, announcedMilli int
-	announcedSeq                  uint64           // of the newest announcement that the runner has got
-	announced                     runs.Incarnation // the life that was announced last
-	announcedAt                   time.Duration    // when it was first, since the start of the schedule
-	down                          bool             // it has crashed and not restarted yet
-	leaving, gone, beating        bool
+	announcedSeq                  uint64 // of the newest announcement that the runner has got
+	// renewed is the life that a runner's renewal last reached, renewedBy that runner, and renewedAt when it was
+	// reached first, since the start of the schedule.
+	renewed                runs.Incarnation
+	renewedBy              *runs.Table
+	renewedAt              time.Duration
+	down                   bool // it has crashed and not restarted yet
+	leaving, gone, beating bool
 }
 
 // taskCPUMilli is the demand of each task in thousandths of a core.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -69,11 +69,6 @@
 	maxBatch         = 256  // commands between two flushes
 	// noTargetPollInterval is the interval of checks for a target while none is known.
 	noTargetPollInterval = 20 * time.Millisecond
-	// renewRetryDelay is the delay after the first failed renewal: possibly only the answer
-	// was lost, and a lease lasts a second. repeatedRenewRetryDelay is the delay after each
-	// further failure: an absent target must not be called continuously.
-	renewRetryDelay         = 2 * time.Millisecond
-	repeatedRenewRetryDelay = 50 * time.Millisecond
 	// exitReserve is the part of Options.Grace that is reserved for closing sessions and
 	// servers.
 	exitReserve   = 400 * time.Millisecond
--- a/internal/runner/target.go
+++ b/internal/runner/target.go
@@ -19,7 +19,6 @@
 // makes one call at a time: the answers of concurrent calls could arrive in the wrong order. The control state
 // makes those for other targets, and the first for an adopted one (targetCalls.Renew).
 func (r *Runner) renewLoop(ctx context.Context) {
-	retryDelay := renewRetryDelay
 	for ctx.Err() == nil {
 		var call runs.RenewCall
 		var known bool
@@ -35,11 +34,8 @@
 			continue
 		}
 		if !r.renew(call) {
-			r.waitForRenewal(ctx, retryDelay)
-			retryDelay = repeatedRenewRetryDelay
-			continue
+			r.waitForRenewal(ctx, call.RetryDelay)
 		}
-		retryDelay = renewRetryDelay
 	}
 }
 
--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -104,7 +104,7 @@
 func (h *harness) sendOrder(conn ConnID, seq uint64, task Task, run uint64) {
 	h.Receive(h.now, conn, &wire.LeasedToAgent{Orders: []wire.Order{{
 		Seq: seq, Job: task.Job, Step: task.Step, Index: task.Index, RunNumber: run, Demand: job.Demand{CPUMilli: 4000},
-		EstimateMs: 100, SlackMs: 100, MaxWaitMs: 300, TimeoutMs: 3000,
+		EstimateMs: 100, SlackMs: 100, MaxWaitMs: maxWait.Milliseconds(), TimeoutMs: 3000,
 	}}})
 }
 
@@ -127,9 +127,14 @@
 // answerStart answers the n-th start.
 func (h *harness) answerStart(n int, a Answer) { h.Started(h.now, h.target.starts[n], a, h.clockMs()) }
 
-// loseStartAnswers leaves the first start and its repetitions without an answer.
+// maxWait is how long an order of sendOrder may be queued.
+const maxWait = 300 * time.Millisecond
+
+// loseStartAnswers leaves the first start and its repetitions without an answer, until its task can't be in
+// time any more.
 func (h *harness) loseStartAnswers() {
-	for n := range 1 + maxStartRetries {
+	h.now = h.now.Add(maxWait)
+	for n := range 1 + minStartRetries {
 		h.Expect(h.target.stops).To(BeEmpty())
 		h.answerStart(n, NoAnswer)
 	}
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -46,16 +46,25 @@
 
 func (t *Table) updateAnnouncement(a Announcement) {
 	nowLeaving := a.Leaving && !t.target.Leaving
+	firstAnnounced := t.unannounced
 	if nowLeaving {
 		event.Log(t.log, event.TargetLeaving, "target", a.Incarnation.Name, "seq", a.Seq)
 	}
-	previous := t.target.Capacity
-	t.target, t.restored = a, false
+	previousTarget := t.target
+	previous := previousTarget.Capacity
+	t.target, t.restored, t.unannounced = a, false, false
 	t.lease.Clock.Set(t.now, a.ClockMs)
 	t.loadChanged = true
+	if firstAnnounced {
+		t.logAnnounced(previousTarget, true)
+	}
 	if t.superseded {
 		return
 	}
+	if firstAnnounced {
+		t.unstored = true
+		t.describeTarget()
+	}
 	if a.Leaving {
 		t.rejectQueued(wire.NotRunLeaving)
 	}
@@ -69,6 +78,9 @@
 // UnstoredTarget returns the announcement of the target that gets new runs, and whether it is to be stored: it
 // is of a new incarnation, of a departure or has a changed capacity since the last call.
 func (t *Table) UnstoredTarget() (Announcement, bool) {
+	if t.unannounced {
+		return Announcement{}, false
+	}
 	changed := t.unstored
 	t.unstored = false
 	return t.target, changed
@@ -111,16 +123,46 @@
 	t.restored, t.unstored = true, false
 }
 
-// adoptIncarnation replaces the incarnation of the target by another one of its name. What ran in the previous
-// one has ended with it.
+// adoptIncarnation replaces the incarnation of the target by another one of its name that has announced itself.
 func (t *Table) adoptIncarnation(a Announcement) {
+	previous, known := t.target, t.targetKnown
+	t.beginIncarnation(a)
+	t.logAnnounced(previous, known)
+	t.unstored = true
+	t.describeTarget()
+}
+
+func (t *Table) logAnnounced(previous Announcement, known bool) {
+	a := t.target
 	event.Log(t.log, event.TargetAnnounced, "target", a.Incarnation.Name, "born_ms", a.Incarnation.StartedMs, "service", a.Service,
-		"address", a.Address, "seq", a.Seq, "was", t.target.Incarnation.Name, "was_born_ms", t.target.Incarnation.StartedMs, "was_known", t.targetKnown, "runs", t.runs.Len(), "earlier_token", max(t.earlierToken, t.token),
+		"address", a.Address, "seq", a.Seq, "was", previous.Incarnation.Name, "was_born_ms", previous.Incarnation.StartedMs, "was_known", known,
+		"runs", t.runs.Len(), "token", t.token, "earlier_token", t.earlierToken,
 		"cpu_milli", a.Capacity.CPUMilli, "memory_mb", a.Capacity.MemoryMB, "labels", a.Labels, "leaving", a.Leaving)
+}
+
+// adoptUnannounced takes up an incarnation whose answer is the first that shows it. Late calls for earlier ones
+// are fenced and runs that it has started for them are stopped without waiting for its announcement, which may
+// come a whole interval later.
+func (t *Table) adoptUnannounced(l *Listing) {
+	a := t.target
+	a.Incarnation.StartedMs, a.ClockMs, a.Seq, a.Leaving = l.StartedMs, l.ClockMs, 0, false
+	t.beginIncarnation(a)
+	t.unannounced = true
+	for _, id := range l.Running {
+		if t.run(id) == nil {
+			t.stopForeign(id)
+		}
+	}
+	t.reportLoadNow()
+}
+
+// beginIncarnation replaces the incarnation of the target by another one of its name. What ran in the previous
+// one has ended with it.
+func (t *Table) beginIncarnation(a Announcement) {
 	t.counts.Adopted++
 	t.endIncarnation("another_life")
 	t.earlierToken = max(t.earlierToken, t.token)
-	t.target, t.targetKnown, t.restored = a, true, false
+	t.target, t.targetKnown, t.restored, t.unannounced = a, true, false, false
 	t.tokenRefusals, t.endCursor, t.ackedCursor, t.listed, t.renewalOpen = 0, 0, 0, false, false
 	t.reachable, t.refused, t.misdirected, t.failures, t.lastAnswerAt = true, false, false, 0, t.now
 	t.health = newRating()
@@ -136,8 +178,6 @@
 		}
 	}
 	t.stopCarriedOver()
-	t.unstored = true
-	t.describeTarget()
 }
 
 // describeTarget sends the description of the target to every session.
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -44,7 +44,7 @@
 			"known_born_ms", t.target.Incarnation.StartedMs, "silent_ms", clock.Millis(now.Sub(t.lastAnswerAt)), "token", c.Token, "stale_token", l.StaleToken,
 			"running", len(l.Running), "runs", t.runs.Len())
 		t.noteListedByNextIncarnation(l.Running)
-		t.endKnownIncarnation("replaced") // it has restarted under its name
+		t.adoptUnannounced(&l) // it has restarted under its name
 		return
 	}
 	t.lease.Clock.Set(now, l.ClockMs)
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -136,10 +136,10 @@
 		Speed:       t.effectiveSpeed(),
 		FailureRate: t.health.failedRate,
 		Leaving:     t.draining || t.target.Leaving,
-		Down:        !t.targetKnown || !t.reachable,
+		Down:        !t.announced() || !t.reachable,
 		Rejecting:   t.health.avoided(t.now),
 	}
-	if !t.targetKnown {
+	if !t.announced() {
 		return l
 	}
 	l.Free = t.freeCapacity()
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -16,7 +16,7 @@
 // fields of frames.
 func (t *Table) Connect(now time.Time, conn ConnID, extended bool) {
 	t.now = now
-	t.sessions.Set(conn, &session{conn: conn, extended: extended, runs: map[uint64]*run{}, sendTarget: t.targetKnown, sendLoad: true, openedAt: now, lastOrderAt: now})
+	t.sessions.Set(conn, &session{conn: conn, extended: extended, runs: map[uint64]*run{}, sendTarget: t.announced(), sendLoad: true, openedAt: now, lastOrderAt: now})
 	t.loadChanged = true
 }
 
@@ -167,7 +167,7 @@
 	switch {
 	case t.draining || t.target.Leaving || s.retiring:
 		return wire.NotRunLeaving
-	case !t.targetKnown || !t.reachable:
+	case !t.announced() || !t.reachable:
 		return wire.NotRunDown
 	case t.Evacuated():
 		return wire.NotRunEvacuated
@@ -241,7 +241,7 @@
 
 // mayStart reports whether the target can start tasks, apart from their demand.
 func (t *Table) mayStart() bool {
-	return !t.superseded && t.targetKnown && t.reachable && t.listed && t.foreignRuns.Len() == 0 && !t.target.Leaving && !t.Evacuated()
+	return !t.superseded && t.announced() && t.reachable && t.listed && t.foreignRuns.Len() == 0 && !t.target.Leaving && !t.Evacuated()
 }
 
 // maxOvertakeTime is how long smaller tasks may overtake one that does not fit. Tasks are of
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -99,6 +99,7 @@
 	AckCursor    uint64        // Seq of the last EndedRun that was processed
 	Wait         time.Duration // how long the target may wait for a run to end before it answers
 	ReplyTimeout time.Duration // limit of the call beyond Wait
+	RetryDelay   time.Duration // how long to wait before the next call if this one fails
 	// Probe states that the call only shows whether the incarnation answers at the address.
 	Probe bool
 }
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -21,6 +21,10 @@
 	t.tokenRefusals++
 }
 
+// fence raises the token above that of a call without an answer: the first later call that a target accepts,
+// of this incarnation or the next one under the name, makes it reject the unanswered one.
+func (t *Table) fence(unanswered int64) { t.token = max(t.token, unanswered+1) }
+
 // stop begins to stop a run. If its start was not answered, the stop fences the run off: the
 // target rejects the start if it still arrives.
 func (t *Table) stop(r *run, reason wire.NotRunReason) {
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -130,7 +130,7 @@
 // probeClaims asks for the announced targets again while the known one is of no use.
 func (t *Table) probeClaims() {
 	t.claims = slices.DeleteFunc(t.claims, func(c *claim) bool { return t.now.Sub(c.announcedAt) >= claimLifetime })
-	if t.targetKnown && t.reachable && !t.target.Leaving {
+	if t.announced() && t.reachable && !t.target.Leaving {
 		return
 	}
 	for _, c := range t.claims {
@@ -218,8 +218,8 @@
 func (t *Table) prefers(a Announcement) bool {
 	switch {
 	case a.Leaving:
-		return !t.targetKnown
-	case !t.targetKnown || !t.reachable || t.restored && !t.listed || t.target.Leaving:
+		return !t.announced()
+	case !t.announced() || !t.reachable || t.restored && !t.listed || t.target.Leaving:
 		return true
 	}
 	return a.Incarnation.StartedMs > t.target.Incarnation.StartedMs
--- a/internal/runs/target.go
+++ b/internal/runs/target.go
@@ -31,11 +31,11 @@
 	minCallTimeout   = 20 * time.Millisecond
 	maxCallTimeout   = 100 * time.Millisecond
 	answerMeanWeight = 0.05
-	// maxStartRetries is how often an unanswered start is repeated. Where one answer in five is
-	// lost, three calls leave one start in a hundred in doubt. A target that has stopped
-	// answering costs two more time-outs before the start is fenced off, and its task can't go
-	// elsewhere before that target has answered the stop.
-	maxStartRetries = 2
+	// minStartRetries is how often an unanswered start is repeated although its task can't be in time any
+	// more. Where one answer in five is lost, three calls leave one start in a hundred in doubt. A target
+	// that has stopped answering costs two more time-outs before the start is fenced off, and its task can't
+	// go elsewhere before that target has answered the stop.
+	minStartRetries = 2
 	// unreachableAfter is how long a target may leave calls unanswered before it counts as
 	// unreachable. Where one answer in twenty is lost, two consecutive renewals fail every second
 	// somewhere in a fleet; if that were enough, the jobs of a healthy target would be given up
@@ -47,6 +47,14 @@
 	// idleRenewWait is the wait of a renewal while nothing runs and no lease has to be renewed. A run
 	// that starts meanwhile has no other renewal, so it is well below lease.MinStart.
 	idleRenewWait = 150 * time.Millisecond
+	// renewRetryDelay is the delay after the first failed renewal: possibly only the answer was lost, and a
+	// lease lasts a second. repeatedRenewRetryDelay is the delay after each further failure: an absent target
+	// must not be called continuously.
+	renewRetryDelay         = 2 * time.Millisecond
+	repeatedRenewRetryDelay = 50 * time.Millisecond
+	// fencingRetryDelay applies instead while no process listens at the address and an unanswered start may
+	// still be carried out: the next incarnation rejects it only once it has accepted a later call.
+	fencingRetryDelay = 5 * time.Millisecond
 )
 
 // NextRenewal returns the next call that renews the lease of the target that gets new runs, and false while
@@ -61,7 +69,7 @@
 
 func (t *Table) nextRenewal() RenewCall {
 	t.renewalOpen, t.renewalCalledAt = true, t.now
-	c := RenewCall{Incarnation: t.target.Incarnation, Token: t.token, AckCursor: t.endCursor, Wait: maxRenewWait, ReplyTimeout: t.callTimeout()}
+	c := RenewCall{Incarnation: t.target.Incarnation, Token: t.token, AckCursor: t.endCursor, Wait: maxRenewWait, ReplyTimeout: t.callTimeout(), RetryDelay: t.renewalRetryDelay()}
 	switch {
 	case t.failures > 1:
 		c.Wait, c.ReplyTimeout = 0, maxCallTimeout // the target may be slow rather than unreachable
@@ -78,6 +86,17 @@
 	return c
 }
 
+// renewalRetryDelay returns how long to wait before the next renewal if the one that is made now fails.
+func (t *Table) renewalRetryDelay() time.Duration {
+	switch {
+	case t.failures == 0:
+		return renewRetryDelay
+	case t.refused && t.now.Sub(t.unansweredStartAt) < maxStartDelay:
+		return fencingRetryDelay
+	}
+	return repeatedRenewRetryDelay
+}
+
 // renewalWait returns how long a renewal should wait for an end: until the next one is expected.
 func (t *Table) renewalWait() time.Duration {
 	wait := maxRenewWait
@@ -116,7 +135,8 @@
 	defer t.on(s)()
 	now := t.now
 	if answer == NoAnswer {
-		t.unansweredAt = now
+		t.unansweredAt, t.unansweredStartAt = now, now
+		t.fence(c.Token)
 	}
 	r := t.run(c.Run)
 	switch {
@@ -179,7 +199,7 @@
 		t.stop(r, wire.NotRunEvacuated)
 		return
 	}
-	if t.superseded || r.startRetries >= maxStartRetries || !t.inUse.Fits(t.target.Capacity) {
+	if t.superseded || !t.worthRepeating(r) || !t.inUse.Fits(t.target.Capacity) {
 		t.stop(r, wire.NotRunNoAnswer)
 		return
 	}
@@ -187,9 +207,20 @@
 	t.callStart(r)
 }
 
+// worthRepeating reports whether a start without an answer is repeated rather than fenced off and reported as not
+// run. Its calls are fenced off in this incarnation only: the next one may carry them out in its first
+// milliseconds, beside a run of the task elsewhere. A repetition needs no report.
+func (t *Table) worthRepeating(r *run) bool {
+	return r.startRetries < minStartRetries || t.now.Before(r.queueDeadline)
+}
+
 // startRejected handles an answer that proves that this call has started nothing.
 func (t *Table) startRejected(r *run, token int64, answer Answer) {
 	reason := wire.NotRunRejected
+	if answer == StaleToken && token < t.token && r.state == starting && !t.superseded && !t.Evacuated() {
+		t.callStart(r) // it was fenced off by a later call of this agent
+		return
+	}
 	switch answer {
 	case StaleRun:
 		reason = wire.NotRunStale
--- a/internal/runs/targetstate.go
+++ b/internal/runs/targetstate.go
@@ -17,8 +17,11 @@
 	targetKnown bool // the target has announced itself or was restored
 	// restored reports that target is from the record of an earlier agent and not from an
 	// announcement.
-	restored   bool
-	superseded bool // another target gets the new runs
+	restored bool
+	// unannounced reports that only an answer has shown this incarnation: target is the description of the
+	// one before, and nothing new starts until it has announced itself.
+	unannounced bool
+	superseded  bool // another target gets the new runs
 
 	runs   *orderedmap.OrderedMap[RunID, *run] // in the order of their arrival
 	inUse  job.Demand
@@ -30,6 +33,7 @@
 	tokenRefusals     int       // refused tokens since the last listing
 	earlierToken      int64     // the highest token presented to earlier incarnations of the name
 	unansweredAt      time.Time // when a call that requests a lease last had no answer of the incarnation that it was for
+	unansweredStartAt time.Time // when a start last had no answer
 	lease             lease.Lease
 	leaseWithheld     bool         // the last renewal did not extend the lease, because of a run that is being stopped
 	meanAnswerMs      float64      // mean time to the answer to a start call
@@ -48,6 +52,9 @@
 	endTimesUncertain bool      // the latest listing followed failed renewals, so its ends may be old
 }
 
+// announced reports whether the target's description is known.
+func (s *targetState) announced() bool { return s.targetKnown && !s.unannounced }
+
 func newTargetState(terms lease.Terms) *targetState {
 	return &targetState{
 		runs: orderedmap.NewOrderedMap[RunID, *run](), lease: lease.Lease{Terms: terms}, foreignRuns: newForeignRuns(),
--- a/internal/soak/rebirthscenarios.go
+++ b/internal/soak/rebirthscenarios.go
@@ -117,3 +117,15 @@
 	}
 	end()
 }
+
+// rebirthUnansweredStarts plays a target that crashes while half of the starts are under way to it for longer than
+// its runner waits. Its next incarnation receives some of them before it has announced itself.
+func rebirthUnansweredStarts(r *run, ctx context.Context, rnd *rand.Rand, id string) {
+	t := pick(rnd, r.fleet.Targets)
+	r.duringStream(ctx, id, 20*time.Millisecond, 600*time.Millisecond, func() {
+		t.SetFaults(standin.TargetFaults{TransitShare: 0.5, MaxTransit: time.Second, OnlyStartsInTransit: true})
+		clock.Sleep(ctx, 900*time.Millisecond)
+		r.rebirth(t, 250*time.Millisecond, between(rnd, 0, maxAnnounceDelay))
+		clock.Sleep(ctx, time.Second)
+	})
+}
--- a/internal/soak/scenarios.go
+++ b/internal/soak/scenarios.go
@@ -49,6 +49,7 @@
 	"rebirth-start-under-way":            {2, 3, rebirthStartUnderWay},
 	"rebirth-runner-paused":              {2, 3, rebirthRunnerPaused},
 	"rebirth-runner-throttled":           {2, 3, rebirthRunnerThrottled},
+	"rebirth-unanswered-starts":          {2, 3, rebirthUnansweredStarts},
 	"rebirth-start-seconds-late":         {2, 3, rebirthStartSecondsLate},
 	"successor-address-kept":             {2, 3, succeeded(succession{lead: keepAddress})},
 	"successor-address-taken-over":       {2, 3, succeeded(succession{lead: takeAddress})},
--- a/internal/soak/twice_test.go
+++ b/internal/soak/twice_test.go
@@ -26,6 +26,12 @@
 	playScenarios(t, repeatedDuration, "rebirth-start-under-way", "rebirth-runner-throttled", "rebirth-announced-late", "rebirth-stops-lost")
 }
 
+// Guards against a start without an answer that was reported as not run, and that the next incarnation carries out
+// before it has announced itself.
+func TestUnansweredStartsAreFencedInTheNextIncarnation(t *testing.T) {
+	playScenarios(t, repeatedDuration, "rebirth-unanswered-starts")
+}
+
 // Guards against the same with random faults.
 func TestSoakOfRebirths(t *testing.T) {
 	bin := buildPrograms(t)
--- a/scripts/ablate.sh
+++ b/scripts/ablate.sh
@@ -31,7 +31,7 @@
 giving-back-late|internal/dispatch/place.go|s/min(slackMs+slackToleranceMs, callerMs)/callerMs/
 admission|internal/dispatch/intake.go|s/admitFactor = 1.1/admitFactor = 100/
 moving-overdue|internal/dispatch/overdue.go|s/overdueFactor = 4$/overdueFactor = 1000/;s/rejectingFactor = 2$/rejectingFactor = 1000/
-repeated-starts|internal/runs/target.go|s/maxStartRetries = 2/maxStartRetries = 0/
+repeated-starts|internal/runs/target.go|s/return r.startRetries < minStartRetries.*/return false/
 records-of-targets|internal/runner/runner.go|s/	go r.restoreTarget(r.ctx)//
 data-centre|internal/dispatch/place.go|s/localHopMs, remoteHopMs = 3, 6/localHopMs, remoteHopMs = 3, 3/
 frames-at-once|internal/runs/load.go|s/loadInterval = 15/loadInterval = 60/
