Runs, dispatch: orders state the description of the target that they were placed by

A target had been replaced by one of another kind at the same address while a dispatcher stood still; the dispatcher woke, placed waiting jobs before it had read of the new target, and the runner started them there.

Cause: an order says what to run, not for which target it was placed. The runner accepted it for whichever target was there when it arrived, and checked its capacity only.

Change: a runner numbers the descriptions of its target that it sends, each order and reservation states the number that it was placed by, and the runner returns what was placed by an earlier one, with a reason of its own (12). The number rises with each new incarnation or target and when service, labels or data centre change within one; then the queue is returned, too. A change of the capacity keeps it: the runner checks that itself. It costs 3 bytes an order. A dispatcher of the build before states none: it is served until the description changes, and then its session is retired.

Related paths: reservations and the orders that take their offers; labels or a service that change within one incarnation, which were not passed on to entries at all; a recorded target whose announcement says otherwise. The path of our own interface (internal/agent) has no labels.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -86,6 +86,7 @@
 	a.outgoing.Reservations = append(a.outgoing.Reservations, wire.Reservation{
 		Seq: r.seq, Job: l.ID, Step: t.step, Index: t.index, Demand: s.Demand, EstimateMs: request.EstimateMs,
 		SlackMs: int64(slackMs), MaxWaitMs: int64(giveUpMs), Queue: l.Queue.Name, Priority: l.Queue.Priority, Width: len(l.tasks),
+		Description: a.target.Number,
 	})
 	a.hasOutgoing = true
 	c.link.Enqueue(c.now, reservationBytes)
--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -100,6 +100,17 @@
 	h.Tick(h.now)
 }
 
+// Receive passes on a frame of an entry that has placed its orders by the newest description of the target.
+func (h *harness) Receive(now time.Time, conn ConnID, f *wire.LeasedToAgent) {
+	for i := range f.Orders {
+		f.Orders[i].Description = h.description
+	}
+	for i := range f.Reservations {
+		f.Reservations[i].Description = h.description
+	}
+	h.Table.Receive(now, conn, f)
+}
+
 // sendOrder sends an order for 4 cores.
 func (h *harness) sendOrder(conn ConnID, seq uint64, task Task, run uint64) {
 	h.Receive(h.now, conn, &wire.LeasedToAgent{Orders: []wire.Order{{
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -61,20 +61,27 @@
 	if t.superseded {
 		return
 	}
-	if firstAnnounced {
-		t.unstored = true
-		t.describeTarget()
-	}
 	if a.Leaving {
 		t.rejectQueued(wire.NotRunLeaving)
 	}
 	t.rejectQueuedIfEvacuated()
+	if firstAnnounced || a.differsInKind(&previousTarget) {
+		t.rejectReservations(wire.NotRunOtherTarget)
+		t.rejectQueued(wire.NotRunOtherTarget)
+		t.unstored = true
+		t.describeTarget()
+	}
 	if a.Capacity != previous {
 		t.handleResize(previous)
 	}
 	t.unstored = t.unstored || nowLeaving || a.Capacity != previous
 }
 
+// differsInKind reports whether a task that was placed by another announcement may not fit any more.
+func (a *Announcement) differsInKind(other *Announcement) bool {
+	return a.Service != other.Service || a.DataCentre != other.DataCentre || !slices.Equal(a.Labels, other.Labels)
+}
+
 // UnstoredTarget returns the announcement of the target that gets new runs, and whether it is to be stored: it
 // is of a new incarnation, of a departure or has a changed capacity since the last call.
 func (t *Table) UnstoredTarget() (Announcement, bool) {
@@ -180,8 +187,10 @@
 	t.stopCarriedOver()
 }
 
-// describeTarget sends the description of the target to every session.
+// describeTarget sends a new description of the target to every session. Orders that were placed by the earlier
+// one are returned when they arrive.
 func (t *Table) describeTarget() {
+	t.description++
 	for s := range t.sessions.Values() {
 		s.sendTarget, s.sendLoad = true, true
 	}
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -52,7 +53,9 @@
 		if s.sendTarget {
 			f.Target = &wire.LeasedTarget{
 				Name: t.target.Incarnation.Name, Service: t.target.Service, Labels: t.target.Labels, Capacity: t.target.Capacity, DataCentre: t.target.DataCentre,
+				Number: t.description,
 			}
+			s.firstDescription = cmp.Or(s.firstDescription, t.description)
 		}
 		s.outcomes, s.configNote, s.evacuations, s.crashes, s.sendTarget, s.sendLoad = nil, nil, nil, nil, false, false
 		s.loadStale, s.loadSentAt = false, now
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -156,12 +156,29 @@
 	if reason := t.unavailableReason(s); reason != wire.NotRunNone {
 		return reason
 	}
+	if !t.placedForTarget(s, r.order.Description) {
+		return wire.NotRunOtherTarget
+	}
 	if t.tasks[r.id.Task] != nil {
 		return wire.NotRunAlreadyRunning // the other run may be of another owner
 	}
 	return t.capacityRefuseReason(r)
 }
 
+// placedForTarget reports whether an order or a reservation was placed by the present description of the target,
+// whose number it states. Where an entry states none, that is known until the description changes; the session
+// is then retired, so that its successor begins with the present one.
+func (t *Table) placedForTarget(s *session, description uint64) bool {
+	if description != 0 {
+		return description == t.description
+	}
+	if s.firstDescription == t.description {
+		return true
+	}
+	t.retire(s)
+	return false
+}
+
 // unavailableReason returns why nothing new is accepted from a session, or NotRunNone.
 func (t *Table) unavailableReason(s *session) wire.NotRunReason {
 	switch {
--- a/internal/runs/reserve.go
+++ b/internal/runs/reserve.go
@@ -42,6 +42,9 @@
 		queueDeadline: t.now.Add(time.Duration(w.MaxWaitMs) * time.Millisecond),
 	}
 	reason := t.unavailableReason(s)
+	if reason == wire.NotRunNone && !t.placedForTarget(s, w.Description) {
+		reason = wire.NotRunOtherTarget
+	}
 	if reason == wire.NotRunNone {
 		reason = t.capacityRefuseReason(r)
 	}
--- a/internal/runs/retire.go
+++ b/internal/runs/retire.go
@@ -15,13 +15,18 @@
 // more orders, its runs finish, and then the session is closed.
 func (t *Table) Retire(now time.Time, conn ConnID) {
 	t.now = now
-	s := t.session(conn)
-	if s == nil || s.retiring {
+	if s := t.session(conn); s != nil {
+		t.retire(s)
+	}
+}
+
+func (t *Table) retire(s *session) {
+	if s.retiring {
 		return
 	}
 	s.retiring, s.sendLoad = true, true
 	t.rejectSessionReservations(s, wire.NotRunLeaving)
-	s.delayClose(now)
+	s.delayClose(t.now)
 }
 
 // delayClose postpones the close of a session that is retiring.
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -271,7 +271,9 @@
 	evacuations []wire.Evacuation
 	crashes     []wire.Crash
 	sendTarget  bool // the target's description is to be sent at the next Flush
-	sendLoad    bool // the load is to be sent at the next Flush
+	// firstDescription is the number of the description that the entry was sent first; 0: none yet.
+	firstDescription uint64
+	sendLoad         bool // the load is to be sent at the next Flush
 
 	loadInterval time.Duration // shortest interval between load reports that the entry asked for
 	loadSentAt   time.Time     // when the load was last sent
@@ -315,6 +317,8 @@
 	unstored bool
 	epoch    uint64 // rises with each end of an incarnation, and when another target gets the new runs
 	draining bool   // the agent accepts no new work
+	// description is the number of the description of the target that gets new runs; see wire.LeasedTarget.
+	description uint64
 	// evacuated holds the data centres in which nothing may start.
 	evacuated map[string]struct{}
 	runTimes  runTimesState
--- a/internal/runs/succession_test.go
+++ b/internal/runs/succession_test.go
@@ -268,3 +268,96 @@
 	h.Expect(h.target.starts).To(HaveLen(2))
 	h.Expect(h.target.starts[1].LeaseUntilMs).To(BeNumerically("<=", h.clockMs()+testLease.Limit.Milliseconds()))
 }
+
+// replaceTarget makes a target of another name the one that gets new runs.
+func (h *harness) replaceTarget() {
+	h.loseRenewals(1, time.Millisecond, Refused)
+	h.incarnation = Incarnation{Name: "t-2", StartedMs: h.incarnation.StartedMs + 5000}
+	h.announce(1, false)
+	h.renewWith()
+}
+
+// Guards against a task on a target without the label that it needs: its order was placed for the target before,
+// and arrives once another one gets the new runs.
+func TestOrderForAnEarlierTargetIsReturned(t *testing.T) {
+	for name, change := range map[string]func(*harness){
+		"another name": (*harness).replaceTarget,
+		"next life":    func(h *harness) { h.rebirth(); h.renewWith() },
+		"other labels in the same life": func(h *harness) {
+			a := h.tableState.target
+			a.Seq, a.Labels = a.Seq+1, []string{"b"}
+			h.Announce(h.now, a)
+		},
+		"other service in the same life": func(h *harness) {
+			a := h.tableState.target
+			a.Seq, a.Service = a.Seq+1, "s2"
+			h.Announce(h.now, a)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.Flush(h.now)
+			described := h.outbox.sent[testConn][0].Target.Number
+			change(h)
+			starts := len(h.target.starts)
+			h.Table.Receive(h.now, testConn, &wire.LeasedToAgent{
+				Orders:       []wire.Order{{Seq: 1, Job: "a", RunNumber: 7, Demand: job.Demand{CPUMilli: 4000}, MaxWaitMs: 300, TimeoutMs: 3000, Description: described}},
+				Reservations: []wire.Reservation{{Seq: 2, Job: "b", Demand: job.Demand{CPUMilli: 4000}, SlackMs: 100, MaxWaitMs: 300, Description: described}},
+			})
+			h.Expect(h.target.starts).To(HaveLen(starts))
+			h.Expect(h.outcomes(testConn)).To(And(HaveKeyWithValue(uint64(1), HaveField("Reason", wire.NotRunOtherTarget)), HaveKeyWithValue(uint64(2), HaveField("Reason", wire.NotRunOtherTarget))))
+			frames := h.outbox.sent[testConn]
+			h.Expect(frames[len(frames)-1].Target.Number).To(BeNumerically(">", described))
+			h.sendOrder(testConn, 3, task("c", 0), 7)
+			h.Expect(h.target.starts).To(HaveLen(starts + 1))
+		})
+	}
+}
+
+// Guards against a queued order that outlasts a change of the target's labels.
+func TestQueuedOrdersAreReturnedWhenLabelsChange(t *testing.T) {
+	h := newHarness(t)
+	for i := range 3 {
+		h.sendOrder(testConn, uint64(i+1), task("a", i), 7)
+	}
+	a := h.tableState.target
+	a.Seq, a.Labels = a.Seq+1, []string{"b"}
+	h.Announce(h.now, a)
+	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(3), HaveField("Reason", wire.NotRunOtherTarget)))
+}
+
+// Guards against orders that are returned because the target's capacity has changed: a runner checks that itself.
+func TestDescriptionKeepsItsNumberWhenCapacityChanges(t *testing.T) {
+	h := newHarness(t)
+	a := h.tableState.target
+	a.Seq, a.Capacity.CPUMilli = a.Seq+1, 6000
+	number := h.description
+	h.Announce(h.now, a)
+	h.Expect(h.description).To(Equal(number))
+}
+
+// Guards against the same where the entry is of a build that doesn't state by which description it has placed an
+// order, and against one that gets its orders back for good.
+func TestEntryThatStatesNoDescriptionGetsANewSession(t *testing.T) {
+	h := newHarness(t)
+	h.Flush(h.now)
+	send := func(conn ConnID, seq uint64) {
+		h.Table.Receive(h.now, conn, &wire.LeasedToAgent{Orders: []wire.Order{{Seq: seq, Job: "a", Index: int(seq), RunNumber: 7, Demand: job.Demand{CPUMilli: 1000}, MaxWaitMs: 300, TimeoutMs: 3000}}})
+	}
+	send(testConn, 1)
+	h.Expect(h.target.starts).To(HaveLen(1))
+	h.answerStart(0, Accepted)
+	h.replaceTarget()
+	send(testConn, 2)
+	h.Expect(h.target.starts).To(HaveLen(1))
+	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(2), HaveField("Reason", wire.NotRunOtherTarget)))
+	h.advance(2 * time.Second)
+	h.advance(retireDelay)
+	h.Expect(h.outbox.closed).To(ContainElement(testConn))
+	h.Disconnect(h.now, testConn)
+	h.renewWith()
+	h.Connect(h.now, 2, true)
+	h.Flush(h.now)
+	send(2, 3)
+	h.Expect(h.target.starts).To(HaveLen(2))
+}
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -48,6 +48,8 @@
 	Priority int `cbor:"16,keyasint,omitempty"`
 	// Reservation is the Seq of the reservation whose offer the order takes; 0: none. Extended.
 	Reservation uint64 `cbor:"17,keyasint,omitempty"`
+	// Description is the LeasedTarget.Number by which the entry has placed the task; 0: not stated.
+	Description uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // RunEnd is the result of an order.
@@ -78,6 +80,7 @@
 	NotRunAlreadyRunning NotRunReason = 9  // the agent has another unfinished run of the task
 	NotRunWaitTooLong    NotRunReason = 10 // it was movable, and its predicted wait was too long
 	NotRunEvacuated      NotRunReason = 11 // its data centre is evacuated
+	NotRunOtherTarget    NotRunReason = 12 // it was placed by an earlier description of the agent's target
 )
 
 // RunOutcome reports the result of an order.
@@ -97,6 +100,10 @@
 	Capacity job.Demand `cbor:"4,keyasint"`
 	// DataCentre is announced by the target. If empty, the agent's data centre applies.
 	DataCentre string `cbor:"5,keyasint,omitempty"`
+	// Number identifies the description among those of the agent's process. It rises whenever an order
+	// that was placed by the one before may not fit any more; a change of Capacity alone keeps it.
+	// 0: the agent doesn't number its descriptions.
+	Number uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // SlackHorizonsMs are the slacks for which an agent predicts queue waits. A task with
