Session: descriptions and their numbers are sent to peers that know them only

A process of an earlier build rejects frames with fields that it doesn't know and ends the session, so that a rolling upgrade would have kept half of the fleet without sessions.

Peers that know them negotiate camphorrack.5; a session says which fields its peer understands (wire.Features) in place of whether it knows the extended ones. A runner retires the session of an entry of an earlier build when the description of its target changes, so that the entry's next session begins with the new one.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -29,7 +29,7 @@
 			capacity := job.Demand{CPUMilli: 64_000, MemoryMB: 256_000}
 			for i := range agents {
 				id := ConnID(i + 1)
-				c.Connect(now, id, &wire.Hello{Worker: fmt.Sprint(i)}, true)
+				c.Connect(now, id, &wire.Hello{Worker: fmt.Sprint(i)}, wire.DescribedFeatures)
 				c.Receive(now, id, &wire.LeasedToEntry{Target: &wire.LeasedTarget{Name: fmt.Sprint("t", i), Service: "s", Capacity: capacity},
 					Load: &wire.Load{Free: capacity, Speed: 1}})
 			}
--- a/internal/dispatch/description_test.go
+++ b/internal/dispatch/description_test.go
@@ -37,3 +37,13 @@
 		h.Expect(h.reservation(id).Description).To(Equal(uint64(4)))
 	}
 }
+
+// Guards against a session that an agent of an earlier build ends: it rejects the frames of entries that state a
+// description.
+func TestOrdersForAnEarlierBuildStateNoDescription(t *testing.T) {
+	h := newHarness(t, 0)
+	h.Connect(h.now, 1, &wire.Hello{Worker: "w", DataCentre: "a"}, wire.ExtendedFeatures)
+	h.Receive(h.now, 1, &wire.LeasedToEntry{Load: h.idleLoad(), Target: &wire.LeasedTarget{Name: "t", Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}}})
+	h.submit(h.newJob("a", 1))
+	h.Expect(h.sentOrders()[1]).To(HaveExactElements(HaveField("Description", uint64(0))))
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,7 +120,7 @@
 	conn       ConnID
 	host       string
 	dataCentre string
-	extended   bool               // it understands the extended fields of frames
+	features   wire.Features      // it understands these fields of frames
 	replaced   bool               // by a newer session with the same host; its connection is being closed
 	target     *wire.LeasedTarget // nil until the agent has reported it
 	load       wire.Load
--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -13,7 +13,7 @@
 // newTwoDataCentreHarness returns a harness with an agent in data centre "a" and one in "b".
 func newTwoDataCentreHarness(t *testing.T) *harness {
 	h := newHarness(t, 1)
-	h.Connect(h.now, 2, &wire.Hello{Worker: "host-b", DataCentre: "b"}, true)
+	h.Connect(h.now, 2, &wire.Hello{Worker: "host-b", DataCentre: "b"}, wire.DescribedFeatures)
 	h.Receive(h.now, 2, &wire.LeasedToEntry{
 		Target: &wire.LeasedTarget{Name: "t-b", Service: "s", Capacity: h.idleLoad().Free}, Load: h.idleLoad(),
 	})
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -57,7 +57,7 @@
 
 // connect opens a session with an agent whose target is idle.
 func (h *harness) connect(id ConnID) {
-	h.Connect(h.now, id, &wire.Hello{Worker: string(rune('a' + id)), DataCentre: "a"}, true)
+	h.Connect(h.now, id, &wire.Hello{Worker: string(rune('a' + id)), DataCentre: "a"}, wire.DescribedFeatures)
 	h.Receive(h.now, id, &wire.LeasedToEntry{
 		Target: &wire.LeasedTarget{Name: "t" + string(rune('a'+id)), Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}},
 		Load:   h.idleLoad(),
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -213,9 +213,11 @@
 		Demand: s.Demand, EstimateMs: clock.Millis(s.Estimate),
 		SlackMs: int64(slackMs), MaxWaitMs: int64(giveUpMs), TimeoutMs: l.Deadline.Sub(c.now).Milliseconds(),
 		Movable: t.crowdedReturns < maxCrowdedReturns, ExpectedWaitMs: choice.StartMs, IgnoresCapacity: !l.Queue.EnforcesCapacity,
-		Description: a.target.Number,
 	}
-	if a.extended {
+	if a.features >= wire.DescribedFeatures {
+		order.Description = a.target.Number
+	}
+	if a.features >= wire.ExtendedFeatures {
 		order.Queue, order.Priority = l.Queue.Name, l.Queue.Priority
 	}
 	a.outgoing.Orders = append(a.outgoing.Orders, order)
--- a/internal/dispatch/replaced_test.go
+++ b/internal/dispatch/replaced_test.go
@@ -14,7 +14,7 @@
 func TestReplacedSessionGetsNoOrders(t *testing.T) {
 	h := newHarness(t, 1)
 	first := h.submit(h.newJob("first", 1))
-	h.Connect(h.now, 9, &wire.Hello{Worker: h.agents[1].host, DataCentre: "a"}, true)
+	h.Connect(h.now, 9, &wire.Hello{Worker: h.agents[1].host, DataCentre: "a"}, wire.DescribedFeatures)
 	h.Expect(h.out.closed).To(Equal([]ConnID{1}))
 	h.Receive(h.now, 9, &wire.LeasedToEntry{
 		Target: &wire.LeasedTarget{Name: "tb", Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}}, Load: h.idleLoad(),
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -65,7 +65,9 @@
 }
 
 // takesReservations reports whether the candidate with index i understands reservations.
-func (c *Core) takesReservations(i int) bool { return c.candidateAgents[i].extended }
+func (c *Core) takesReservations(i int) bool {
+	return c.candidateAgents[i].features >= wire.ExtendedFeatures
+}
 
 // sendReservation queues a reservation for the agent, which is the candidate with index i.
 func (c *Core) sendReservation(l *liveJob, t *task, a *agent, request earliest.Task, i int) {
@@ -83,11 +85,14 @@
 	a.reservations[r.seq] = r
 	t.reserved.list = append(t.reserved.list, r)
 	a.uncounted = append(a.uncounted, uncountedOrder{seq: r.seq, task: earliest.Task{Demand: request.Demand, EstimateMs: request.EstimateMs}, index: i, reserved: true})
-	a.outgoing.Reservations = append(a.outgoing.Reservations, wire.Reservation{
+	reserved := wire.Reservation{
 		Seq: r.seq, Job: l.ID, Step: t.step, Index: t.index, Demand: s.Demand, EstimateMs: request.EstimateMs,
 		SlackMs: int64(slackMs), MaxWaitMs: int64(giveUpMs), Queue: l.Queue.Name, Priority: l.Queue.Priority, Width: len(l.tasks),
-		Description: a.target.Number,
-	})
+	}
+	if a.features >= wire.DescribedFeatures {
+		reserved.Description = a.target.Number
+	}
+	a.outgoing.Reservations = append(a.outgoing.Reservations, reserved)
 	a.hasOutgoing = true
 	c.link.Enqueue(c.now, reservationBytes)
 	c.counts.Reservations++
--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -154,7 +154,7 @@
 	for name, prepare := range map[string]func(h *harness){
 		"earlier builds": func(h *harness) {
 			for _, a := range h.agentsByAge {
-				a.extended = false
+				a.features = wire.BaseFeatures
 			}
 		},
 		"switched off": (*harness).orderWaitingTasks,
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -11,12 +11,12 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// Connect opens a session with an agent; extended states that it understands the extended
-// fields of frames. An older session with the same host is closed. Its outcomes count until its
+// Connect opens a session with an agent; features are the fields of frames that it
+// understands. An older session with the same host is closed. Its outcomes count until its
 // connection has ended.
-func (c *Core) Connect(now time.Time, conn ConnID, h *wire.Hello, extended bool) {
+func (c *Core) Connect(now time.Time, conn ConnID, h *wire.Hello, features wire.Features) {
 	c.now = now
-	a := &agent{conn: conn, host: h.Worker, dataCentre: h.DataCentre, extended: extended, attempts: map[uint64]*attempt{}, loadAt: now}
+	a := &agent{conn: conn, host: h.Worker, dataCentre: h.DataCentre, features: features, attempts: map[uint64]*attempt{}, loadAt: now}
 	c.agents[conn] = a
 	c.agentsByAge = append(c.agentsByAge, a)
 	for _, other := range c.agentsByAge {
--- a/internal/dispatcher/queuegauges_test.go
+++ b/internal/dispatcher/queuegauges_test.go
@@ -18,7 +18,7 @@
 func TestOnlyTheMostUsedQueuesHaveGauges(t *testing.T) {
 	g := NewWithT(t)
 	core := dispatch.New(dispatch.Options{Log: logr.Discard(), Now: time.Now})
-	core.Connect(time.Now(), 1, &wire.Hello{Worker: "w"}, true)
+	core.Connect(time.Now(), 1, &wire.Hello{Worker: "w"}, wire.DescribedFeatures)
 	report := func(mostUsed int) {
 		loads := []wire.QueueLoad{}
 		for n := range 20 {
@@ -47,7 +47,7 @@
 	g := NewWithT(t)
 	core := dispatch.New(dispatch.Options{Log: logr.Discard(), Now: time.Now})
 	for conn, inUse := range []int64{0, 5000, 0} {
-		core.Connect(time.Now(), dispatch.ConnID(conn), &wire.Hello{Worker: string(rune('v' + conn))}, true)
+		core.Connect(time.Now(), dispatch.ConnID(conn), &wire.Hello{Worker: string(rune('v' + conn))}, wire.DescribedFeatures)
 		core.Receive(time.Now(), dispatch.ConnID(conn), &wire.LeasedToEntry{
 			Target:     &wire.LeasedTarget{Name: "t", Service: string(rune('a' + conn)), Capacity: job.Demand{CPUMilli: 10_000}},
 			Load:       &wire.Load{},
--- a/internal/dispatcher/sessions.go
+++ b/internal/dispatcher/sessions.go
@@ -136,7 +136,7 @@
 		}
 		r.runners[r.id] = r
 		s.directory.Name(now, membership.Source(r.id), fromWire(h.Entries))
-		s.core.Connect(now, r.id, h, r.conn.Extended())
+		s.core.Connect(now, r.id, h, r.conn.Features())
 		s.verifySoon = true
 		r.conn.Send(&wire.ToAgent{Entries: toWire(s.directory.For(r.host, r.dataCentre))})
 		s.core.QueueLoadInterval(r.id, s.loadInterval)
--- a/internal/leased/replay_test.go
+++ b/internal/leased/replay_test.go
@@ -178,8 +178,8 @@
 
 // connect opens a session of an entry with a host.
 func (r *replay) connect(entry, host, id int) {
-	r.entries[entry].Connect(r.now, dispatch.ConnID(id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: "a"}, true)
-	r.hosts[host].table.Connect(r.now, runs.ConnID(id), true)
+	r.entries[entry].Connect(r.now, dispatch.ConnID(id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: "a"}, wire.DescribedFeatures)
+	r.hosts[host].table.Connect(r.now, runs.ConnID(id), wire.DescribedFeatures)
 }
 
 // submit submits a job of a random queue to a random entry.
--- a/internal/leased/simlog_test.go
+++ b/internal/leased/simlog_test.go
@@ -19,9 +19,14 @@
 // dataCentre returns the data centre of a host.
 func dataCentre(host int) string { return fmt.Sprint("dc", host) }
 
-// extended reports whether a host's runner and the entries exchange extended frames. In half of
-// the schedules, every second runner is of an earlier build that rejects them.
-func (w *simWorld) extended(host int) bool { return host%2 == 0 || w.seed%4 < 2 }
+// features returns the fields of frames that a host's runner and the entries exchange. In half of the schedules,
+// every second runner is of an earlier build.
+func (w *simWorld) features(host int) wire.Features {
+	if host%2 == 0 || w.seed%4 < 2 {
+		return wire.DescribedFeatures
+	}
+	return [...]wire.Features{wire.BaseFeatures, wire.ExtendedFeatures}[w.seed/4%2]
+}
 
 // simLog is the operators' topic of the platform's log.
 type simLog struct {
--- a/internal/leased/simsession_test.go
+++ b/internal/leased/simsession_test.go
@@ -103,14 +103,14 @@
 	w.lastID++
 	s := &simSession{id: w.lastID, entry: entry, host: host, entryUp: true, hostUp: true}
 	w.sessions[s.id] = s
-	w.entries[entry].Connect(w.now, dispatch.ConnID(s.id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: dataCentre(host)}, w.extended(host))
+	w.entries[entry].Connect(w.now, dispatch.ConnID(s.id), &wire.Hello{Worker: fmt.Sprint(host), DataCentre: dataCentre(host)}, w.features(host))
 	w.entries[entry].evacuations.PeerUp(evacuation.PeerID(s.id))
 	if w.confirms() {
 		s.proof.Confirm(w.now)
 	} else {
 		s.proof.Acknowledge(w.now, w.now)
 	}
-	w.hosts[host].table.Connect(w.now, runs.ConnID(s.id), w.extended(host))
+	w.hosts[host].table.Connect(w.now, runs.ConnID(s.id), w.features(host))
 	w.hosts[host].evacuations.PeerUp(evacuation.PeerID(s.id))
 }
 
--- a/internal/runner/entrysession.go
+++ b/internal/runner/entrysession.go
@@ -159,7 +159,7 @@
 	event.Log(s.log, event.SessionOpened, "conn", uint64(s.id), "entry", s.addr, "owner", w.Incarnation.String())
 	s.enqueue(func(now time.Time, st *state) {
 		st.sessions[s.id] = s
-		st.table.Connect(now, s.id, s.conn.Extended())
+		st.table.Connect(now, s.id, s.conn.Features())
 		st.evacuations.PeerUp(evacuation.PeerID(s.id))
 		st.config.PeerUp(confsync.PeerID(s.id))
 	})
--- a/internal/runner/tick_test.go
+++ b/internal/runner/tick_test.go
@@ -37,10 +37,9 @@
 	call, _ := s.table.NextRenewal(now)
 	s.table.Renewed(now, now, call, runs.Listing{ClockMs: 1})
 	s.table.Tick(now)
-	s.table.Connect(now, 1, true)
-	s.table.Flush(now) // sends the description by which the entry reserves
+	s.table.Connect(now, 1, wire.DescribedFeatures)
 	offeredAt := now.Add(time.Millisecond)
-	s.table.Receive(offeredAt, 1, &wire.LeasedToAgent{Reservations: []wire.Reservation{{Seq: 1, Job: "j", Demand: capacity, MaxWaitMs: 100, SlackMs: 100}}})
+	s.table.Receive(offeredAt, 1, &wire.LeasedToAgent{Reservations: []wire.Reservation{{Seq: 1, Job: "j", Demand: capacity, MaxWaitMs: 100, SlackMs: 100, Description: 1}}})
 	g.Expect(s.table.HeldMilli()).To(Equal(1000))
 	for s.table.HeldMilli() > 0 {
 		now = now.Add(tickInterval(s))
--- a/internal/runs/bench_test.go
+++ b/internal/runs/bench_test.go
@@ -20,7 +20,7 @@
 	t.Announce(now, Announcement{Incarnation: Incarnation{Name: "t"}, Service: "s", Capacity: job.Demand{CPUMilli: 64_000, MemoryMB: 1 << 20}, ClockMs: 5000, Seq: 1})
 	call, _ := t.NextRenewal(now)
 	t.Renewed(now, now, call, Listing{ClockMs: 5000})
-	t.Connect(now, 1, true)
+	t.Connect(now, 1, wire.DescribedFeatures)
 	order := func(i int) {
 		t.Receive(now, 1, &wire.LeasedToAgent{Orders: []wire.Order{{Seq: uint64(i + 1), Job: fmt.Sprint(i), RunNumber: 1,
 			Demand: job.Demand{CPUMilli: 5000}, EstimateMs: 60, SlackMs: 100, MaxWaitMs: 200, TimeoutMs: 60_000}}})
--- a/internal/runs/crash_test.go
+++ b/internal/runs/crash_test.go
@@ -24,7 +24,7 @@
 // the tasks that were running, and against blaming a task whose start was not answered.
 func TestCrashReportTellsRunningFromPossibleTasks(t *testing.T) {
 	h := newHarness(t)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	for i := range 3 {
 		h.sendOrder(testConn, uint64(i+1), task("a", i), 7)
 	}
@@ -170,7 +170,7 @@
 	h.Restore(h.now, Announcement{Incarnation: h.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}})
 	h.renewWith() // initializes the fencing token
 	h.renewWith()
-	h.Connect(h.now, testConn, true)
+	h.Connect(h.now, testConn, wire.DescribedFeatures)
 	order := wire.Order{Seq: 1, Job: "a", RunNumber: 7, Demand: job.Demand{CPUMilli: 4000}, EstimateMs: 100, SlackMs: 100, MaxWaitMs: 300, TimeoutMs: 3000, IgnoresCapacity: true}
 	h.Receive(h.now, testConn, &wire.LeasedToAgent{Orders: []wire.Order{order}})
 	h.Expect(h.target.starts).To(BeEmpty())
--- a/internal/runs/harness_test.go
+++ b/internal/runs/harness_test.go
@@ -65,7 +65,7 @@
 	h.Table = New(Options{Log: logr.Discard(), Target: h.target, Outbox: h.outbox, Lease: testLease})
 	h.announce(1, false)
 	h.renewWith()
-	h.Connect(h.now, testConn, true)
+	h.Connect(h.now, testConn, wire.DescribedFeatures)
 	return h
 }
 
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -188,10 +188,14 @@
 }
 
 // describeTarget sends a new description of the target to every session. Orders that were placed by the earlier
-// one are returned when they arrive.
+// one are returned when they arrive. An entry that doesn't state by which one it has placed an order gets a new
+// session.
 func (t *Table) describeTarget() {
 	t.description++
 	for s := range t.sessions.Values() {
+		if s.described && s.features < wire.DescribedFeatures {
+			t.retire(s)
+		}
 		s.sendTarget, s.sendLoad = true, true
 	}
 	t.loadChanged = true
--- a/internal/runs/lease_test.go
+++ b/internal/runs/lease_test.go
@@ -45,7 +45,7 @@
 	h.Table = New(o)
 	h.announce(1, false)
 	h.renewWith()
-	h.Connect(h.now, testConn, true)
+	h.Connect(h.now, testConn, wire.DescribedFeatures)
 	return &leaseTarget{harness: h, running: map[RunID]bool{}}
 }
 
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLeaseTarget(t)
-			l.Connect(l.now, 2, true)
+			l.Connect(l.now, 2, wire.DescribedFeatures)
 			l.sendOrder(testConn, 1, task("a", 0), 7)
 			l.sendOrder(2, 1, task("b", 0), 7)
 			l.accept(0)
@@ -158,7 +158,7 @@
 // the runs of others and can't be shortened.
 func TestRunStartsOnlyUnderALeaseThatEndsInTime(t *testing.T) {
 	l := newLeaseTarget(t)
-	l.Connect(l.now, 2, true)
+	l.Connect(l.now, 2, wire.DescribedFeatures)
 	l.sendOrder(testConn, 1, task("a", 0), 7)
 	l.accept(0)
 	l.outbox.wanted[2] = l.now.Add(-800 * time.Millisecond)
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -1,7 +1,6 @@
 package runs
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/clock"
@@ -53,9 +52,11 @@
 		if s.sendTarget {
 			f.Target = &wire.LeasedTarget{
 				Name: t.target.Incarnation.Name, Service: t.target.Service, Labels: t.target.Labels, Capacity: t.target.Capacity, DataCentre: t.target.DataCentre,
-				Number: t.description,
 			}
-			s.firstDescription = cmp.Or(s.firstDescription, t.description)
+			if s.features >= wire.DescribedFeatures {
+				f.Target.Number = t.description
+			}
+			s.described = true
 		}
 		s.outcomes, s.configNote, s.evacuations, s.crashes, s.sendTarget, s.sendLoad = nil, nil, nil, nil, false, false
 		s.loadStale, s.loadSentAt = false, now
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -12,11 +12,10 @@
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
 
-// Connect opens a session with an entry; extended states that it understands the extended
-// fields of frames.
-func (t *Table) Connect(now time.Time, conn ConnID, extended bool) {
+// Connect opens a session with an entry; features are the fields of frames that it understands.
+func (t *Table) Connect(now time.Time, conn ConnID, features wire.Features) {
 	t.now = now
-	t.sessions.Set(conn, &session{conn: conn, extended: extended, runs: map[uint64]*run{}, sendTarget: t.announced(), sendLoad: true, openedAt: now, lastOrderAt: now})
+	t.sessions.Set(conn, &session{conn: conn, features: features, runs: map[uint64]*run{}, sendTarget: t.announced(), sendLoad: true, openedAt: now, lastOrderAt: now})
 	t.loadChanged = true
 }
 
@@ -166,17 +165,9 @@
 }
 
 // placedForTarget reports whether an order or a reservation was placed by the present description of the target,
-// whose number it states. Where an entry states none, that is known until the description changes; the session
-// is then retired, so that its successor begins with the present one.
+// whose number it states. An entry that states none has no session that outlasts a description; see describeTarget.
 func (t *Table) placedForTarget(s *session, description uint64) bool {
-	if description != 0 {
-		return description == t.description
-	}
-	if s.firstDescription == t.description {
-		return true
-	}
-	t.retire(s)
-	return false
+	return s.features < wire.DescribedFeatures || description == t.description
 }
 
 // unavailableReason returns why nothing new is accepted from a session, or NotRunNone.
--- a/internal/runs/queueload.go
+++ b/internal/runs/queueload.go
@@ -293,7 +293,7 @@
 // queueLoadsDue reports whether a session is due the published queue loads even if nothing else is
 // to be sent.
 func (t *Table) queueLoadsDue(s *session, interval time.Duration) bool {
-	if !s.extended || s.queueVersion == t.queueLoads.version {
+	if s.features < wire.ExtendedFeatures || s.queueVersion == t.queueLoads.version {
 		return false
 	}
 	if !t.active(s) {
@@ -305,7 +305,7 @@
 // nextQueueLoads returns the queue loads for the next frame of a session, or nil if its entry does
 // not understand them or has them.
 func (t *Table) nextQueueLoads(s *session) []wire.QueueLoad {
-	if !s.extended || s.queueVersion == t.queueLoads.version {
+	if s.features < wire.ExtendedFeatures || s.queueVersion == t.queueLoads.version {
 		return nil
 	}
 	s.queueVersion = t.queueLoads.version
--- a/internal/runs/queueload_test.go
+++ b/internal/runs/queueload_test.go
@@ -64,7 +64,7 @@
 	h.Expect(last("short").LateShare).To(Equal(1.0), "it was returned after 300 ms")
 	h.Disconnect(h.now, testConn)
 	h.renewWithEnds([]EndedRun{h.nextEnd(RunID{task("j1", 0), 1}, Stopped), h.nextEnd(RunID{task("j2", 0), 2}, Stopped)})
-	h.Connect(h.now, testConn, true)
+	h.Connect(h.now, testConn, wire.DescribedFeatures)
 	h.pass(4 * time.Second)
 	h.Expect(last("long")).To(Equal(wire.QueueLoad{Queue: "long"}))
 	h.Expect(h.queueLoads.byName).To(BeEmpty())
@@ -74,7 +74,7 @@
 // than five frames a second, or one if nothing changes.
 func TestQueueLoadsAreSentRarelyAndToExtendedSessionsOnly(t *testing.T) {
 	h := newHarness(t)
-	h.Connect(h.now, 2, false)
+	h.Connect(h.now, 2, wire.BaseFeatures)
 	h.orderOf("q", 1)
 	for seq := uint64(2); seq < 100; seq++ {
 		h.orderOf("q", seq)
@@ -93,7 +93,7 @@
 	h := newHarness(t)
 	h.orderOf("q", 1)
 	h.pass(3 * time.Second)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	h.Flush(h.now)
 	h.Expect(h.queueLoadsSent(2)).To(HaveLen(1))
 }
--- a/internal/runs/report_test.go
+++ b/internal/runs/report_test.go
@@ -37,7 +37,7 @@
 func TestEntriesWithoutCallersCostFewReports(t *testing.T) {
 	h := newHarness(t)
 	for conn := ConnID(2); conn <= 12; conn++ {
-		h.Connect(h.now, conn, true)
+		h.Connect(h.now, conn, wire.DescribedFeatures)
 	}
 	h.runTasks(3 * time.Second)
 	clear(h.outbox.sent)
@@ -52,7 +52,7 @@
 // outcome is sent at once, and so is the report that the target is unreachable.
 func TestLoadReportsKeepTheRequestedInterval(t *testing.T) {
 	h := newHarness(t)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	h.Receive(h.now, 2, &wire.LeasedToAgent{LoadIntervalMs: 60})
 	h.Flush(h.now)
 	clear(h.outbox.sent)
--- a/internal/runs/reserve_test.go
+++ b/internal/runs/reserve_test.go
@@ -62,7 +62,7 @@
 // next frame, or each of its reservations would idle the capacity in turn.
 func TestUnansweredOfferLapses(t *testing.T) {
 	h := newHarness(t)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	h.Tick(h.now)
 	h.reserve(testConn, 1, 2, 3, 4)
 	h.Flush(h.now)
@@ -115,7 +115,7 @@
 // Guards against capacity held for an entry whose session has ended.
 func TestSessionEndDropsItsReservations(t *testing.T) {
 	h := newHarness(t)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	h.reserve(testConn, 1, 2, 3)
 	h.reserve(2, 1)
 	h.Disconnect(h.now, testConn)
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -257,7 +257,7 @@
 // session is the state of a session with an entry.
 type session struct {
 	conn     ConnID
-	extended bool // the entry understands the extended fields of frames
+	features wire.Features // the entry understands these fields of frames
 	runs     map[uint64]*run
 	lastSeq  uint64
 	outcomes []wire.RunOutcome
@@ -271,9 +271,8 @@
 	evacuations []wire.Evacuation
 	crashes     []wire.Crash
 	sendTarget  bool // the target's description is to be sent at the next Flush
-	// firstDescription is the number of the description that the entry was sent first; 0: none yet.
-	firstDescription uint64
-	sendLoad         bool // the load is to be sent at the next Flush
+	described   bool // a description was sent
+	sendLoad    bool // the load is to be sent at the next Flush
 
 	loadInterval time.Duration // shortest interval between load reports that the entry asked for
 	loadSentAt   time.Time     // when the load was last sent
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -148,7 +148,7 @@
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.answerStart(0, Accepted)
 	h.Disconnect(h.now, testConn)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	h.sendOrder(2, 1, task("a", 0), 8)
 	h.Expect(h.target.starts).To(HaveLen(1))
 	h.Expect(h.outcomes(2)).To(HaveKeyWithValue(uint64(1), And(HaveField("End", wire.EndNotRun), HaveField("Reason", wire.NotRunAlreadyRunning))))
@@ -335,7 +335,7 @@
 	fresh := New(h.options)
 	fresh.Restore(h.now, Announcement{Incarnation: h.incarnation, Service: "s", Capacity: h.Table.target.Capacity})
 	h.Table = fresh
-	h.Connect(h.now, testConn, true)
+	h.Connect(h.now, testConn, wire.DescribedFeatures)
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.Expect(h.target.starts).To(BeEmpty())
 	call, _ := h.NextRenewal(h.now)
@@ -393,7 +393,7 @@
 	h := newHarness(t)
 	h.Expect(h.activeLoadInterval()).To(Equal(loadInterval))
 	for conn := ConnID(2); conn <= 48; conn++ {
-		h.Connect(h.now, conn, true)
+		h.Connect(h.now, conn, wire.DescribedFeatures)
 	}
 	h.Expect(h.activeLoadInterval()).To(Equal(4 * loadInterval))
 }
@@ -416,7 +416,7 @@
 // that has been moved before is queued.
 func TestMovableOrderWithoutCapacityIsReturnedAtOnce(t *testing.T) {
 	h := newHarness(t)
-	h.Connect(h.now, 2, true)
+	h.Connect(h.now, 2, wire.DescribedFeatures)
 	h.sendOrder(testConn, 1, task("a", 0), 7)
 	h.sendOrder(testConn, 2, task("b", 0), 7) // two of four cores each: 2 of 10 are left
 	order := wire.Order{Seq: 1, Job: "c", RunNumber: 7, Demand: job.Demand{CPUMilli: 4000}, EstimateMs: 60, SlackMs: 90, MaxWaitMs: 100,
--- a/internal/runs/runtimes.go
+++ b/internal/runs/runtimes.go
@@ -301,7 +301,7 @@
 
 // unsentRunTimes returns the summaries that a session has not been sent yet.
 func (t *Table) unsentRunTimes(s *session) []wire.RunTimes {
-	if !s.extended || s.runTimesVersion == t.runTimes.summariesVersion {
+	if s.features < wire.ExtendedFeatures || s.runTimesVersion == t.runTimes.summariesVersion {
 		return nil
 	}
 	var unsent []wire.RunTimes
--- a/internal/runs/runtimes_test.go
+++ b/internal/runs/runtimes_test.go
@@ -211,7 +211,7 @@
 // in 15 ms.
 func TestTailIsReportedAndPartOfWaits(t *testing.T) {
 	s := newStream(t, "q", 1)
-	s.Connect(s.now, 2, false)
+	s.Connect(s.now, 2, wire.BaseFeatures)
 	s.warmUp()
 	count := func(conn ConnID) (n int) {
 		for _, f := range s.outbox.sent[conn] {
@@ -221,7 +221,7 @@
 	}
 	s.Expect(count(testConn)).To(And(BeNumerically(">", 0), BeNumerically("<", 30)))
 	s.Expect(count(2)).To(BeZero())
-	s.Connect(s.now, 3, true)
+	s.Connect(s.now, 3, wire.DescribedFeatures)
 	s.Flush(s.now)
 	s.Expect(count(3)).To(Equal(1))
 	summary := s.outbox.sent[3][0].RunTimes
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -93,14 +93,23 @@
 	return c
 }
 
-// Extended reports whether the peer knows the extended frames.
-func (c *Conn[In, Out]) Extended() bool {
-	return c.ws.Subprotocol() == ExtendedProtocol || c.Confirms()
+// Features returns which fields of frames the peer understands, by the protocol that it negotiated.
+func (c *Conn[In, Out]) Features() wire.Features {
+	switch c.ws.Subprotocol() {
+	case DescribingProtocol:
+		return wire.DescribedFeatures
+	case ConfirmingProtocol, ExtendedProtocol:
+		return wire.ExtendedFeatures
+	}
+	return wire.BaseFeatures
 }
 
-// Confirms reports whether the peer negotiated ConfirmingProtocol: both ends then take and may send
+// Confirms reports whether the peer negotiated ConfirmingProtocol or a later one: both ends then take and may send
 // confirmations.
-func (c *Conn[In, Out]) Confirms() bool { return c.ws.Subprotocol() == ConfirmingProtocol }
+func (c *Conn[In, Out]) Confirms() bool {
+	protocol := c.ws.Subprotocol()
+	return protocol == ConfirmingProtocol || protocol == DescribingProtocol
+}
 
 // ReceivedSeq returns the number of the last frame that was received; 0: none.
 func (c *Conn[In, Out]) ReceivedSeq() uint64 { return c.receivedSeq.Load() }
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -26,8 +26,11 @@
 // their confirmations (see wire.ToEntry).
 const ConfirmingProtocol = "camphorrack.4"
 
+// DescribingProtocol is the WebSocket subprotocol of peers that know the fields of wire.DescribedFeatures, too.
+const DescribingProtocol = "camphorrack.5"
+
 // subprotocols are those that both ends offer, the preferred one first.
-var subprotocols = []string{ConfirmingProtocol, ExtendedProtocol}
+var subprotocols = []string{DescribingProtocol, ConfirmingProtocol, ExtendedProtocol}
 
 const (
 	// maxQueueBytes bounds the frames queued for a peer, at four frames of the maximum
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -121,23 +121,23 @@
 		conn, err := session.Dial(context.Background(), strings.TrimPrefix(entry.server.URL, "http://"), fastOptions)
 		Expect(err).NotTo(HaveOccurred())
 		defer conn.Close(nil)
-		Expect(conn.Extended()).To(BeTrue())
+		Expect(conn.Features()).To(Equal(wire.DescribedFeatures))
 		Expect(conn.Confirms()).To(BeTrue())
 		accepted := <-entry.conns
-		Expect(accepted.Extended()).To(BeTrue())
+		Expect(accepted.Features()).To(Equal(wire.DescribedFeatures))
 		Expect(accepted.Confirms()).To(BeTrue())
 
 		ws, _, err := websocket.DefaultDialer.Dial("ws"+strings.TrimPrefix(entry.server.URL, "http")+session.Path, nil)
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = ws.Close() }()
-		Expect((<-entry.conns).Extended()).To(BeFalse())
+		Expect((<-entry.conns).Features()).To(Equal(wire.BaseFeatures))
 
 		earlier := websocket.Dialer{Subprotocols: []string{session.ExtendedProtocol}}
 		ws, _, err = earlier.Dial("ws"+strings.TrimPrefix(entry.server.URL, "http")+session.Path, nil)
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = ws.Close() }()
 		accepted = <-entry.conns
-		Expect(accepted.Extended()).To(BeTrue())
+		Expect(accepted.Features()).To(Equal(wire.ExtendedFeatures))
 		Expect(accepted.Confirms()).To(BeFalse())
 		Expect(ws.WriteMessage(websocket.BinaryMessage, encoded(&wire.ToEntry{Seq: 1, Hello: &wire.Hello{}}))).To(Succeed())
 		Eventually(accepted.ReceivedSeq).Should(Equal(uint64(1)))
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -12,6 +12,17 @@
 // attempt belongs to the session that ordered it. The agent stops it when the session
 // ends, so later connections don't reconcile it.
 
+// Features are the fields of frames that a peer understands, by the protocol that its session has negotiated. It
+// rejects all others. Each value includes those before it.
+type Features uint8
+
+// Features of peers.
+const (
+	BaseFeatures      Features = iota
+	ExtendedFeatures           // the fields marked Extended
+	DescribedFeatures          // the fields marked Described
+)
+
 // Order requests an agent to run one task on its leased target.
 type Order struct {
 	Seq   uint64 `cbor:"1,keyasint"` // increases by one per order of a session
@@ -48,7 +59,7 @@
 	Priority int `cbor:"16,keyasint,omitempty"`
 	// Reservation is the Seq of the reservation whose offer the order takes; 0: none. Extended.
 	Reservation uint64 `cbor:"17,keyasint,omitempty"`
-	// Description is the LeasedTarget.Number by which the entry has placed the task; 0: not stated.
+	// Description is the LeasedTarget.Number by which the entry has placed the task. Described.
 	Description uint64 `cbor:"18,keyasint,omitempty"`
 }
 
@@ -102,7 +113,7 @@
 	DataCentre string `cbor:"5,keyasint,omitempty"`
 	// Number identifies the description among those of the agent's process. It rises whenever an order
 	// that was placed by the one before may not fit any more; a change of Capacity alone keeps it.
-	// 0: the agent doesn't number its descriptions.
+	// Described; 0 is that of an agent without DescribedFeatures.
 	Number uint64 `cbor:"6,keyasint,omitempty"`
 }
 
--- a/internal/wire/reservation.go
+++ b/internal/wire/reservation.go
@@ -18,7 +18,7 @@
 	QueueIndex int    `cbor:"9,keyasint,omitempty"` // as in Order; set and used by the codec only
 	Priority   int    `cbor:"10,keyasint,omitempty"`
 	Width      int    `cbor:"11,keyasint,omitempty"` // tasks of the job
-	// Description is as in Order.
+	// Description is as in Order. Described.
 	Description uint64 `cbor:"12,keyasint,omitempty"`
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,8 +10,8 @@
 )
 
 // Version is the protocol version. A peer with another version is rejected. Fields marked as
-// extended were added to this version later; they are sent only to peers that negotiated
-// session.ExtendedProtocol or a later one.
+// extended or described were added to this version later; they are sent only to peers with these
+// Features.
 const Version = 2
 
 // Default timing of a session. Each side sends a heartbeat at least every
