Dispatch, hand-over: a cancellation ends a copy that waits for earlier runs

The first submission had been answered 504 with a start in doubt; a copy of the request waited until that was settled.

Cause: Cancel ended a job only if it had no answer yet, and left the copy alone, which was admitted once the runs were over. A copy that waited for the runs of a hand-over was not told, either. A job that was both, handed over before and submitted here now, was cancelled in the hand-over only.

--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -215,16 +215,3 @@
 		c.giveUp(l, fault.New(fault.Draining, "this entry exits before the job has ended"))
 	}
 }
-
-// Cancel ends a job at its caller's request. It returns false for an unknown ID.
-func (c *Core) Cancel(now time.Time, id string) bool {
-	c.now = now
-	l := c.jobs.byID[id]
-	if l == nil {
-		return false
-	}
-	if !l.answered {
-		c.finish(l, Answer{Kind: AnswerUnknown, Fault: fault.New(fault.Cancelled, "cancelled by the caller")})
-	}
-	return true
-}
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -133,12 +133,10 @@
 }
 
 // Cancel cancels a job and reports whether the job is known here.
-func (d *Dispatcher) Cancel(id string) (known bool) {
-	if d.handover.Cancel(id) {
-		return true
-	}
+func (d *Dispatcher) Cancel(id string) bool {
+	handedOver, known := d.handover.Cancel(id), false
 	d.runOnCore(func(now time.Time, c *dispatch.Core) { known = c.Cancel(now, id) })
-	return known
+	return handedOver || known
 }
 
 // Pending returns how many unanswered jobs of a queue have no finished task.
--- a/internal/dispatcher/handover.go
+++ b/internal/dispatcher/handover.go
@@ -30,10 +30,8 @@
 	switch {
 	case d.began:
 		return d.flight.Run(ctx, callerLeft)
-	case d.held && d.flight.WaitSettled(ctx):
-		return dispatch.Answer{}, false
 	case d.held:
-		return dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")}, true
+		return d.flight.WaitSettled(ctx)
 	}
 	return d.flight.Wait(ctx)
 }
--- a/internal/handover/flight.go
+++ b/internal/handover/flight.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/camphorrack/camphorrack/internal/clock"
 	"github.com/camphorrack/camphorrack/internal/dispatch"
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/fault"
@@ -22,6 +21,7 @@
 	startedAt  time.Time
 	deadline   time.Time // when the caller stops waiting
 	done       chan struct{}
+	cancelled  chan struct{} // closed when its caller has cancelled the job
 
 	// Guarded by the endpoint's mutex.
 	waiters  int
@@ -86,7 +86,7 @@
 		return nil
 	}
 	f := &Flight{endpoint: e, submission: newSubmission(j), outlook: o, reason: reason,
-		startedAt: now, deadline: now.Add(remaining), done: make(chan struct{}), waiters: 1, joined: 1, attended: true, attempt: make(chan verdict, 1)}
+		startedAt: now, deadline: now.Add(remaining), done: make(chan struct{}), cancelled: make(chan struct{}), waiters: 1, joined: 1, attended: true, attempt: make(chan verdict, 1)}
 	if !sendable(&f.submission) {
 		return nil
 	}
@@ -178,11 +178,24 @@
 	}
 }
 
-// WaitSettled waits until the runs of a job whose outcome is unknown are over. It returns false
-// if the context has ended before.
-func (f *Flight) WaitSettled(ctx context.Context) bool {
-	clock.Sleep(ctx, time.Until(f.holdsUntil))
-	return ctx.Err() == nil
+// WaitSettled waits until the runs of a job whose outcome is unknown are over. ended is true, with the answer, if
+// the job was cancelled or the context has ended before.
+func (f *Flight) WaitSettled(ctx context.Context) (answer dispatch.Answer, ended bool) {
+	timer := time.NewTimer(time.Until(f.holdsUntil))
+	defer timer.Stop()
+	select {
+	case <-f.cancelled:
+		return cancelled(), true
+	case <-ctx.Done():
+		return disconnected(), true
+	case <-timer.C:
+		return dispatch.Answer{}, false
+	}
+}
+
+// cancelled is the answer to a job that its caller has cancelled.
+func cancelled() dispatch.Answer {
+	return dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "cancelled by the caller")}
 }
 
 // disconnected is the answer to a request whose caller has left.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -144,9 +144,14 @@
 	if f == nil {
 		return false
 	}
+	select {
+	case <-f.cancelled:
+	default:
+		close(f.cancelled)
+	}
 	if !f.finished {
 		e.cancelAtPeer(now, f)
-		e.finishLocked(now, f, verdict{true, dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "cancelled by the caller")}})
+		e.finishLocked(now, f, verdict{true, cancelled()})
 	}
 	return true
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -327,11 +327,30 @@
 	g.Eventually(peer.abandonedIDs).Should(Equal([]string{"1"}))
 	copied, held := first.Attach("1")
 	g.Expect(held).To(BeTrue())
-	g.Expect(copied.WaitSettled(context.Background())).To(BeTrue())
+	_, ended := copied.WaitSettled(context.Background())
+	g.Expect(ended).To(BeFalse())
 	g.Expect(time.Since(leftAt)).To(BeNumerically(">=", settleTime))
 	g.Expect(first.Knows("1")).To(BeFalse())
 }
 
+// Guards against a job that starts after it was cancelled: a copy of its request waits until the runs of a hand-over
+// are over.
+func TestCancellationEndsACopyThatWaitsForAHandover(t *testing.T) {
+	g := NewWithT(t)
+	first, peer := newEntry(t, nil), newEntry(t, nil)
+	first.know(peer.addr())
+	done := first.begin(context.Background(), "1")
+	g.Eventually(func() any { return peer.answerFunc("1") }).ShouldNot(BeNil())
+	g.Expect(first.Cancel("1")).To(BeTrue())
+	g.Eventually(done).Should(Receive(HaveField("Answer.Kind", dispatch.AnswerUnknown)))
+	copied, held := first.Attach("1")
+	g.Expect(held).To(BeTrue())
+	g.Expect(first.Cancel("1")).To(BeTrue())
+	answer, ended := copied.WaitSettled(context.Background())
+	g.Expect(ended).To(BeTrue())
+	g.Expect(answer.Fault.Code).To(Equal(fault.Cancelled))
+}
+
 // Guards against a refusal by one peer that refuses the job although another has capacity, and against
 // endless attempts.
 func TestPeersAnswerNotRun(t *testing.T) {
