Dispatch, runs: a cancellation reaches all entries, and is kept for copies of the request

The entry that gets the DELETE passes the id on to its runners with their next frame, and these pass it on to their other entries, which end the job, also one that they have handed over to a peer. A runner tells what it knows to each new session, and an entry to each new runner, for hosts that start meanwhile. An order for a cancelled job comes back as not run. Peers of earlier builds get none of it.

Runners are the way because every entry has sessions with some of them and their entries overlap; entries have sessions with each other only while they hand jobs over.

--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -27,3 +27,48 @@
 	h.Expect(h.orderCount()).To(Equal(1))
 	h.Expect(again.answers).To(HaveLen(1))
 }
+
+// Guards against a cancelled job that runs again: a copy of its request arrives seconds later, also where no copy was
+// seen before.
+func TestCopyOfACancelledJobDoesNotRun(t *testing.T) {
+	for name, known := range map[string]bool{"known": true, "not known": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			if known {
+				h.submit(h.newJob("1", 1))
+				h.reportOutcome(1, h.agents[1].nextSeq, wire.EndStopped, wire.NotRunNone)
+			}
+			h.Expect(h.Cancel(h.now, "1")).To(Equal(known))
+			orders := h.orderCount()
+			h.advance(3500 * time.Millisecond)
+			copied := h.submit(h.newJob("1", 1))
+			h.Expect(copied.answers).To(HaveExactElements(HaveField("Fault.Code", fault.Cancelled)))
+			h.Expect(h.orderCount()).To(Equal(orders))
+			h.Expect(h.Knows(h.now, "1")).To(BeTrue(), "it must not be handed over")
+		})
+	}
+}
+
+// Guards against a job that goes on because its cancellation has reached another entry.
+func TestCancellationIsPassedOn(t *testing.T) {
+	h := newHarness(t, 2)
+	h.agents[2].features = wire.ExtendedFeatures
+	h.Cancel(h.now, "elsewhere")
+	h.Cancel(h.now, "elsewhere")
+	h.Expect(h.agents[1].outgoing.Cancellations).To(Equal([]string{"elsewhere"}))
+	h.Expect(h.agents[2].outgoing.Cancellations).To(BeEmpty(), "an earlier build rejects them")
+	h.Flush()
+	h.connect(3)
+	h.Expect(h.agents[3].outgoing.Cancellations).To(Equal([]string{"elsewhere"}), "it may be the first agent")
+	h.Flush()
+
+	var handedOver []string
+	h.options.Cancelled = func(id string) { handedOver = append(handedOver, id) }
+	here := h.submit(h.newJob("here", 1))
+	for range 2 {
+		h.Receive(h.now, 1, &wire.LeasedToEntry{Cancellations: []string{"here", "elsewhere"}})
+	}
+	h.Expect(here.answers).To(HaveExactElements(HaveField("Fault.Code", fault.Cancelled)))
+	h.Expect(handedOver).To(Equal([]string{"here"}))
+	h.Expect(h.agents[1].outgoing.Cancellations).To(BeEmpty(), "its agents have passed it on")
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/scheduler/calibration"
+	"github.com/camphorrack/camphorrack/internal/scheduler/cancellation"
 	"github.com/camphorrack/camphorrack/internal/scheduler/crashloop"
 	"github.com/camphorrack/camphorrack/internal/scheduler/earliest"
 	"github.com/camphorrack/camphorrack/internal/scheduler/fairshare"
@@ -66,6 +67,8 @@
 	LinkMbps float64
 	// Waiting selects what becomes of tasks that have to wait for capacity.
 	Waiting reservation.Mode
+	// Cancelled, if set, is called for each job that was cancelled at another entry. It must not block.
+	Cancelled func(id string)
 	// Now returns the time of day. Run numbers are derived from it.
 	Now func() time.Time
 }
@@ -110,6 +113,7 @@
 	// evacuated are the data centres in which no task may start.
 	evacuated map[string]struct{}
 	crashes   *crashloop.Detector
+	cancelled cancellation.Set // jobs that were cancelled, here or at another entry
 
 	candidates      []earliest.Candidate // buffer that each placement reuses
 	candidateAgents []*agent             // agents of candidates, at the same indexes
@@ -155,7 +159,7 @@
 	return &Core{&coreState{
 		options: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, calibrations: map[string]*calibration.Regression{}, margins: map[string]*headroom.Margin{},
 		fairness: newFairness(), evacuated: map[string]struct{}{}, crashes: crashloop.New(), runTimes: newRunTimesState(),
-		link: uplink.New(o.LinkMbps),
+		link: uplink.New(o.LinkMbps), cancelled: cancellation.NewSet(wire.CancellationRetention),
 	}}
 }
 
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -15,8 +15,10 @@
 const minLinkMs = 10
 
 // Knows reports whether an ID is known: its job runs here, or its answer is kept, or runs of
-// an earlier submission may not be over. Such a submission must not be handed over.
-func (c *Core) Knows(id string) bool { return c.jobs.byID[id] != nil }
+// an earlier submission may not be over, or it was cancelled. Such a submission must not be handed over.
+func (c *Core) Knows(now time.Time, id string) bool {
+	return c.jobs.byID[id] != nil || c.cancelled.Has(now, id)
+}
 
 // Outlook returns what the core can do with a new job, for the decision whether it is handed
 // over. It admits nothing and records nothing. The fields besides the reason are set only if
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -21,10 +21,10 @@
 	o = h.Outlook(h.now, h.newJob("1", 2), true)
 	h.Expect(o.Reason()).To(Equal(peerchoice.Draining))
 	h.Expect(o.SlackMs).To(BeNumerically("~", 120, 1))
-	h.Expect(h.Knows("1")).To(BeFalse())
+	h.Expect(h.Knows(h.now, "1")).To(BeFalse())
 	h.Expect(h.calibration("q")).To(Equal(newHarness(t, 0).calibration("q")))
 	h.submit(h.newJob("1", 2))
-	h.Expect(h.Knows("1")).To(BeTrue())
+	h.Expect(h.Knows(h.now, "1")).To(BeTrue())
 }
 
 // Guards against a refusal for lack of targets although a peer may reach them, and against a
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -39,6 +39,11 @@
 func (c *Core) Submit(now time.Time, j *Job, caller *Caller, callback AnswerFunc) {
 	c.now = now
 	caller.answer = callback
+	if c.cancelled.Has(now, j.ID) {
+		event.Log(c.log, event.JobAbandoned, "job", j.ID, "before", "submit", "cancelled", true)
+		callback(cancelledAnswer())
+		return
+	}
 	if l := c.jobs.byID[j.ID]; l != nil {
 		c.handleResubmission(l, j, caller)
 		return
--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -235,7 +235,7 @@
 	h.submit(h.newJob("j", 2))
 	h.Expect(h.orderCount()).To(BeZero())
 	h.Expect(h.UnansweredJobs()).To(Equal(1))
-	h.Expect(h.Knows("j")).To(BeTrue(), "it must not be handed over")
+	h.Expect(h.Knows(h.now, "j")).To(BeTrue(), "it must not be handed over")
 	h.advance(time.Second)
 	h.Expect(h.UnansweredJobs()).To(BeZero())
 }
--- a/internal/dispatch/sessions.go
+++ b/internal/dispatch/sessions.go
@@ -19,6 +19,7 @@
 	a := &agent{conn: conn, host: h.Worker, dataCentre: h.DataCentre, features: features, attempts: map[uint64]*attempt{}, loadAt: now}
 	c.agents[conn] = a
 	c.agentsByAge = append(c.agentsByAge, a)
+	c.queueKnownCancellations(a)
 	for _, other := range c.agentsByAge {
 		if other != a && other.host == a.host {
 			event.Log(c.log, event.SessionReplaced, "conn", uint64(other.conn), "host", a.host)
@@ -85,6 +86,7 @@
 	if f.Load != nil {
 		c.updateLoad(a, f.Load)
 	}
+	c.receiveCancellations(a, f.Cancellations)
 	c.receiveRunTimes(a, f.RunTimes)
 	c.updateFleet(a, f.QueueLoads)
 	for i := range f.Crashes {
--- a/internal/dispatch/warmup_test.go
+++ b/internal/dispatch/warmup_test.go
@@ -43,7 +43,7 @@
 	h.advance(time.Second)
 	h.Expect(caller.answers).To(ConsistOf(And(HaveField("Kind", AnswerNotRun), HaveField("Fault.Code", fault.Overloaded))))
 	h.Expect(h.UnansweredJobs()).To(BeZero())
-	h.Expect(h.Knows("j")).To(BeFalse(), "it may be sent again")
+	h.Expect(h.Knows(h.now, "j")).To(BeFalse(), "it may be sent again")
 	late := h.submit(h.newJob("k", 2))
 	h.Expect(late.answers).To(HaveLen(1), "sessions are not expected any more")
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -146,6 +146,7 @@
 	s.core = dispatch.New(dispatch.Options{
 		Log: d.log, Outbox: d.sessions, DataCentre: d.options.DataCentre, LostRunLimit: d.options.LostRunLimit,
 		RemoteFactor: d.options.RemoteFactor, LinkMbps: d.options.LinkMbps, Now: time.Now,
+		Cancelled: func(id string) { d.handover.Cancel(id) },
 	})
 	s.config = &confsync.Replica{Apply: func(_ time.Time, version uint64, body []byte) error {
 		if err := d.applyConfig(version, body); err != nil {
--- a/internal/dispatcher/handover.go
+++ b/internal/dispatcher/handover.go
@@ -53,7 +53,7 @@
 		event.Log(d.log, event.JobAttached, "job", j.ID, "handed_over", true, "held", held)
 		return decision{flight: f, held: held}
 	}
-	if !mayBegin || s.core.Knows(j.ID) {
+	if !mayBegin || s.core.Knows(now, j.ID) {
 		return decision{}
 	}
 	o := s.core.Outlook(now, j, d.draining.Load())
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,7 @@
 	QueuePressure    ID = 212
 	HandoverFailed   ID = 213
 	JobAwaitsTargets ID = 214
+	JobCancelled     ID = 215
 
 	TaskPlaced      ID = 301
 	TaskReported    ID = 302
@@ -148,6 +149,7 @@
 	{QueuePressure, "queue_pressure", "a queue's share of late tasks, or its place under or over its share of the capacity, has changed clearly; or an agent's report of queue loads was rejected"},
 	{HandoverFailed, "handover_failed", "a hand-over to another entry did not lead to an answer: it was refused there, or the session with it ended"},
 	{JobAwaitsTargets, "job_awaits_targets", "no session is open yet, shortly after the start or a loss of all sessions; the job waits for targets"},
+	{JobCancelled, "job_cancelled", "a caller has cancelled a job, here or at another entry; copies of its request do not run from now on"},
 	{TaskPlaced, "task_placed", "a task was sent to a target"},
 	{TaskReported, "task_reported", "the outcome of a task was received from its target"},
 	{TaskReplaced, "task_replaced", "a task that certainly did not run is placed on another target"},
--- a/internal/runs/load.go
+++ b/internal/runs/load.go
@@ -37,7 +37,7 @@
 	var load *wire.Load
 	interval := t.activeLoadInterval()
 	for s := range t.sessions.Values() {
-		if !t.loadReportDue(s, interval) && !t.queueLoadsDue(s, interval) && !s.sendLoad && !s.sendTarget && len(s.outcomes) == 0 && s.configNote == nil && len(s.evacuations) == 0 && len(s.crashes) == 0 && len(s.offers) == 0 {
+		if !t.loadReportDue(s, interval) && !t.queueLoadsDue(s, interval) && !s.sendLoad && !s.sendTarget && len(s.outcomes) == 0 && s.configNote == nil && len(s.evacuations) == 0 && len(s.crashes) == 0 && len(s.offers) == 0 && !t.cancellationsDue(s) {
 			continue
 		}
 		if load == nil {
@@ -47,7 +47,7 @@
 		own.LastSeq = s.lastSeq
 		own.Leaving = own.Leaving || s.retiring
 		f := &wire.LeasedToEntry{Load: &own, Outcomes: s.outcomes, Config: s.configNote, Evacuations: s.evacuations, Crashes: s.crashes,
-			RunTimes: t.unsentRunTimes(s), QueueLoads: t.nextQueueLoads(s), Offers: s.offers}
+			RunTimes: t.unsentRunTimes(s), QueueLoads: t.nextQueueLoads(s), Offers: s.offers, Cancellations: s.nextCancellations()}
 		s.offers = nil
 		if s.sendTarget {
 			f.Target = &wire.LeasedTarget{
--- a/internal/runs/orders.go
+++ b/internal/runs/orders.go
@@ -15,7 +15,11 @@
 // Connect opens a session with an entry; features are the fields of frames that it understands.
 func (t *Table) Connect(now time.Time, conn ConnID, features wire.Features) {
 	t.now = now
-	t.sessions.Set(conn, &session{conn: conn, features: features, runs: map[uint64]*run{}, sendTarget: t.announced(), sendLoad: true, openedAt: now, lastOrderAt: now})
+	s := &session{conn: conn, features: features, runs: map[uint64]*run{}, sendTarget: t.announced(), sendLoad: true, openedAt: now, lastOrderAt: now}
+	t.sessions.Set(conn, s)
+	for id := range t.cancelled.IDs(now) {
+		t.queueCancellation(s, id)
+	}
 	t.loadChanged = true
 }
 
@@ -77,6 +81,7 @@
 	}
 	s.unanswered = false
 	t.lapseOffers()
+	t.receiveCancellations(s, f.Cancellations)
 	for i := range f.Orders {
 		t.receiveOrder(s, &f.Orders[i])
 	}
@@ -158,6 +163,9 @@
 	if !t.placedForTarget(s, r.order.Description) {
 		return wire.NotRunOtherTarget
 	}
+	if s.features >= wire.DescribedFeatures && t.cancelled.Has(t.now, r.id.Task.Job) {
+		return wire.NotRunRecalled // its entry gets the cancellation with the outcome
+	}
 	if t.tasks[r.id.Task] != nil {
 		return wire.NotRunAlreadyRunning // the other run may be of another owner
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -27,6 +27,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/cancellation"
 	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/scheduler/queuesim"
 	"github.com/camphorrack/camphorrack/internal/scheduler/runtimes"
@@ -270,9 +271,13 @@
 	// evacuations and crashes are sent at the next Flush.
 	evacuations []wire.Evacuation
 	crashes     []wire.Crash
-	sendTarget  bool // the target's description is to be sent at the next Flush
-	described   bool // a description was sent
-	sendLoad    bool // the load is to be sent at the next Flush
+	// cancellations are sent at the next Flush that sends a frame, or once the first has waited for
+	// cancellationDelay since cancellationsSince.
+	cancellations      []string
+	cancellationsSince time.Time
+	sendTarget         bool // the target's description is to be sent at the next Flush
+	described          bool // a description was sent
+	sendLoad           bool // the load is to be sent at the next Flush
 
 	loadInterval time.Duration // shortest interval between load reports that the entry asked for
 	loadSentAt   time.Time     // when the load was last sent
@@ -321,6 +326,7 @@
 	// evacuated holds the data centres in which nothing may start.
 	evacuated map[string]struct{}
 	runTimes  runTimesState
+	cancelled cancellation.Set // jobs that were cancelled at an entry
 
 	loadChanged  bool // the load has changed since the last Flush
 	loadUrgent   bool // the change is to be reported at once
@@ -357,7 +363,8 @@
 	return &Table{&tableState{
 		options: o, log: o.Log, sessions: orderedmap.NewOrderedMap[ConnID, *session](), tasks: map[Task]*run{},
 		targetState: newTargetState(o.Lease), evacuated: map[string]struct{}{},
-		runTimes: runTimesState{queues: runtimes.NewByQueue[*queueRunTimes](wire.MaxRunTimes)},
+		cancelled: cancellation.NewSet(wire.CancellationRetention),
+		runTimes:  runTimesState{queues: runtimes.NewByQueue[*queueRunTimes](wire.MaxRunTimes)},
 	}}
 }
 
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/camphorrack/camphorrack/internal/job"
 )
@@ -207,6 +208,8 @@
 	Offers []Offer `cbor:"8,keyasint,omitempty"`
 	// QueueLoads replace those of the frame before that had any. Extended.
 	QueueLoads []QueueLoad `cbor:"9,keyasint,omitempty"`
+	// Cancellations are the ids of jobs that their callers have cancelled, processed before the outcomes. Described.
+	Cancellations []string `cbor:"10,keyasint,omitempty"`
 }
 
 // LeasedToAgent is the part of ToAgent for a leased target.
@@ -228,8 +231,18 @@
 	Releases     []uint64      `cbor:"9,keyasint,omitempty"` // Seq of reservations to drop, with their offers
 	// Queues are the distinct queues of Orders and Reservations. Extended.
 	Queues []string `cbor:"10,keyasint,omitempty"`
+	// Cancellations are the ids of jobs that their callers have cancelled, processed before Orders. The agent passes
+	// them on to its other entries. Described.
+	Cancellations []string `cbor:"11,keyasint,omitempty"`
 }
 
+// MaxCancellations is the maximum number of cancellations in a frame.
+const MaxCancellations = 256
+
+// CancellationRetention is how long a cancellation is kept for copies of the request for its job. Such copies
+// arrive within seconds.
+const CancellationRetention = 30 * time.Second
+
 // specIndexError reports an order whose spec is missing from its frame.
 type specIndexError struct {
 	orderSeq     uint64
@@ -300,12 +313,15 @@
 	return l.distributeReservationQueues()
 }
 
+// cancellationBytes is the encoded size of a cancellation, whose id has 16 characters.
+const cancellationBytes = 17
+
 // estimatedBytes estimates the encoded size in bytes; l may be nil.
 func (l *LeasedToEntry) estimatedBytes() int {
 	if l == nil {
 		return 0
 	}
-	n := frameOverhead * (2 + len(l.Outcomes) + len(l.QueueLoads) + len(l.Offers))
+	n := frameOverhead*(2+len(l.Outcomes)+len(l.QueueLoads)+len(l.Offers)) + cancellationBytes*len(l.Cancellations)
 	for i := range l.Crashes {
 		n += frameOverhead * (1 + len(l.Crashes[i].Tasks))
 	}
@@ -323,7 +339,7 @@
 	if l == nil {
 		return 0
 	}
-	n := frameOverhead*(1+2*len(l.Reservations)) + maxSeqBytes*len(l.Releases)
+	n := frameOverhead*(1+2*len(l.Reservations)) + maxSeqBytes*len(l.Releases) + cancellationBytes*len(l.Cancellations)
 	for i := range l.Orders {
 		n += 2 * frameOverhead
 		if i == 0 || l.Orders[i].Spec != l.Orders[i-1].Spec {
