Runs: fencing tokens begin at the time of day

A runner that restarts while its target does knows neither the tokens nor the unanswered starts of the runner before. Its token was a reading of the target's clock, which begins anew with each incarnation and so is below the tokens of those starts: the next incarnation would carry them out, beside the tasks' runs elsewhere, and refuse the runner's calls until its token had passed them.

The first token is now the time of day in milliseconds, as the runner's clock has it. It rises over restarts of the runner and of the target without a record. A step of the time of day backwards is met as before: refusals double the step.

TestNextAgentFencesTheStartsOfTheOneBefore fails on the code before.

--- a/internal/leased/simhost_test.go
+++ b/internal/leased/simhost_test.go
@@ -53,7 +53,7 @@
 	case 0: // the call is executed late
 		h.w.schedule(time.Duration(2000+h.w.draw(3000))*time.Millisecond, func() {
 			s := h.named(name)
-			if s == nil || c.Incarnation != s.incarnation && !(h.table == table && s.canHaveFenced()) {
+			if s == nil || c.Incarnation != s.incarnation && !s.canHaveFenced() {
 				return
 			}
 			h.w.applyingLateStart = true
@@ -78,7 +78,7 @@
 }
 
 // canHaveFenced reports whether the runner has called the target's life for long enough to have fenced off in it
-// what it had ordered from the lives before, whether or not that one has been announced.
+// what it or an earlier runner had ordered from the lives before, whether or not that one has been announced.
 func (s *simTarget) canHaveFenced() bool {
 	h := s.host
 	since := max(s.renewedAt, h.ordersLostUntil, h.succession.endedAt)
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -175,10 +175,7 @@
 	t.health = newRating()
 	t.forgetEnds()
 	t.lease.Clock.Set(t.now, a.ClockMs)
-	t.token = a.ClockMs
-	if t.earlierToken > 0 {
-		t.token = max(t.token, t.earlierToken+1) // fences the calls for earlier lives that are carried out late
-	}
+	t.token = t.firstToken()
 	for r := range t.runs.Values() {
 		if r.carried && r.startsOpen > 0 {
 			t.unansweredAt = t.now // its call may be under way
--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -435,3 +435,19 @@
 	call, _ = h.NextRenewal(h.now)
 	h.Expect(call.RetryDelay).To(Equal(repeatedRenewRetryDelay))
 }
+
+// Guards against two runs of a task: an agent has ended with its starts under way, and the next life of the target
+// carries one out after the first call of the next agent, which knows of neither.
+func TestNextAgentFencesTheStartsOfTheOneBefore(t *testing.T) {
+	h := newHarness(t)
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.answerStart(0, NoAnswer)
+	late := h.target.starts
+	h.now = h.now.Add(time.Second)
+	h.Table = New(Options{Log: h.log, Target: h.target, Outbox: h.outbox, Lease: testLease})
+	h.rebirth()
+	call, _ := h.NextRenewal(h.now)
+	for _, start := range late {
+		h.Expect(call.Token).To(BeNumerically(">", start.Token))
+	}
+}
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -48,7 +48,7 @@
 		return
 	}
 	t.lease.Clock.Set(now, l.ClockMs)
-	if l.StaleToken || c.Token == 0 {
+	if l.StaleToken {
 		t.raiseToken(c.Token)
 		return // an earlier agent can still change the listed state until this agent's token is in force
 	}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -95,7 +95,7 @@
 // RenewCall renews the lease, acknowledges ended runs and requests the list of running ones.
 type RenewCall struct {
 	Incarnation  Incarnation
-	Token        int64         // 0 before the target's clock is known
+	Token        int64
 	LeaseUntilMs int64         // 0: don't renew; on the target's clock
 	AckCursor    uint64        // Seq of the last EndedRun that was processed
 	Wait         time.Duration // how long the target may wait for a run to end before it answers
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -9,15 +9,18 @@
 // maxTokenStep limits the growth of the fencing token, as a power of two.
 const maxTokenStep = 40
 
-// raiseToken sets a fencing token above one that the target has refused. An earlier agent has usually
-// presented a time of the target's own clock, which has passed since, but may have left a far higher one in
-// an earlier incarnation: steps that double pass it within some tens of refusals. A refusal of an older
-// token than the present one says nothing.
+// firstToken returns the first token for an incarnation: the time of day in milliseconds, so that it fences what an
+// earlier agent has called late for this incarnation or the one before, and nothing has to be stored.
+func (t *Table) firstToken() int64 { return max(t.now.UnixMilli(), t.earlierToken+1) }
+
+// raiseToken sets a fencing token above one that the target has refused. An earlier agent has presented a time that
+// has passed since, unless the time of day was set back, by hours at the worst: steps that double pass it within some
+// tens of refusals. A refusal of an older token than the present one says nothing.
 func (t *Table) raiseToken(refused int64) {
 	if refused < t.token {
 		return
 	}
-	t.token = max(t.token+1<<min(t.tokenRefusals, maxTokenStep), t.lease.Clock.Ms(t.now))
+	t.token = max(t.token+1<<min(t.tokenRefusals, maxTokenStep), t.now.UnixMilli())
 	t.tokenRefusals++
 }
 
--- a/internal/runs/targetstate.go
+++ b/internal/runs/targetstate.go
@@ -29,7 +29,7 @@
 	// silentTasks are the tasks that were active when the target stopped answering.
 	silentTasks []wire.TaskRef
 
-	token             int64     // 0: not yet drawn
+	token             int64     // 0: no target is known
 	tokenRefusals     int       // refused tokens since the last listing
 	earlierToken      int64     // the highest token presented to earlier incarnations of the name
 	unansweredAt      time.Time // when a call that requests a lease last had no answer of the incarnation that it was for
