Runs: an announcement that comes just before the first answer of a restarted target counts

An announcement of the next incarnation is a claim until the address answers for it. If the answer to a renewal showed that incarnation first, the answer to the claim's probe dropped the announcement, and the target had no work until the next one, up to an interval later.

TestAnnouncementJustBeforeTheFirstAnswerCounts fails on the code before.

--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -451,3 +451,17 @@
 		h.Expect(call.Token).To(BeNumerically(">", start.Token))
 	}
 }
+
+// Guards against a target without work until its next announcement: the first one of its next life has come just before
+// the answer that shows that life.
+func TestAnnouncementJustBeforeTheFirstAnswerCounts(t *testing.T) {
+	h := newHarness(t)
+	call, _ := h.NextRenewal(h.now)
+	h.incarnation.StartedMs += 5000
+	h.Announce(h.now, Announcement{Incarnation: h.incarnation, Service: "s", Capacity: job.Demand{CPUMilli: 10_000, MemoryMB: 1000}, ClockMs: youngClockMs, Seq: 1})
+	h.Renewed(h.now, h.now, call, Listing{ClockMs: youngClockMs, StartedMs: h.incarnation.StartedMs})
+	h.answerProbes(youngClockMs)
+	h.renewWith()
+	h.sendOrder(testConn, 1, task("a", 0), 7)
+	h.Expect(h.target.starts).To(HaveLen(1))
+}
--- a/internal/runs/succession.go
+++ b/internal/runs/succession.go
@@ -151,6 +151,9 @@
 	s := t.targetNamed(c.Incarnation.Name)
 	if s != nil && s.targetKnown && s.target.Incarnation == c.Incarnation {
 		t.claims = slices.Delete(t.claims, i, i+1) // it was adopted meanwhile: its runs go on
+		if s.unannounced {
+			t.update(s, c.Announcement)
+		}
 		return
 	}
 	if !answersFor(c, s, l) {
