--- a/internal/runs/incarnation_test.go
+++ b/internal/runs/incarnation_test.go
@@ -224,12 +224,7 @@
 // the first call that this life accepts must turn it away.
 func TestLateStartOfASettledRunIsFencedInTheNextLife(t *testing.T) {
 	h := newHarness(t)
-	h.sendOrder(testConn, 1, task("a", 0), 7)
-	h.loseStartAnswers()
-	h.Stopped(h.now, h.target.stops[0], Accepted)
-	h.advance(time.Millisecond)
-	h.renewWith()
-	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(1), HaveField("End", wire.EndNotRun)))
+	h.settleUnanswered()
 	for range 3 {
 		h.rebirth()
 		call, _ := h.NextRenewal(h.now)
