Dispatch, runs: a result outlasts a cancellation, and the order of labels means nothing

Found on reading the changes before: a copy of the request for a job that had completed and was cancelled afterwards was answered as cancelled, where it got the result before; and a target that lists its labels in another order would have had its queue returned with each announcement. Both have a test that fails on the code before.

--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -72,3 +72,12 @@
 	h.Expect(handedOver).To(Equal([]string{"here"}))
 	h.Expect(h.agents[1].outgoing.Cancellations).To(BeEmpty(), "its agents have passed it on")
 }
+
+// Guards against a job that was completed and is answered as cancelled to a copy of its request.
+func TestCancellationAfterTheResultChangesNothing(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit(h.newJob("1", 1))
+	h.reportOutcome(1, h.agents[1].nextSeq, wire.EndDone, wire.NotRunNone)
+	h.Expect(h.Cancel(h.now, "1")).To(BeTrue())
+	h.Expect(h.submit(h.newJob("1", 1)).answers).To(HaveExactElements(HaveField("Kind", AnswerComplete)))
+}
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -39,16 +39,21 @@
 func (c *Core) Submit(now time.Time, j *Job, caller *Caller, callback AnswerFunc) {
 	c.now = now
 	caller.answer = callback
-	if c.cancelled.Has(now, j.ID) {
+	l := c.jobs.byID[j.ID]
+	switch {
+	case c.cancelled.Has(now, j.ID) && (l == nil || !l.hasResult()):
 		event.Log(c.log, event.JobAbandoned, "job", j.ID, "before", "submit", "cancelled", true)
 		callback(cancelledAnswer())
-		return
-	}
-	if l := c.jobs.byID[j.ID]; l != nil {
+	case l != nil:
 		c.handleResubmission(l, j, caller)
-		return
+	default:
+		c.admitOrRefuse(j, caller)
 	}
-	c.admitOrRefuse(j, caller)
+}
+
+// hasResult reports whether the job has completed or failed.
+func (l *liveJob) hasResult() bool {
+	return l.answered && (l.answer.Kind == AnswerComplete || l.answer.Kind == AnswerFailed)
 }
 
 // handleResubmission handles a job whose ID is known. If the earlier submission is still
@@ -62,7 +67,7 @@
 	switch {
 	case !l.answered && !l.givingUp:
 		l.addCaller(c.now, caller)
-	case l.answered && (l.answer.Kind == AnswerComplete || l.answer.Kind == AnswerFailed):
+	case l.hasResult():
 		caller.answer(l.answer)
 	case l.openAttempts == 0:
 		c.jobs.remove(l)
--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -79,7 +79,8 @@
 
 // differsInKind reports whether a task that was placed by another announcement may not fit any more.
 func (a *Announcement) differsInKind(other *Announcement) bool {
-	return a.Service != other.Service || a.DataCentre != other.DataCentre || !slices.Equal(a.Labels, other.Labels)
+	sameLabels := slices.Equal(slices.Sorted(slices.Values(a.Labels)), slices.Sorted(slices.Values(other.Labels)))
+	return a.Service != other.Service || a.DataCentre != other.DataCentre || !sameLabels
 }
 
 // UnstoredTarget returns the announcement of the target that gets new runs, and whether it is to be stored: it
--- a/internal/runs/succession_test.go
+++ b/internal/runs/succession_test.go
@@ -326,12 +326,15 @@
 	h.Expect(h.outcomes(testConn)).To(HaveKeyWithValue(uint64(3), HaveField("Reason", wire.NotRunOtherTarget)))
 }
 
-// Guards against orders that are returned because the target's capacity has changed: a runner checks that itself.
-func TestDescriptionKeepsItsNumberWhenCapacityChanges(t *testing.T) {
+// Guards against orders that are returned although they fit: a runner checks the capacity itself, and the order of
+// labels means nothing.
+func TestDescriptionKeepsItsNumberWhenItsOrdersFit(t *testing.T) {
 	h := newHarness(t)
 	a := h.tableState.target
-	a.Seq, a.Capacity.CPUMilli = a.Seq+1, 6000
+	a.Seq, a.Labels = a.Seq+1, []string{"a", "b"}
+	h.Announce(h.now, a)
 	number := h.description
+	a.Seq, a.Labels, a.Capacity.CPUMilli = a.Seq+1, []string{"b", "a"}, 6000
 	h.Announce(h.now, a)
 	h.Expect(h.description).To(Equal(number))
 }
