--- a/internal/runs/incarnation.go
+++ b/internal/runs/incarnation.go
@@ -45,18 +45,15 @@
 }
 
 func (t *Table) updateAnnouncement(a Announcement) {
-	nowLeaving := a.Leaving && !t.target.Leaving
-	firstAnnounced := t.unannounced
-	if nowLeaving {
+	previous, first := t.target, t.unannounced
+	if a.Leaving && !previous.Leaving {
 		event.Log(t.log, event.TargetLeaving, "target", a.Incarnation.Name, "seq", a.Seq)
 	}
-	previousTarget := t.target
-	previous := previousTarget.Capacity
 	t.target, t.restored, t.unannounced = a, false, false
 	t.lease.Clock.Set(t.now, a.ClockMs)
 	t.loadChanged = true
-	if firstAnnounced {
-		t.logAnnounced(previousTarget, true)
+	if first {
+		t.logAnnounced(previous, true)
 	}
 	if t.superseded {
 		return
@@ -65,16 +62,21 @@
 		t.rejectQueued(wire.NotRunLeaving)
 	}
 	t.rejectQueuedIfEvacuated()
-	if firstAnnounced || a.differsInKind(&previousTarget) {
-		t.rejectReservations(wire.NotRunOtherTarget)
-		t.rejectQueued(wire.NotRunOtherTarget)
-		t.unstored = true
-		t.describeTarget()
+	if first || a.differsInKind(&previous) {
+		t.handleOtherKind()
 	}
-	if a.Capacity != previous {
-		t.handleResize(previous)
+	if a.Capacity != previous.Capacity {
+		t.handleResize(previous.Capacity)
 	}
-	t.unstored = t.unstored || nowLeaving || a.Capacity != previous
+	t.unstored = t.unstored || a.Leaving && !previous.Leaving || a.Capacity != previous.Capacity
+}
+
+// handleOtherKind applies a changed description of a running target: what was placed by the last one may not fit.
+func (t *Table) handleOtherKind() {
+	t.rejectReservations(wire.NotRunOtherTarget)
+	t.rejectQueued(wire.NotRunOtherTarget)
+	t.unstored = true
+	t.describeTarget()
 }
 
 // differsInKind reports whether a task that was placed by another announcement may not fit any more.
--- a/internal/runs/listing.go
+++ b/internal/runs/listing.go
@@ -37,14 +37,7 @@
 		return
 	}
 	if l.StartedMs != 0 && l.StartedMs != c.Incarnation.StartedMs {
-		if c.LeaseUntilMs != 0 && !l.StaleToken {
-			t.unansweredAt = now
-		}
-		event.Log(t.log, event.TargetRestarted, "target", t.target.Incarnation.Name, "born_ms", l.StartedMs, "clock_ms", l.ClockMs,
-			"known_born_ms", t.target.Incarnation.StartedMs, "silent_ms", clock.Millis(now.Sub(t.lastAnswerAt)), "token", c.Token, "stale_token", l.StaleToken,
-			"running", len(l.Running), "runs", t.runs.Len())
-		t.noteListedByNextIncarnation(l.Running)
-		t.adoptUnannounced(&l) // it has restarted under its name
+		t.restarted(c, &l)
 		return
 	}
 	t.lease.Clock.Set(now, l.ClockMs)
@@ -64,6 +57,18 @@
 	t.reconcile(calledAt, &l)
 }
 
+// restarted handles the answer to a renewal that shows that the target has restarted under its name.
+func (t *Table) restarted(c RenewCall, l *Listing) {
+	if c.LeaseUntilMs != 0 && !l.StaleToken {
+		t.unansweredAt = t.now
+	}
+	event.Log(t.log, event.TargetRestarted, "target", t.target.Incarnation.Name, "born_ms", l.StartedMs, "clock_ms", l.ClockMs,
+		"known_born_ms", t.target.Incarnation.StartedMs, "silent_ms", clock.Millis(t.now.Sub(t.lastAnswerAt)), "token", c.Token, "stale_token", l.StaleToken,
+		"running", len(l.Running), "runs", t.runs.Len())
+	t.noteListedByNextIncarnation(l.Running)
+	t.adoptUnannounced(l)
+}
+
 // applyEnds settles the runs that the target newly lists as ended.
 func (t *Table) applyEnds(ended []EndedRun) {
 	for _, e := range ended {
