--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -62,15 +62,15 @@
 	}
 	if next := l.resubmission; next != nil {
 		l.resubmission = nil
-		next.caller.answer(cancelledAnswer())
+		next.caller.answer(CancelledAnswer())
 	}
 	if !l.answered {
-		c.finish(l, cancelledAnswer())
+		c.finish(l, CancelledAnswer())
 	}
 	return true
 }
 
-// cancelledAnswer is the answer to a job that its caller has cancelled.
-func cancelledAnswer() Answer {
+// CancelledAnswer returns the answer to a job that its caller has cancelled.
+func CancelledAnswer() Answer {
 	return Answer{Kind: AnswerUnknown, Fault: fault.New(fault.Cancelled, "cancelled by the caller")}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -159,7 +159,7 @@
 	return &Core{&coreState{
 		options: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, calibrations: map[string]*calibration.Regression{}, margins: map[string]*headroom.Margin{},
 		fairness: newFairness(), evacuated: map[string]struct{}{}, crashes: crashloop.New(), runTimes: newRunTimesState(),
-		link: uplink.New(o.LinkMbps), cancelled: cancellation.NewSet(wire.CancellationRetention),
+		link: uplink.New(o.LinkMbps), cancelled: cancellation.NewSet(cancellation.Retention),
 	}}
 }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -43,7 +43,7 @@
 	switch {
 	case c.cancelled.Has(now, j.ID) && (l == nil || !l.hasResult()):
 		event.Log(c.log, event.JobAbandoned, "job", j.ID, "before", "submit", "cancelled", true)
-		callback(cancelledAnswer())
+		callback(CancelledAnswer())
 	case l != nil:
 		c.handleResubmission(l, j, caller)
 	default:
--- a/internal/handover/flight.go
+++ b/internal/handover/flight.go
@@ -185,7 +185,7 @@
 	defer timer.Stop()
 	select {
 	case <-f.cancelled:
-		return cancelled(), true
+		return dispatch.CancelledAnswer(), true
 	case <-ctx.Done():
 		return disconnected(), true
 	case <-timer.C:
@@ -193,11 +193,6 @@
 	}
 }
 
-// cancelled is the answer to a job that its caller has cancelled.
-func cancelled() dispatch.Answer {
-	return dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "cancelled by the caller")}
-}
-
 // disconnected is the answer to a request whose caller has left.
 func disconnected() dispatch.Answer {
 	return dispatch.Answer{Kind: dispatch.AnswerUnknown, Fault: fault.New(fault.Cancelled, "the caller has left")}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -151,7 +151,7 @@
 	}
 	if !f.finished {
 		e.cancelAtPeer(now, f)
-		e.finishLocked(now, f, verdict{true, cancelled()})
+		e.finishLocked(now, f, verdict{true, dispatch.CancelledAnswer()})
 	}
 	return true
 }
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -363,7 +363,7 @@
 	return &Table{&tableState{
 		options: o, log: o.Log, sessions: orderedmap.NewOrderedMap[ConnID, *session](), tasks: map[Task]*run{},
 		targetState: newTargetState(o.Lease), evacuated: map[string]struct{}{},
-		cancelled: cancellation.NewSet(wire.CancellationRetention),
+		cancelled: cancellation.NewSet(cancellation.Retention),
 		runTimes:  runTimesState{queues: runtimes.NewByQueue[*queueRunTimes](wire.MaxRunTimes)},
 	}}
 }
--- a/internal/runs/stop.go
+++ b/internal/runs/stop.go
@@ -14,8 +14,7 @@
 func (t *Table) firstToken() int64 { return max(t.now.UnixMilli(), t.earlierToken+1) }
 
 // raiseToken sets a fencing token above one that the target has refused. An earlier agent has presented a time that
-// has passed since, unless the time of day was set back, by hours at the worst: steps that double pass it within some
-// tens of refusals. A refusal of an older token than the present one says nothing.
+// has passed since, unless the time of day was set back: steps that double pass it within some tens of refusals. A refusal of an older token than the present one says nothing.
 func (t *Table) raiseToken(refused int64) {
 	if refused < t.token {
 		return
--- a/internal/scheduler/cancellation/cancellation.go
+++ b/internal/scheduler/cancellation/cancellation.go
@@ -1,8 +1,7 @@
 // Package cancellation remembers which jobs were cancelled.
 //
-// It answers the following load: a caller cancels its job, and seconds later a copy of the request for it arrives, at
-// an entry that may never have had the job, or the order for a task of it at an agent. Cancellations come in bursts of
-// hundreds; a set is bounded, and then forgets the oldest first.
+// It answers the following load: hundreds of callers cancel their jobs at once, and seconds later copies of the
+// requests arrive, also at entries that never had the jobs. A full set forgets the oldest first.
 package cancellation
 
 import (
@@ -12,6 +11,9 @@
 	"github.com/elliotchance/orderedmap/v3"
 )
 
+// Retention is how long a cancellation is kept: copies of a request arrive within seconds.
+const Retention = 30 * time.Second
+
 // maxIDs bounds a Set: 1 MB of ids and times.
 const maxIDs = 1 << 14
 
--- a/internal/wire/leased.go
+++ b/internal/wire/leased.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/camphorrack/camphorrack/internal/job"
 )
@@ -239,10 +238,6 @@
 // MaxCancellations is the maximum number of cancellations in a frame.
 const MaxCancellations = 256
 
-// CancellationRetention is how long a cancellation is kept for copies of the request for its job. Such copies
-// arrive within seconds.
-const CancellationRetention = 30 * time.Second
-
 // specIndexError reports an order whose spec is missing from its frame.
 type specIndexError struct {
 	orderSeq     uint64
