Decoding: lists are bounded before their elements are decoded

Callers saw: legal bodies with very many small elements, each answered with 400 in the end, ended the process for want of memory. Cause: the limits of steps, tasks and ids were checked once all elements were in memory, at 100 times the size of the body on the users' path (200 bytes for a step of 3) and 20 times on our own; our own path also copies the body into the decoder's buffer. Why it works: the elements of a list are counted in the text, which takes no memory, and a list that is too long is refused before it is decoded.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -14,6 +14,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/jsonlist"
 )
 
 // maxCancelIDs bounds one batch of cancellations, so that it occupies the control
@@ -56,7 +57,13 @@
 // decodeStrict decodes a body that must be one JSON value without unknown fields and without
 // trailing data: a misspelt field would otherwise be ignored silently, together with the value
 // that the caller set. The error is a *fault.Fault that names the field.
+//
+// No array that a body may have is longer than maxCancelIDs; longer ones are refused before memory is
+// allocated for their elements.
 func decodeStrict(body []byte, v any) error {
+	if err := jsonlist.Check(body, maxCancelIDs, jsonlist.AnyDepth); err != nil {
+		return fault.Input(fault.BadBody, "body", err.Error())
+	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
--- /dev/null
+++ b/internal/localfleet/clients_test.go
@@ -0,0 +1,88 @@
+package localfleet
+
+import (
+	"context"
+	"encoding/base64"
+	"io"
+	"net/http"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/standin/crowd"
+)
+
+// entryMemoryMB is the memory that a daemon may use.
+const entryMemoryMB = 128
+
+// clientsFleet is an entry with one target, and the expectations of a test.
+type clientsFleet struct {
+	*WithT
+	*Fleet
+	entry *Process
+}
+
+func startClientsFleet(t *testing.T, flags ...string) *clientsFleet {
+	g := NewWithT(t)
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", bin+"/", "../../apps/camphorrack-entry", "../../apps/camphorrack-agent", "../../apps/camphorrack-standin-target").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	f := &clientsFleet{WithT: g, Fleet: New(Options{BinDir: bin, Key: "a key of sixteen bytes and more"})}
+	t.Cleanup(func() { f.Close() })
+	ctx := context.Background()
+	f.entry, err = f.StartEntry(ctx, "entry", "", nil, flags...)
+	g.Expect(err).NotTo(HaveOccurred())
+	agent, err := f.StartAgent(ctx, "worker", "", []string{f.entry.Addr})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = f.StartTarget(ctx, TargetOptions{Name: "target", Agent: agent.Addr, Slots: 4, Speed: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(f.freshJob, "20s", "50ms").Should(Equal(http.StatusOK))
+	return f
+}
+
+// freshJob submits a job on a connection of its own and returns the status of the answer; 0: none.
+func (f *clientsFleet) freshJob() int {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	payload := base64.StdEncoding.EncodeToString([]byte(`{"run_ms":20}`))
+	response, err := client.Post("http://"+f.entry.Addr+"/v1/jobs", "application/json",
+		strings.NewReader(`{"team":"t","class":"c","tasks":[{"payload":"`+payload+`"}]}`))
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close() // only the status is of interest
+	return response.StatusCode
+}
+
+// expectOrdinaryService expects that the entry lives, has stayed within its memory and answers a job.
+func (f *clientsFleet) expectOrdinaryService() {
+	time.Sleep(time.Second) // the crowd stays
+	f.Expect(f.entry.Crashed()).To(BeFalse())
+	f.Eventually(f.freshJob, "40s", "100ms").Should(Equal(http.StatusOK))
+	peak, err := crowd.PeakMemoryMB(f.entry.PID())
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(peak).To(BeNumerically("<=", entryMemoryMB), "resident memory in MB at its peak")
+}
+
+// Guards against legal bodies that decode to many times their size.
+func TestMemoryWhileBodiesAreDecoded(t *testing.T) {
+	for name, body := range map[string]string{
+		"small tasks": `{"team":"t","class":"c","tasks":[` + strings.Repeat(`{},`, job.MaxBodyBytes/3-100) + `{}]}`,
+		"ids":         `{"ids":[` + strings.Repeat(`"",`, job.MaxBodyBytes/3-100) + `""]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startClientsFleet(t)
+			path := "/v1/jobs"
+			if name == "ids" {
+				path = "/v1/cancel"
+			}
+			r := crowd.Request{Method: http.MethodPost, Path: path, Host: "entry", Body: body}
+			open := crowd.Open(f.entry.Addr, 12, func(_ int, w io.Writer) error { return r.Send(w) })
+			defer open.Close()
+			f.expectOrdinaryService()
+		})
+	}
+}
--- /dev/null
+++ b/internal/scheduler/connlimit/connlimit.go
@@ -0,0 +1,194 @@
+// Package connlimit decides which connections a server gives up when its clients hold too many
+// connections, or too many bytes of requests that it can't answer yet.
+//
+// It answers the load of clients that stop in the middle of a request: thousands of connections, each
+// with a body that lacks its last byte, or that arrives a few bytes at a time. Their number is bounded
+// only by the descriptors of the process, and their bodies only by its memory. Refusing newcomers once
+// a limit is reached would serve nobody else, since such clients never leave. A client that behaves
+// sends its request within milliseconds, so what has waited longest for its client is given up. For
+// memory, a wait counts in proportion to the bytes that are held: byte-seconds, which grow for a
+// client that sends a byte now and then as they do for one that sends nothing.
+//
+// A request that was received whole is never given up. The package has no network, clock and
+// goroutine; callers pass in the time.
+package connlimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Limits bound what all clients of a server hold together; 0: unlimited.
+type Limits struct {
+	Conns int   // open connections
+	Bytes int64 // bodies that are being received, or whose requests have no answer yet
+}
+
+// Phase says which side of a connection has to act.
+type Phase uint8
+
+// Phases of a connection.
+const (
+	Idle      Phase = iota // the client has sent no complete header since the connection was opened or the last response
+	Receiving              // the body of a request is incomplete
+	Serving                // the request is complete and has no response yet
+	Answered               // the response was sent before the body was complete
+)
+
+// evictionShare is the part of a limit that is freed at a time, as a divisor. Selecting connections
+// takes time in proportion to their number, and a crowd reaches the limit again at once.
+const evictionShare = 32
+
+// conn is a connection. Its client has been expected to send since a time, except in phase Serving.
+type conn struct {
+	phase  Phase
+	since  time.Time
+	bytes  int64
+	number uint64 // in the order in which connections were opened
+}
+
+// Table holds the connections of a server, which K identifies. It is not safe for concurrent use.
+type Table[K comparable] struct {
+	limits Limits
+	conns  map[K]*conn
+	bytes  int64
+	opened uint64
+}
+
+// New returns a table without connections.
+func New[K comparable](limits Limits) *Table[K] {
+	return &Table[K]{limits: limits, conns: map[K]*conn{}}
+}
+
+// SetLimits sets the limits. Lower ones apply to the next connection or body.
+func (t *Table[K]) SetLimits(limits Limits) { t.limits = limits }
+
+// Limits returns the limits.
+func (t *Table[K]) Limits() Limits { return t.limits }
+
+// Len returns the number of open connections.
+func (t *Table[K]) Len() int { return len(t.conns) }
+
+// Bytes returns the bytes that all connections hold.
+func (t *Table[K]) Bytes() int64 { return t.bytes }
+
+// Open adds a connection. If there are too many, it returns those that must be closed, which are
+// removed: the ones that have waited longest for their clients. It returns false, and does not add
+// the connection, if all others are being served.
+func (t *Table[K]) Open(now time.Time, key K) (evicted []K, ok bool) {
+	if t.limits.Conns > 0 && len(t.conns) >= t.limits.Conns {
+		excess := len(t.conns) - t.limits.Conns + 1
+		evicted = t.longestWaiting(now, max(excess, t.limits.Conns/evictionShare))
+		for _, k := range evicted {
+			t.Close(k)
+		}
+		if len(t.conns) >= t.limits.Conns {
+			return evicted, false
+		}
+	}
+	t.opened++
+	t.conns[key] = &conn{since: now, number: t.opened}
+	return evicted, true
+}
+
+// SetPhase records that a connection has entered a phase. The wait for its client begins with Idle
+// and with Receiving; with Answered it goes on.
+func (t *Table[K]) SetPhase(now time.Time, key K, phase Phase) {
+	c := t.conns[key]
+	if c == nil {
+		return
+	}
+	if phase == Idle || phase == Receiving {
+		c.since = now
+	}
+	c.phase = phase
+}
+
+// Phase returns the phase of a connection, and since when its client has been expected to send; false
+// for one that is not open.
+func (t *Table[K]) Phase(key K) (phase Phase, since time.Time, open bool) {
+	c := t.conns[key]
+	if c == nil {
+		return 0, time.Time{}, false
+	}
+	return c.phase, c.since, true
+}
+
+// Hold adds bytes to those that a connection in phase Receiving holds. If all hold too many, it
+// returns the connections whose bodies must be given up, which are in phase Answered from now on and
+// hold nothing: those with the most byte-seconds. It returns false if the connection itself is one
+// of them, or if it is not in phase Receiving.
+func (t *Table[K]) Hold(now time.Time, key K, bytes int64) (evicted []K, ok bool) {
+	c := t.conns[key]
+	if c == nil || c.phase != Receiving {
+		return nil, false
+	}
+	c.bytes += bytes
+	t.bytes += bytes
+	if t.limits.Bytes == 0 || t.bytes <= t.limits.Bytes {
+		return nil, true
+	}
+	for _, k := range t.mostByteSeconds(now) {
+		evicted = append(evicted, k)
+		t.release(t.conns[k])
+		t.conns[k].phase = Answered
+		if k == key || t.bytes <= t.limits.Bytes-t.limits.Bytes/evictionShare {
+			break
+		}
+	}
+	return evicted, c.phase == Receiving
+}
+
+// Release records that a connection holds no bytes any more.
+func (t *Table[K]) Release(key K) {
+	if c := t.conns[key]; c != nil {
+		t.release(c)
+	}
+}
+
+func (t *Table[K]) release(c *conn) {
+	t.bytes -= c.bytes
+	c.bytes = 0
+}
+
+// Close removes a connection.
+func (t *Table[K]) Close(key K) {
+	t.Release(key)
+	delete(t.conns, key)
+}
+
+// Waiting returns the connections that have waited for their clients since a time or longer.
+func (t *Table[K]) Waiting(since time.Time) (keys []K) {
+	for k, c := range t.conns {
+		if c.phase != Serving && !c.since.After(since) {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// longestWaiting returns up to n connections that wait for their clients, the longest wait first.
+func (t *Table[K]) longestWaiting(now time.Time, n int) []K {
+	keys := t.Waiting(now)
+	slices.SortFunc(keys, func(a, b K) int {
+		x, y := t.conns[a], t.conns[b]
+		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.number, y.number))
+	})
+	return keys[:min(n, len(keys))]
+}
+
+// mostByteSeconds returns the connections in phase Receiving, the most byte-seconds first.
+func (t *Table[K]) mostByteSeconds(now time.Time) (keys []K) {
+	byteSeconds := map[K]float64{}
+	for k, c := range t.conns {
+		if c.phase == Receiving && c.bytes > 0 {
+			keys = append(keys, k)
+			byteSeconds[k] = float64(c.bytes) * now.Sub(c.since).Seconds()
+		}
+	}
+	slices.SortFunc(keys, func(a, b K) int {
+		return cmp.Or(cmp.Compare(byteSeconds[b], byteSeconds[a]), cmp.Compare(t.conns[a].number, t.conns[b].number))
+	})
+	return keys
+}
