Connections: an answer that needs no body doesn't wait for it

Callers saw: a request that is refused whatever its body says (no such queue or path, bad id or method, a GET or DELETE with a body) got its answer only once the body was whole; clients that stop short kept the connection for good. Cause: net/http reads up to 256 KB of an unread body before it writes the response, without a limit of time. Why it works: the response is held until the handler has returned, and sent with its length before the rest of the body is read.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,7 +73,7 @@
 	a.fanOut = config.NewFanOut(a.replica)
 	a.metrics.RegisterConfig(a.replica)
 	a.unusedConns = httpconn.NewUnusedConns()
-	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerTimeout, ConnState: a.unusedConns.Track}
+	a.server = &http.Server{Handler: httpconn.AnswerEarly(a.handler()), ReadHeaderTimeout: headerTimeout, ConnState: a.unusedConns.Track}
 	return a, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 	e.unusedConns = httpconn.NewUnusedConns()
 	e.server = &http.Server{
 		ConnState: e.unusedConns.Track,
-		Handler:   e.api.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler:   httpconn.AnswerEarly(e.api.handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.options.MaxTimeout + writeSlack,
 		// net/http would print its errors to stderr as plain text; they are for debugging only.
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
--- a/internal/leased/server.go
+++ b/internal/leased/server.go
@@ -173,7 +173,7 @@
 // connections. The caller holds the lock, except in NewServer.
 func (s *Server) startGeneration() {
 	server := &http.Server{
-		Handler: http.HandlerFunc(s.serveHTTP), ConnContext: s.connContext,
+		Handler: httpconn.AnswerEarly(http.HandlerFunc(s.serveHTTP)), ConnContext: s.connContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.conns.Track(c, state)
 			if state == http.StateNew {
--- a/internal/localfleet/clients_test.go
+++ b/internal/localfleet/clients_test.go
@@ -86,3 +86,16 @@
 		})
 	}
 }
+
+// Guards against an answer that waits for a body which is not needed for it.
+func TestRefusalsDoNotWaitForTheBody(t *testing.T) {
+	f := startClientsFleet(t)
+	for path, status := range map[string]int{"/nowhere": http.StatusNotFound, "/v1/jobs?other=1": http.StatusBadRequest, "/v1/token": http.StatusNotFound} {
+		const clients = 20
+		r := crowd.Request{Method: http.MethodPost, Path: path, Host: "entry", Body: crowd.Filler(100 << 10), Withheld: 1}
+		open := crowd.Open(f.entry.Addr, clients, func(_ int, w io.Writer) error { return r.Send(w) })
+		f.Expect(open.ReadStatuses(20*time.Second)).To(Equal(map[int]int{status: clients}), path)
+		open.Close()
+	}
+	f.expectOrdinaryService()
+}
