Connections: a limit for each endpoint, which the longest wait pays

Callers saw: no connection to an entry, nor did the balancer, the store and the runners, once clients with one byte of a body each had taken all descriptors; they kept them for good. Cause: no bound on connections, and nothing that ends one whose body doesn't come. A client that does not take its answer is closed after 10 s.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"github.com/camphorrack/camphorrack/internal/leased"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/routing"
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 	"github.com/camphorrack/camphorrack/internal/scheduler/membership"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
@@ -44,6 +45,7 @@
 	LostRunLimit     time.Duration // see dispatch.Options
 	RemoteFactor     float64       // see dispatch.Options
 	MemoryMB         int           // memory limit of the host; see leased.LimitMemory
+	Descriptors      int           // file descriptors for connections; 0: unknown
 	ProcessorShare   float64       // processor time available to the process, in cores
 	LinkMbps         float64       // bandwidth of the host's network link; 0: unknown
 
@@ -227,17 +229,26 @@
 	sessionRouter.GET(session.EntryPath, func(g *gin.Context) { d.handover.Serve(g.Writer, g.Request) })
 	metricsRouter := gin.New()
 	metricsRouter.GET(leased.MetricsPath, leased.Metrics(d.log, d.metrics.Registry, d.refreshMetrics))
+	host := leased.HostLimits(d.options.MemoryMB, d.options.Descriptors)
+	other := connlimit.ForEndpoint(host)
 	callerServer, err := d.servers.Listen(d.log, connLimits(routing.Limits{}), withConn,
-		leased.Endpoint{Purpose: "runners", Addr: d.options.SessionAddr, Handler: sessionRouter},
-		leased.Endpoint{Purpose: "the balancer", Addr: d.options.ReadyAddr, Handler: d.options.NewReadinessHandler(d.ready)},
-		leased.Endpoint{Purpose: "metrics", Addr: d.options.MetricsAddr, Handler: metricsRouter},
-		leased.Endpoint{Purpose: "targets", Addr: d.options.TargetsAddr, Handler: http.HandlerFunc(rejectTarget)},
-		leased.Endpoint{Purpose: "callers", Addr: d.options.CallerAddr, Handler: d.options.NewCallerHandler(d)},
+		leased.Endpoint{Purpose: "runners", Addr: d.options.SessionAddr, Handler: sessionRouter, Clients: other},
+		leased.Endpoint{Purpose: "the balancer", Addr: d.options.ReadyAddr, Handler: d.options.NewReadinessHandler(d.ready), Clients: other},
+		leased.Endpoint{Purpose: "metrics", Addr: d.options.MetricsAddr, Handler: metricsRouter, Clients: other},
+		leased.Endpoint{Purpose: "targets", Addr: d.options.TargetsAddr, Handler: http.HandlerFunc(rejectTarget), Clients: other},
+		leased.Endpoint{Purpose: "callers", Addr: d.options.CallerAddr, Handler: d.options.NewCallerHandler(d), Clients: connlimit.ForCallers(host)},
 	)
 	d.callerServer = callerServer
+	d.servers.RegisterGauges(d.metrics.RegisterGauge)
 	return err
 }
 
+// SetHost sets the limits of the host, when the operator has changed them.
+func (d *Dispatcher) SetHost(memoryMB, descriptors int) {
+	leased.LimitMemory(memoryMB)
+	d.callerServer.SetClientLimits(connlimit.ForCallers(leased.HostLimits(memoryMB, descriptors)))
+}
+
 // rejectTarget answers a target's announcement with 503: targets announce themselves to the
 // runner on their own host.
 func rejectTarget(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -43,7 +43,7 @@
 	}
 	closeCtx, cancelClose := context.WithDeadline(context.Background(), deadline)
 	defer cancelClose()
-	e.server.RegisterOnShutdown(e.unusedConns.Close) // runs once the listener is closed
+	e.server.RegisterOnShutdown(func() { _ = e.guard.Drain(closeCtx) }) // runs once the listener is closed; Shutdown returns the error
 	if closeErr := e.server.Shutdown(closeCtx); err == nil && closeErr != nil {
 		err = errors.Wrap(closeErr, "close callers' connections")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,14 +37,14 @@
 
 // Entry is the entry daemon.
 type Entry struct {
-	options     Options
-	log         logr.Logger
-	clock       clock.Clock
-	api         *api
-	control     *controlLoop
-	listener    net.Listener
-	server      *http.Server
-	unusedConns *httpconn.UnusedConns
+	options  Options
+	log      logr.Logger
+	clock    clock.Clock
+	api      *api
+	control  *controlLoop
+	listener net.Listener
+	server   *http.Server
+	guard    *httpconn.Guard
 
 	draining  atomic.Bool
 	drainOnce sync.Once
@@ -109,10 +109,11 @@
 	e.api.config = newConfiguration(e)
 	e.api.agents.config = e.api.config
 	metrics.RegisterConfig(e.api.config.replica)
-	e.unusedConns = httpconn.NewUnusedConns()
+	e.guard = httpconn.NewGuard(e.log, "callers", e.options.clientLimits())
+	e.guard.Register("http.callers", metrics.RegisterGauge)
 	e.server = &http.Server{
-		ConnState: e.unusedConns.Track,
-		Handler:   httpconn.AnswerEarly(e.api.handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: e.guard.Track, ConnContext: e.guard.ConnContext,
+		Handler: e.guard.Handler(e.api.handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		WriteTimeout: e.options.MaxTimeout + writeSlack,
 		// net/http would print its errors to stderr as plain text; they are for debugging only.
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.log.V(logging.LevelDebug)), slog.LevelInfo),
@@ -127,7 +128,7 @@
 	go e.control.Run()
 	e.api.config.start(e.control)
 	go func() {
-		if err := e.server.Serve(httpconn.NewLoggingListener(e.listener, e.log)); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.server.Serve(e.guard.Listener(httpconn.NewLoggingListener(e.listener, e.log))); !errors.Is(err, http.ErrServerClosed) {
 			e.finish(errors.Wrap(err, "serve"))
 		}
 	}()
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 package entry
 
 import (
+	"cmp"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -14,10 +15,12 @@
 	"time"
 
 	"github.com/camphorrack/camphorrack/internal/config/follower"
+	"github.com/camphorrack/camphorrack/internal/httpconn"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/logging"
 	"github.com/camphorrack/camphorrack/internal/owner"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 	"github.com/camphorrack/camphorrack/internal/settings"
 )
 
@@ -39,6 +42,7 @@
 	SnapshotInterval time.Duration      // longest time between snapshots of the configuration; at most half of the log's retention
 	MaxTimeout       time.Duration
 	MaxJobs          int
+	MaxConnections   int // open connections of callers; 0: a share of the process's file descriptors
 	LogPlacements    int // one task placement in LogPlacements is logged; 0: none
 	LogLevel         int
 	Policy           string
@@ -64,6 +68,7 @@
 	s.DurationVar(&o.SnapshotInterval, "snapshot-every", follower.DefaultSnapshotInterval, "longest time between snapshots of the configuration; at most half of the log's retention")
 	s.DurationVar(&o.MaxTimeout, "max-timeout", 10*time.Minute, "longest time from now to a submission's deadline")
 	s.IntVar(&o.MaxJobs, "max-jobs", owner.DefaultMaxJobs, "most submission ids held")
+	s.IntVar(&o.MaxConnections, "max-connections", 0, "most open connections of callers and peers without a session (default: 3/4 of the process's file descriptors)")
 	s.IntVar(&o.LogPlacements, "log-placements", 1, "log one placement of a task in so many; 0: none")
 	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: reports and forwards too, 2: debugging")
 	s.StringVar(&o.Policy, "policy", string(owner.PolicyLeastWork), "how tasks reach targets: "+policyNames())
@@ -94,6 +99,7 @@
 	s.AddCheck("log", func() string { return checkLogURL(o.LogURL) })
 	s.AddCheck("snapshot-every", func() string { return settings.MessageIf(o.SnapshotInterval < time.Second, "takes 1s or more") })
 	s.AddCheck("max-jobs", func() string { return settings.MessageIf(o.MaxJobs < 1, "takes 1 or more") })
+	s.AddCheck("max-connections", func() string { return settings.MessageIf(o.MaxConnections < 0, "takes 0 or more") })
 	s.AddCheck("log-placements", func() string { return settings.MessageIf(o.LogPlacements < 0, "takes 0 or more") })
 	s.AddCheck("log-level", func() string { return settings.MessageIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
 	s.AddCheck("policy", func() string {
@@ -136,6 +142,13 @@
 
 func (o *Options) key() job.Key { return job.Key(o.Key) }
 
+// clientLimits returns the limits on what all clients hold together.
+func (o *Options) clientLimits() connlimit.Limits {
+	limits := connlimit.ForCallers(connlimit.Host{Descriptors: httpconn.DescriptorLimit()})
+	limits.Conns = cmp.Or(o.MaxConnections, limits.Conns)
+	return limits
+}
+
 func (o *Options) drainTimeout() time.Duration {
 	if o.DrainTimeout == 0 {
 		return o.MaxTimeout + drainSlack
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,7 @@
 	ControlSlow     ID = 111
 	EntryStarting   ID = 112
 	ProcessStarved  ID = 113
+	ClientsGivenUp  ID = 114
 
 	JobAccepted      ID = 201
 	JobRefused       ID = 202
@@ -135,6 +136,7 @@
 	{ControlSlow, "control_slow", "one turn of the control goroutine took long; requests and heartbeats waited behind it"},
 	{EntryStarting, "entry_starting", "an entry listens and fetches the newest configuration; it accepts no work until process_started"},
 	{ProcessStarved, "process_starved", "the process was short of processor time: the sum of short pauses within about two seconds reached a limit"},
+	{ClientsGivenUp, "clients_given_up", "connections or requests of clients that stand still were given up; the line has their number since the last line by reason, at most one line a second"},
 	{JobAccepted, "job_accepted", "a submission was accepted"},
 	{JobRefused, "job_refused", "a submission was refused and did not run"},
 	{JobComplete, "job_complete", "every task succeeded and the answer is complete"},
--- a/internal/httpconn/drain.go
+++ b/internal/httpconn/drain.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"sync"
 	"time"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
 const (
@@ -15,41 +14,19 @@
 	firstRequestTimeout = time.Second
 )
 
-// Conns are the open connections of an http.Server.
-//
-// http.Server.Shutdown closes a connection without a response if it reads a request after Shutdown was
-// called, and the sender can't tell whether the request has run. Drain answers such requests.
-type Conns struct {
-	mu    sync.Mutex
-	conns map[net.Conn]connState
-}
-
-type connState struct {
-	http.ConnState
-	since time.Time
-}
-
-// NewConns returns an empty set.
-func NewConns() *Conns { return &Conns{conns: map[net.Conn]connState{}} }
-
-// Track records the state of a connection. It is the ConnState hook of an http.Server.
-func (c *Conns) Track(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.conns, conn)
-		return
-	}
-	c.conns[conn] = connState{state, time.Now()}
-}
+// drainTimeouts are the limits of the phases in a drain.
+var drainTimeouts = connlimit.Timeouts{connlimit.New: firstRequestTimeout, connlimit.Idle: 1}
 
 // Drain closes idle connections and waits until the others have ended. Call it after the listener is
 // closed, while each response ends its connection. A request that arrives on an idle connection as it is
 // closed gets no response. The error is that of the context.
-func (c *Conns) Drain(ctx context.Context) error {
+//
+// http.Server.Shutdown closes a connection without a response if it reads a request after Shutdown was
+// called, and the sender can't tell whether the request has run. Drain answers such requests.
+func (g *Guard) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for c.closeIdle() > 0 {
+	for g.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -59,14 +36,12 @@
 	return nil
 }
 
-// closeIdle closes the connections without a request and returns how many are open.
-func (c *Conns) closeIdle() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, s := range c.conns {
-		if s.ConnState == http.StateIdle || s.ConnState == http.StateNew && time.Since(s.since) >= firstRequestTimeout {
-			_ = conn.Close() // the peer may have closed it already
-		}
-	}
-	return len(c.conns)
+// closeIdle closes the connections that need not be waited for and returns how many others are open.
+func (g *Guard) closeIdle() int {
+	g.mu.Lock()
+	expired := g.expire(time.Now(), drainTimeouts, ClosedInDrain)
+	open := g.table.Len()
+	g.mu.Unlock()
+	closeAll(expired)
+	return open
 }
--- a/internal/httpconn/early.go
+++ b/internal/httpconn/early.go
@@ -21,44 +21,61 @@
 // limit of time. The connection is kept if the rest arrives within lingerTime, and closed otherwise.
 func AnswerEarly(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == nil || r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
-			return
-		}
-		body := &trackedBody{ReadCloser: r.Body}
-		request := *r
-		request.Body = body
-		response := &heldResponse{ResponseWriter: w}
-		next.ServeHTTP(response, &request)
-		if body.complete {
-			response.send()
-			return
-		}
-		controller := http.NewResponseController(w)
-		_ = controller.EnableFullDuplex() // fails for protocols that need not be told
-		response.send()
-		// A failure to flush or to set the deadline means that the connection is broken.
-		if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = io.CopyN(io.Discard, body, lingerBytes) // what counts is whether the body is complete now
-		if !body.complete {
-			_ = controller.SetReadDeadline(time.Unix(1, 0)) // or net/http reads on
-			panic(http.ErrAbortHandler)
-		}
+		serve(next, w, r, phaseHooks{complete: func() {}, answered: func() {}})
 	})
 }
 
+// phaseHooks are called when the request is complete, if that is before the response, and when the
+// handler has returned.
+type phaseHooks struct{ complete, answered func() }
+
+// serve serves a request as described for AnswerEarly.
+func serve(next http.Handler, w http.ResponseWriter, r *http.Request, hooks phaseHooks) {
+	if r.Body == nil || r.Body == http.NoBody {
+		hooks.complete()
+		next.ServeHTTP(w, r)
+		hooks.answered()
+		return
+	}
+	body := &trackedBody{ReadCloser: r.Body, onComplete: hooks.complete}
+	request := *r
+	request.Body = body
+	response := &heldResponse{ResponseWriter: w}
+	next.ServeHTTP(response, &request)
+	body.onComplete = func() {}
+	hooks.answered()
+	if body.complete {
+		response.send()
+		return
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.EnableFullDuplex() // fails for protocols that need not be told
+	response.send()
+	// A failure to flush or to set the deadline means that the connection is broken.
+	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.CopyN(io.Discard, body, lingerBytes) // what counts is whether the body is complete now
+	if !body.complete {
+		_ = controller.SetReadDeadline(time.Unix(1, 0)) // or net/http reads on
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // trackedBody is the body of a request and records whether it was read to its end.
 type trackedBody struct {
 	io.ReadCloser
-	complete bool
+	complete   bool
+	onComplete func()
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.complete = b.complete || errors.Is(err, io.EOF)
+	if errors.Is(err, io.EOF) && !b.complete {
+		b.complete = true
+		b.onComplete()
+	}
 	return n, err
 }
 
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -20,6 +20,8 @@
 
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/gauges"
+	"github.com/camphorrack/camphorrack/internal/httpconn"
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 	"github.com/camphorrack/camphorrack/internal/session"
 )
 
@@ -102,6 +104,15 @@
 // counts towards it.
 func LimitMemory(limitMB int) { debug.SetMemoryLimit(int64(limitMB) << 20 * 2 / 3) }
 
+// HostLimits returns what a process has on its host. Without a known number of descriptors for connections
+// it is the process's own limit.
+func HostLimits(memoryMB, descriptors int) connlimit.Host {
+	if descriptors <= 0 {
+		descriptors = httpconn.DescriptorLimit()
+	}
+	return connlimit.Host{MemoryBytes: int64(memoryMB) << 20, Descriptors: descriptors}
+}
+
 // Metrics returns the handler of the metrics page in the format of WriteMetrics. refresh
 // copies the figures of the control state for each request, so that they cost nothing
 // between requests. If it fails, the page shows the previous figures.
--- a/internal/leased/server.go
+++ b/internal/leased/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/httpconn"
 	"github.com/camphorrack/camphorrack/internal/logging"
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
 // acceptRetryDelay is how long a server waits after a failed accept. The usual cause is that
@@ -50,8 +52,7 @@
 	retiring    atomic.Bool               // set by Retire
 	serving     atomic.Bool               // Serve has been called
 	closeBy     atomic.Pointer[time.Time] // until when Serve accepts connections after Shutdown was called
-	conns       *httpconn.Conns
-	untracked   atomic.Int64  // accepted connections that are not in conns yet
+	guard       *httpconn.Guard
 	accepted    chan struct{} // closed when Serve ends
 
 	mu          sync.Mutex
@@ -99,6 +100,7 @@
 	Purpose string // for the log and errors
 	Addr    string
 	Handler http.Handler
+	Clients connlimit.Limits // see httpconn.Guard
 }
 
 // Listen binds the address of each endpoint and returns the server of the last one, or nil
@@ -114,12 +116,20 @@
 		if err != nil {
 			return nil, err
 		}
+		server.SetClientLimits(endpoint.Clients)
 		s.servers = append(s.servers, server)
 		last = server
 	}
 	return last, nil
 }
 
+// RegisterGauges registers gauges of what the clients of each server hold; see httpconn.Guard.
+func (s *Servers) RegisterGauges(register httpconn.RegisterGauge) {
+	for _, server := range s.servers {
+		server.guard.Register("http."+strings.ReplaceAll(server.purpose, " ", "_"), register)
+	}
+}
+
 // Serve starts a goroutine for each server, which serves until Close.
 func (s *Servers) Serve() {
 	for _, server := range s.servers {
@@ -148,7 +158,7 @@
 // NewServer is like Listen, with a listener that is open already.
 func NewServer(log logr.Logger, purpose string, listener net.Listener, handler http.Handler, limits ConnLimits,
 	connContext func(context.Context, net.Conn) context.Context) *Server {
-	s := &Server{log: log, purpose: purpose, listener: listener, handler: handler, connContext: connContext, limits: limits, accepted: make(chan struct{}), conns: httpconn.NewConns()}
+	s := &Server{log: log, purpose: purpose, listener: listener, handler: handler, connContext: connContext, limits: limits, accepted: make(chan struct{}), guard: httpconn.NewGuard(log, purpose, connlimit.Limits{})}
 	s.startGeneration()
 	return s
 }
@@ -173,13 +183,7 @@
 // connections. The caller holds the lock, except in NewServer.
 func (s *Server) startGeneration() {
 	server := &http.Server{
-		Handler: httpconn.AnswerEarly(http.HandlerFunc(s.serveHTTP)), ConnContext: s.connContext,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			s.conns.Track(c, state)
-			if state == http.StateNew {
-				s.untracked.Add(-1)
-			}
-		},
+		Handler: s.guard.Handler(http.HandlerFunc(s.serveHTTP)), ConnContext: s.contextOf, ConnState: s.guard.Track,
 		MaxHeaderBytes: s.limits.HeaderBytes, ReadHeaderTimeout: s.limits.HeaderTimeout, IdleTimeout: s.limits.IdleTimeout,
 		// net/http logs plain text, which is only useful for debugging.
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(s.log.V(logging.LevelDebug)), slog.LevelInfo),
@@ -189,6 +193,18 @@
 	go func() { _ = server.Serve(g) }() // ends with the generation
 }
 
+// contextOf returns the context of the requests of a connection.
+func (s *Server) contextOf(ctx context.Context, c net.Conn) context.Context {
+	ctx = s.guard.ConnContext(ctx, c)
+	if s.connContext != nil {
+		ctx = s.connContext(ctx, c)
+	}
+	return ctx
+}
+
+// SetClientLimits sets the limits on what all clients hold together. Without a call there are none.
+func (s *Server) SetClientLimits(limits connlimit.Limits) { s.guard.SetLimits(limits) }
+
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.retiring.Load() {
 		w.Header().Set("Connection", "close")
@@ -221,7 +237,9 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.assign(c)
+		if s.guard.Admit(c) {
+			s.assign(c)
+		}
 		s.awaitQuietBacklog()
 	}
 }
@@ -252,15 +270,11 @@
 		}
 	}
 	_ = s.listener.Close() // an error only means that it is closed already
-	for s.untracked.Load() > 0 && time.Now().Before(closeBy) && ctx.Err() == nil {
-		time.Sleep(time.Millisecond)
-	}
 }
 
 // assign passes a connection to the current generation, or closes it if the server is
 // closed.
 func (s *Server) assign(c net.Conn) {
-	s.untracked.Add(1)
 	for {
 		g := s.currentGeneration()
 		select {
@@ -269,7 +283,7 @@
 		case <-g.closed:
 		}
 		if g == s.currentGeneration() { // the server is closed
-			s.untracked.Add(-1)
+			s.guard.Forget(c)
 			_ = c.Close()
 			return
 		}
@@ -281,11 +295,12 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Retire()
 	s.stopAccepting(ctx)
-	return s.conns.Drain(ctx)
+	return s.guard.Drain(ctx)
 }
 
 // Close closes the server and its connections at once.
 func (s *Server) Close() {
+	s.guard.Close()
 	_ = s.listener.Close()
 	for _, server := range s.allHTTPServers() {
 		_ = server.Close() // the process ends, or has never served
--- a/internal/localfleet/clients_test.go
+++ b/internal/localfleet/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
 	"os/exec"
@@ -67,6 +68,12 @@
 	f.Expect(peak).To(BeNumerically("<=", entryMemoryMB), "resident memory in MB at its peak")
 }
 
+// withhold sends a submission that lacks the end of its body.
+func withhold(body string, withheld int) func(int, io.Writer) error {
+	r := crowd.Request{Method: http.MethodPost, Path: "/v1/jobs", Host: "entry", Body: body, Withheld: withheld}
+	return func(_ int, w io.Writer) error { return r.Send(w) }
+}
+
 // Guards against legal bodies that decode to many times their size.
 func TestMemoryWhileBodiesAreDecoded(t *testing.T) {
 	for name, body := range map[string]string{
@@ -87,6 +94,18 @@
 	}
 }
 
+// Guards against clients that take all descriptors of an entry with a byte of their body.
+func TestDescriptorsWithBodiesThatStopShort(t *testing.T) {
+	const connections = 200
+	f := startClientsFleet(t, fmt.Sprintf("-max-connections=%d", connections))
+	open := crowd.Open(f.entry.Addr, 2*connections, withhold(crowd.Filler(1000), 999))
+	defer open.Close()
+	f.expectOrdinaryService()
+	descriptors, err := crowd.Descriptors(f.entry.PID())
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(descriptors).To(BeNumerically("<=", connections+50), "with those of sessions and files")
+}
+
 // Guards against an answer that waits for a body which is not needed for it.
 func TestRefusalsDoNotWaitForTheBody(t *testing.T) {
 	f := startClientsFleet(t)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/camphorrack/camphorrack/internal/leased"
 	"github.com/camphorrack/camphorrack/internal/platformlog"
 	"github.com/camphorrack/camphorrack/internal/runs"
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 	"github.com/camphorrack/camphorrack/internal/scheduler/lease"
 	"github.com/camphorrack/camphorrack/internal/wire"
 )
@@ -52,6 +53,7 @@
 	Lease            lease.Terms
 	LeaseUnsafe      bool // Lease can't prevent that runs overlap; see lease.NewTerms
 	MemoryMB         int  // the host's memory limit for the process
+	Descriptors      int  // file descriptors for connections; 0: unknown
 
 	Store              platformlog.KeyedLog
 	Target             Target
@@ -220,10 +222,12 @@
 func (r *Runner) listen() error {
 	page := gin.New()
 	page.GET(leased.MetricsPath, leased.Metrics(r.log, r.metrics.Registry, r.refreshMetrics))
+	limits := connlimit.ForEndpoint(leased.HostLimits(r.options.MemoryMB, r.options.Descriptors))
 	_, err := r.servers.Listen(r.log, leased.ConnLimits{HeaderTimeout: headerTimeout}, nil,
-		leased.Endpoint{Purpose: "the target", Addr: r.options.TargetsAddr, Handler: r.options.NewTargetHandler(r)},
-		leased.Endpoint{Purpose: "metrics", Addr: r.options.MetricsAddr, Handler: page},
+		leased.Endpoint{Purpose: "the target", Addr: r.options.TargetsAddr, Handler: r.options.NewTargetHandler(r), Clients: limits},
+		leased.Endpoint{Purpose: "metrics", Addr: r.options.MetricsAddr, Handler: page, Clients: limits},
 	)
+	r.servers.RegisterGauges(r.metrics.RegisterGauge)
 	return err
 }
 
--- a/internal/scheduler/connlimit/connlimit.go
+++ b/internal/scheduler/connlimit/connlimit.go
@@ -30,17 +30,22 @@
 
 // Phases of a connection.
 const (
-	Idle      Phase = iota // the client has sent no complete header since the connection was opened or the last response
+	New       Phase = iota // no header of a request is complete yet
+	Idle                   // the last request was answered, and the header of the next one is not complete
 	Receiving              // the body of a request is incomplete
 	Serving                // the request is complete and has no response yet
-	Answered               // the response was sent before the body was complete
+	Answered               // the response is complete, but not sent, or it was sent before the body was complete
+	phases
 )
 
+// Timeouts limit, by phase, how long a connection may wait for its client; 0: unlimited.
+type Timeouts [phases]time.Duration
+
 // evictionShare is the part of a limit that is freed at a time, as a divisor. Selecting connections
 // takes time in proportion to their number, and a crowd reaches the limit again at once.
 const evictionShare = 32
 
-// conn is a connection. Its client has been expected to send since a time, except in phase Serving.
+// conn is a connection, in its phase since a time.
 type conn struct {
 	phase  Phase
 	since  time.Time
@@ -56,8 +61,8 @@
 	opened uint64
 }
 
-// New returns a table without connections.
-func New[K comparable](limits Limits) *Table[K] {
+// NewTable returns a table without connections.
+func NewTable[K comparable](limits Limits) *Table[K] {
 	return &Table[K]{limits: limits, conns: map[K]*conn{}}
 }
 
@@ -79,7 +84,7 @@
 func (t *Table[K]) Open(now time.Time, key K) (evicted []K, ok bool) {
 	if t.limits.Conns > 0 && len(t.conns) >= t.limits.Conns {
 		excess := len(t.conns) - t.limits.Conns + 1
-		evicted = t.longestWaiting(now, max(excess, t.limits.Conns/evictionShare))
+		evicted = t.longestWaiting(max(excess, t.limits.Conns/evictionShare))
 		for _, k := range evicted {
 			t.Close(k)
 		}
@@ -92,27 +97,20 @@
 	return evicted, true
 }
 
-// SetPhase records that a connection has entered a phase. The wait for its client begins with Idle
-// and with Receiving; with Answered it goes on.
+// SetPhase records that a connection has entered a phase, in which the wait for its client begins.
 func (t *Table[K]) SetPhase(now time.Time, key K, phase Phase) {
-	c := t.conns[key]
-	if c == nil {
-		return
-	}
-	if phase == Idle || phase == Receiving {
-		c.since = now
+	if c := t.conns[key]; c != nil {
+		c.phase, c.since = phase, now
 	}
-	c.phase = phase
 }
 
-// Phase returns the phase of a connection, and since when its client has been expected to send; false
-// for one that is not open.
-func (t *Table[K]) Phase(key K) (phase Phase, since time.Time, open bool) {
+// Phase returns the phase of a connection; false for one that is not open.
+func (t *Table[K]) Phase(key K) (phase Phase, open bool) {
 	c := t.conns[key]
 	if c == nil {
-		return 0, time.Time{}, false
+		return 0, false
 	}
-	return c.phase, c.since, true
+	return c.phase, true
 }
 
 // Hold adds bytes to those that a connection in phase Receiving holds. If all hold too many, it
@@ -131,8 +129,7 @@
 	}
 	for _, k := range t.mostByteSeconds(now) {
 		evicted = append(evicted, k)
-		t.release(t.conns[k])
-		t.conns[k].phase = Answered
+		t.GiveUp(now, k)
 		if k == key || t.bytes <= t.limits.Bytes-t.limits.Bytes/evictionShare {
 			break
 		}
@@ -140,6 +137,12 @@
 	return evicted, c.phase == Receiving
 }
 
+// GiveUp records that the body of a connection is given up: it is in phase Answered and holds nothing.
+func (t *Table[K]) GiveUp(now time.Time, key K) {
+	t.Release(key)
+	t.SetPhase(now, key, Answered)
+}
+
 // Release records that a connection holds no bytes any more.
 func (t *Table[K]) Release(key K) {
 	if c := t.conns[key]; c != nil {
@@ -158,19 +161,31 @@
 	delete(t.conns, key)
 }
 
-// Waiting returns the connections that have waited for their clients since a time or longer.
-func (t *Table[K]) Waiting(since time.Time) (keys []K) {
+// Expired returns the connections that have waited for their clients for as long as the timeout of their
+// phase.
+func (t *Table[K]) Expired(now time.Time, timeouts Timeouts) (keys []K) {
 	for k, c := range t.conns {
-		if c.phase != Serving && !c.since.After(since) {
+		if limit := timeouts[c.phase]; c.phase != Serving && limit > 0 && now.Sub(c.since) >= limit {
 			keys = append(keys, k)
 		}
 	}
 	return keys
 }
 
+// Forgive shortens all waits by a time in which the process stood still, which says nothing of its clients.
+func (t *Table[K]) Forgive(stall time.Duration) {
+	for _, c := range t.conns {
+		c.since = c.since.Add(stall)
+	}
+}
+
 // longestWaiting returns up to n connections that wait for their clients, the longest wait first.
-func (t *Table[K]) longestWaiting(now time.Time, n int) []K {
-	keys := t.Waiting(now)
+func (t *Table[K]) longestWaiting(n int) (keys []K) {
+	for k, c := range t.conns {
+		if c.phase != Serving {
+			keys = append(keys, k)
+		}
+	}
 	slices.SortFunc(keys, func(a, b K) int {
 		x, y := t.conns[a], t.conns[b]
 		return cmp.Or(x.since.Compare(y.since), cmp.Compare(x.number, y.number))
--- a/internal/scheduler/connlimit/connlimit_test.go
+++ b/internal/scheduler/connlimit/connlimit_test.go
@@ -13,7 +13,7 @@
 // them, would be refused.
 func TestLongestWaitIsClosedForANewConnection(t *testing.T) {
 	g := NewWithT(t)
-	table := New[string](Limits{Conns: 3})
+	table := NewTable[string](Limits{Conns: 3})
 	for i, key := range []string{"idle", "served", "receiving"} {
 		_, ok := table.Open(start.Add(time.Duration(i)*time.Second), key)
 		g.Expect(ok).To(BeTrue())
@@ -32,7 +32,7 @@
 // Guards against closing a connection whose request was received whole.
 func TestRequestsBeingServedAreNeverEvicted(t *testing.T) {
 	g := NewWithT(t)
-	table := New[int](Limits{Conns: 2, Bytes: 100})
+	table := NewTable[int](Limits{Conns: 2, Bytes: 100})
 	for key := range 2 {
 		table.Open(start, key)
 		table.SetPhase(start, key, Receiving)
@@ -56,7 +56,7 @@
 // which nobody could send a body any more.
 func TestBytesAreReleased(t *testing.T) {
 	g := NewWithT(t)
-	table := New[int](Limits{Bytes: 100})
+	table := NewTable[int](Limits{Bytes: 100})
 	for key := range 3 {
 		table.Open(start, key)
 		table.SetPhase(start, key, Receiving)
@@ -78,7 +78,7 @@
 // already.
 func TestLowerLimitsApplyToACrowdThatIsThere(t *testing.T) {
 	g := NewWithT(t)
-	table := New[int](Limits{Conns: 100, Bytes: 1000})
+	table := NewTable[int](Limits{Conns: 100, Bytes: 1000})
 	for key := range 100 {
 		table.Open(start, key)
 		table.SetPhase(start, key, Receiving)
@@ -93,3 +93,20 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(table.Bytes()).To(BeNumerically("<=", 200))
 }
+
+// Guards against clients that are given up because the process stood still, and against waits that never
+// end.
+func TestTimeoutsOfThePhases(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable[string](Limits{})
+	for key, phase := range map[string]Phase{"new": New, "idle": Idle, "receiving": Receiving, "serving": Serving, "answered": Answered} {
+		table.Open(start, key)
+		table.SetPhase(start, key, phase)
+	}
+	timeouts := Timeouts{Receiving: 30 * time.Second, Serving: time.Second, Answered: 10 * time.Second}
+	g.Expect(table.Expired(start.Add(9*time.Second), timeouts)).To(BeEmpty())
+	g.Expect(table.Expired(start.Add(10*time.Second), timeouts)).To(ConsistOf("answered"))
+	table.Forgive(5 * time.Second)
+	g.Expect(table.Expired(start.Add(10*time.Second), timeouts)).To(BeEmpty())
+	g.Expect(table.Expired(start.Add(35*time.Second), timeouts)).To(ConsistOf("answered", "receiving"))
+}
--- a/internal/scheduler/connlimit/replay_test.go
+++ b/internal/scheduler/connlimit/replay_test.go
@@ -153,9 +153,9 @@
 
 // replayTable plays the load against a Table.
 func replayTable(trickle bool) outcome {
-	table := New[*body](Limits{Bytes: replayLimit})
+	table := NewTable[*body](Limits{Bytes: replayLimit})
 	return replay(trickle, func(now time.Time, _ []*body, b *body, held int64) []*body {
-		if _, _, open := table.Phase(b); !open {
+		if _, open := table.Phase(b); !open {
 			table.Open(now, b)
 			table.SetPhase(now, b, Receiving)
 		}
