Connections: bodies have a budget of memory, which the most byte-seconds pay

Callers saw: the process of an entry ended for want of memory while clients sent large legal bodies, with a length or in chunks of any size, and stopped short of their end; they stayed for as long as they liked. Cause: each body is buffered whole before anything is decided about it, with no bound on time and none on all bodies together; our own path also allocated the announced length at once. Why it works: one function reads bodies for both paths. Its buffer grows with what has come, and is counted in a budget of an eighth of the memory until the body is decoded. When it is full, the bodies with the most bytes times seconds are given up; one that trickles counts like one that stands. A body that is not whole after 30 s is given up too, times in which this process stood still not counted. The answer is 504 (408 on our own path): 429 and 503 would promise that the job never runs, and a copy of it may be running here or elsewhere.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -108,6 +108,7 @@
 	exitAt       atomic.Pointer[time.Time] // when a drain ends; nil: not draining
 	startedAt    time.Time
 	routes       atomic.Pointer[routing.Table]
+	host         atomic.Pointer[connlimit.Host]
 	routesKnown  chan struct{} // closed when the first configuration is in force
 	usableAgents atomic.Int64
 	// informedPeers is the number of other dispatchers that would pass a configuration on to this one.
@@ -176,9 +177,20 @@
 		close(d.routesKnown)
 	}
 	d.callerServer.SetLimits(connLimits(table.Limits))
+	d.updateClientLimits()
 	return nil
 }
 
+// updateClientLimits sets the limits on what all callers hold together. There is always room for a body of
+// the largest size, and for the buffer that it grows from.
+func (d *Dispatcher) updateClientLimits() {
+	limits := connlimit.ForCallers(*d.host.Load())
+	if table := d.routes.Load(); table != nil {
+		limits.Bytes = max(limits.Bytes, 2*table.Limits.BodyBytes)
+	}
+	d.callerServer.SetClientLimits(limits)
+}
+
 // connLimits returns the limits of callers' connections, with the defaults for those that
 // the operator has not set.
 func connLimits(l routing.Limits) leased.ConnLimits {
@@ -230,6 +242,7 @@
 	metricsRouter := gin.New()
 	metricsRouter.GET(leased.MetricsPath, leased.Metrics(d.log, d.metrics.Registry, d.refreshMetrics))
 	host := leased.HostLimits(d.options.MemoryMB, d.options.Descriptors)
+	d.host.Store(&host)
 	other := connlimit.ForEndpoint(host)
 	callerServer, err := d.servers.Listen(d.log, connLimits(routing.Limits{}), withConn,
 		leased.Endpoint{Purpose: "runners", Addr: d.options.SessionAddr, Handler: sessionRouter, Clients: other},
@@ -246,7 +259,9 @@
 // SetHost sets the limits of the host, when the operator has changed them.
 func (d *Dispatcher) SetHost(memoryMB, descriptors int) {
 	leased.LimitMemory(memoryMB)
-	d.callerServer.SetClientLimits(connlimit.ForCallers(leased.HostLimits(memoryMB, descriptors)))
+	host := leased.HostLimits(memoryMB, descriptors)
+	d.host.Store(&host)
+	d.updateClientLimits()
 }
 
 // rejectTarget answers a target's announcement with 503: targets announce themselves to the
--- a/internal/entry/cancelbatch.go
+++ b/internal/entry/cancelbatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/fault"
 	"github.com/camphorrack/camphorrack/internal/forward"
+	"github.com/camphorrack/camphorrack/internal/httpconn"
 	"github.com/camphorrack/camphorrack/internal/job"
 )
 
@@ -29,12 +30,13 @@
 
 // cancelMany serves POST /v1/cancel.
 func (a *api) cancelMany(g *gin.Context) {
-	body, err := a.readBody(g)
+	body, err := readBody(g.Request)
 	if err != nil {
 		writeFault(g, "", err)
 		return
 	}
 	idTexts, err := decodeCancel(body)
+	httpconn.ReleaseBody(g.Request)
 	if err != nil {
 		writeFault(g, "", err)
 		return
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/httpconn"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/jsonlist"
 )
@@ -34,20 +35,18 @@
 
 // readBody reads a request's body of at most job.MaxBodyBytes. The error is a *fault.Fault.
 func readBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength > job.MaxBodyBytes {
+	body, err := httpconn.ReadBody(r, job.MaxBodyBytes)
+	var tooLong *http.MaxBytesError
+	var givenUp *httpconn.GivenUpError
+	switch {
+	case errors.As(err, &tooLong):
 		return nil, tooLarge()
-	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	if _, err := body.ReadFrom(io.LimitReader(r.Body, job.MaxBodyBytes+1)); err != nil {
+	case errors.As(err, &givenUp):
+		return nil, fault.New(fault.BodyIncomplete, givenUp.Reason.String())
+	case err != nil:
 		return nil, fault.Input(fault.BadBody, "body", "it ended early: "+err.Error())
 	}
-	if body.Len() > job.MaxBodyBytes {
-		return nil, tooLarge()
-	}
-	return body.Bytes(), nil
+	return body, nil
 }
 
 func tooLarge() *fault.Fault {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -42,6 +42,7 @@
 	SnapshotInterval time.Duration      // longest time between snapshots of the configuration; at most half of the log's retention
 	MaxTimeout       time.Duration
 	MaxJobs          int
+	BodyMemoryMB     int // bodies that are being received or decoded, in MB
 	MaxConnections   int // open connections of callers; 0: a share of the process's file descriptors
 	LogPlacements    int // one task placement in LogPlacements is logged; 0: none
 	LogLevel         int
@@ -51,6 +52,9 @@
 	DrainTimeout time.Duration
 }
 
+// minBodyMemoryMB has room for a body of the largest size, and for the buffer that it grows from.
+const minBodyMemoryMB = 2 * job.MaxBodyBytes >> 20
+
 // drainSlack is added to MaxTimeout, so that the caller of the longest job has time to fetch
 // its answer.
 const drainSlack = 5 * time.Second
@@ -68,6 +72,7 @@
 	s.DurationVar(&o.SnapshotInterval, "snapshot-every", follower.DefaultSnapshotInterval, "longest time between snapshots of the configuration; at most half of the log's retention")
 	s.DurationVar(&o.MaxTimeout, "max-timeout", 10*time.Minute, "longest time from now to a submission's deadline")
 	s.IntVar(&o.MaxJobs, "max-jobs", owner.DefaultMaxJobs, "most submission ids held")
+	s.IntVar(&o.BodyMemoryMB, "body-memory-mb", 16, "memory for bodies that are being received or decoded, in MB")
 	s.IntVar(&o.MaxConnections, "max-connections", 0, "most open connections of callers and peers without a session (default: 3/4 of the process's file descriptors)")
 	s.IntVar(&o.LogPlacements, "log-placements", 1, "log one placement of a task in so many; 0: none")
 	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: reports and forwards too, 2: debugging")
@@ -99,6 +104,7 @@
 	s.AddCheck("log", func() string { return checkLogURL(o.LogURL) })
 	s.AddCheck("snapshot-every", func() string { return settings.MessageIf(o.SnapshotInterval < time.Second, "takes 1s or more") })
 	s.AddCheck("max-jobs", func() string { return settings.MessageIf(o.MaxJobs < 1, "takes 1 or more") })
+	s.AddCheck("body-memory-mb", func() string { return settings.MessageIf(o.BodyMemoryMB < minBodyMemoryMB, "takes 8 or more") })
 	s.AddCheck("max-connections", func() string { return settings.MessageIf(o.MaxConnections < 0, "takes 0 or more") })
 	s.AddCheck("log-placements", func() string { return settings.MessageIf(o.LogPlacements < 0, "takes 0 or more") })
 	s.AddCheck("log-level", func() string { return settings.MessageIf(o.LogLevel < 0 || o.LogLevel > 2, "takes 0, 1 or 2") })
@@ -145,6 +151,7 @@
 // clientLimits returns the limits on what all clients hold together.
 func (o *Options) clientLimits() connlimit.Limits {
 	limits := connlimit.ForCallers(connlimit.Host{Descriptors: httpconn.DescriptorLimit()})
+	limits.Bytes = int64(o.BodyMemoryMB) << 20
 	limits.Conns = cmp.Or(o.MaxConnections, limits.Conns)
 	return limits
 }
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -2,12 +2,12 @@
 
 import (
 	"crypto/rand"
-	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/camphorrack/camphorrack/internal/forward"
+	"github.com/camphorrack/camphorrack/internal/httpconn"
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/owner"
 )
@@ -19,9 +19,6 @@
 	// waitSlack is how long a wait for the final answer continues past the deadline, at
 	// which the owner gives it.
 	waitSlack = time.Second
-	// bodyTimeout bounds the reading of a body, so that a caller that sends a byte
-	// a minute can't hold a connection and a buffer indefinitely.
-	bodyTimeout = 30 * time.Second
 )
 
 // submit serves POST /v1/jobs and, for single requests, POST /v1/requests.
@@ -32,12 +29,13 @@
 			writeFault(g, "", err)
 			return
 		}
-		body, err := a.readBody(g)
+		body, err := readBody(g.Request)
 		if err != nil {
 			writeFault(g, "", err)
 			return
 		}
 		b, err := decodeSubmission(body, single)
+		httpconn.ReleaseBody(g.Request)
 		if err != nil {
 			a.handleUndecodable(g, body, wait, given, err)
 			return
@@ -148,12 +146,3 @@
 func (a *api) defaultWait(id job.ID) time.Duration {
 	return min(max(id.Deadline.Sub(a.clock.Now()), 0), maxWait) + waitSlack
 }
-
-func (a *api) readBody(g *gin.Context) ([]byte, error) {
-	controller := http.NewResponseController(g.Writer)
-	// Neither call fails on a connection that still works.
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readBody(g.Request)
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, err
-}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -44,6 +44,9 @@
 
 	Undecided Code = 401 // the owner is unreachable and not known to have ended; query again
 	NotFound  Code = 402 // the owner never accepted this id
+	// BodyIncomplete says that a request was given up before its body was complete. This copy did not run;
+	// earlier ones may have.
+	BodyIncomplete Code = 403
 
 	ConfigConflict  Code = 501 // another operator's change took precedence
 	ConfigUndecided Code = 502 // the log's answer was lost, and the log can't be read yet to determine the result
@@ -90,6 +93,8 @@
 	Undecided: {"undecided", http.StatusServiceUnavailable},
 	NotFound:  {"not_found", http.StatusNotFound},
 
+	BodyIncomplete: {"body_incomplete", http.StatusRequestTimeout},
+
 	ConfigConflict:  {"config_conflict", http.StatusConflict},
 	ConfigUndecided: {"config_undecided", http.StatusServiceUnavailable},
 	ConfigNotTaken:  {"config_not_taken", http.StatusServiceUnavailable},
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -29,12 +29,14 @@
 const (
 	TooManyConns  Reason = iota // it had waited longest for its client when the limit of connections was reached
 	AllServing                  // a new connection was closed, because the requests of all others are being served
+	TooManyBytes                // its body had the most byte-seconds when the limit of bytes was reached
+	SlowBody                    // its body was not complete after bodyTimeout
 	UnreadAnswer                // the client did not receive its response within answerTimeout
 	ClosedInDrain               // the client had not begun a request, or not received the response, in a drain
 	reasons
 )
 
-var reasonNames = [reasons]string{"too_many_connections", "all_serving", "unread_answer", "drain"}
+var reasonNames = [reasons]string{"too_many_connections", "all_serving", "too_many_bytes", "slow_body", "unread_answer", "drain"}
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
@@ -58,7 +60,11 @@
 }
 
 // client is the client's end of a connection.
-type client struct{ conn net.Conn }
+type client struct {
+	guard  *Guard
+	conn   net.Conn
+	reason *Reason // why its request is given up; nil: it is not
+}
 
 // clientKey is the context key of a request's client.
 type clientKey struct{}
@@ -80,7 +86,7 @@
 func (g *Guard) Admit(conn net.Conn) bool {
 	now := time.Now()
 	g.mu.Lock()
-	c := &client{conn: conn}
+	c := &client{guard: g, conn: conn}
 	evicted, ok := g.table.Open(now, c)
 	for _, e := range evicted {
 		delete(g.clients, e.conn)
@@ -131,6 +137,7 @@
 	}
 	switch state {
 	case http.StateActive: // the header of a request is complete
+		c.reason = nil
 		g.table.SetPhase(time.Now(), c, connlimit.Receiving)
 	case http.StateIdle:
 		g.table.SetPhase(time.Now(), c, connlimit.Idle)
@@ -159,7 +166,7 @@
 // which side has to act. The connections have the context of ConnContext.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, _ := r.Context().Value(clientKey{}).(*client)
+		c := clientOf(r.Context())
 		serve(next, w, r, phaseHooks{
 			complete: func() { g.setPhase(c, connlimit.Serving) },
 			answered: func() { g.setPhase(c, connlimit.Answered) },
@@ -167,9 +174,13 @@
 	})
 }
 
+// setPhase records a phase. A request that is answered holds no bytes.
 func (g *Guard) setPhase(c *client, phase connlimit.Phase) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if phase == connlimit.Answered {
+		g.table.Release(c)
+	}
 	g.table.SetPhase(time.Now(), c, phase)
 }
 
@@ -193,6 +204,7 @@
 	if stall := now.Sub(g.sweptAt) - sweepInterval; stall > sweepInterval {
 		g.table.Forgive(stall)
 	}
+	slow := g.giveUpBodies(now, bodyTimeout, SlowBody)
 	expired := g.expire(now, timeouts, UnreadAnswer)
 	g.report(now)
 	g.sweeping = false
@@ -200,6 +212,7 @@
 		g.scheduleSweep(now)
 	}
 	g.mu.Unlock()
+	interrupt(slow)
 	closeAll(expired)
 }
 
@@ -228,7 +241,8 @@
 	if g.counts == g.reported || now.Before(g.logAt) {
 		return
 	}
-	values := []any{"serves", g.serves, "connections", g.table.Len(), "limit", g.table.Limits().Conns}
+	values := []any{"serves", g.serves, "connections", g.table.Len(), "connections_limit", g.table.Limits().Conns,
+		"body_bytes", g.table.Bytes(), "body_bytes_limit", g.table.Limits().Bytes}
 	for r := range reasons {
 		if n := g.counts[r] - g.reported[r]; n > 0 {
 			values = append(values, r.String(), n)
@@ -260,6 +274,8 @@
 	}
 	register(prefix+".connections", read(func() int64 { return int64(g.table.Len()) }))
 	register(prefix+".connections_limit", read(func() int64 { return int64(g.table.Limits().Conns) }))
+	register(prefix+".body_bytes", read(g.table.Bytes))
+	register(prefix+".body_bytes_limit", read(func() int64 { return g.table.Limits().Bytes }))
 	for r := range reasons {
 		register(prefix+".given_up."+r.String(), read(func() int64 { return g.counts[r] }))
 	}
--- a/internal/httpconn/guard_test.go
+++ b/internal/httpconn/guard_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -144,3 +147,96 @@
 	}, "20s", "2s").Should(Equal(int64(1)))
 	s.Eventually(s.gauges["http.test.connections"], "5s").Should(BeZero())
 }
+
+// readBody answers with the length of the body, with 408 for a request that is given up, and 413 for a body
+// that is too long.
+var readBody = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	body, err := ReadBody(r, 100_000)
+	var givenUp *GivenUpError
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &givenUp):
+		w.WriteHeader(http.StatusRequestTimeout)
+	case errors.As(err, &tooLong):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	default:
+		ReleaseBody(r)
+		_, _ = io.WriteString(w, strconv.Itoa(len(body)))
+	}
+})
+
+// post returns the start of a request with a body of length bytes, of which sent are there.
+func post(length, sent int) string {
+	return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n" + strings.Repeat("x", sent)
+}
+
+// Guards against bodies that are cut, lengthened or read past the limit, whatever their framing.
+func TestReadBody(t *testing.T) {
+	s := startGuarded(t, connlimit.Limits{Bytes: 200_000}, readBody)
+	for _, length := range []int{0, 1, 4095, 4096, 4097, 16384, 99_999, 100_000} {
+		for framing, request := range map[string]string{
+			"length": post(length, length),
+			"chunks": "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(length) + "0\r\n\r\n",
+		} {
+			response, err := http.ReadResponse(bufio.NewReader(s.open(t, request)), nil)
+			s.Expect(err).NotTo(HaveOccurred())
+			text, err := io.ReadAll(response.Body)
+			s.Expect(err).NotTo(HaveOccurred())
+			s.Expect(string(text)).To(Equal(strconv.Itoa(length)), framing)
+		}
+	}
+	s.Expect(status(s.open(t, post(100_001, 0)))).To(Equal(http.StatusRequestEntityTooLarge))
+	s.Expect(status(s.open(t, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks(100_001)))).To(Equal(http.StatusRequestEntityTooLarge))
+	s.Eventually(s.gauges["http.test.body_bytes"], "5s").Should(BeZero())
+}
+
+// chunks returns a body in chunks of up to 1,000 bytes, without the last, empty one.
+func chunks(length int) string {
+	var b strings.Builder
+	for ; length > 0; length -= 1000 {
+		n := min(length, 1000)
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, strings.Repeat("x", n))
+	}
+	return b.String()
+}
+
+// Guards against bodies that stop short and keep the memory from all others, and against a request that is
+// given up without an answer.
+func TestBodiesAreGivenUpForOthers(t *testing.T) {
+	s := startGuarded(t, connlimit.Limits{Bytes: 300_000}, readBody)
+	var crowd []net.Conn
+	for range 20 {
+		crowd = append(crowd, s.open(t, post(50_000, 49_999)))
+	}
+	s.Eventually(s.gauges["http.test.given_up.too_many_bytes"], "5s").Should(BeNumerically(">=", 14))
+	s.Expect(s.gauges["http.test.body_bytes"]()).To(BeNumerically("<=", 300_000))
+	s.Expect(status(s.open(t, post(3000, 3000)))).To(Equal(http.StatusOK))
+	answered := 0
+	for _, c := range crowd[:10] {
+		s.Expect(c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		if response, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			s.Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+			answered++
+		}
+	}
+	s.Expect(answered).To(BeNumerically(">", 0))
+}
+
+// Guards against a body without an end that is not given up while there is room, and against giving it up
+// for a time in which this process stood still.
+func TestSlowBodiesAreGivenUp(t *testing.T) {
+	s := startGuarded(t, connlimit.Limits{}, readBody)
+	slow := s.open(t, post(50_000, 49_999))
+	s.Eventually(s.gauges["http.test.body_bytes"], "5s").Should(BeNumerically(">", 0))
+	s.guard.mu.Lock()
+	s.guard.table.Forgive(-bodyTimeout - time.Second) // both times pass
+	s.guard.sweptAt = s.guard.sweptAt.Add(-bodyTimeout)
+	s.guard.mu.Unlock()
+	s.Consistently(s.gauges["http.test.given_up.slow_body"], "1500ms").Should(BeZero())
+	s.guard.mu.Lock()
+	s.guard.table.Forgive(-bodyTimeout)
+	s.guard.mu.Unlock()
+	s.Expect(status(slow)).To(Equal(http.StatusRequestTimeout))
+}
--- a/internal/localfleet/clients_test.go
+++ b/internal/localfleet/clients_test.go
@@ -74,6 +74,15 @@
 	return func(_ int, w io.Writer) error { return r.Send(w) }
 }
 
+// Guards against bodies of the largest legal size that fill the memory of an entry, as they stop short of
+// their end.
+func TestMemoryWithBodiesThatStopShort(t *testing.T) {
+	f := startClientsFleet(t)
+	open := crowd.Open(f.entry.Addr, 60, withhold(crowd.Filler(job.MaxBodyBytes), 1))
+	defer open.Close()
+	f.expectOrdinaryService()
+}
+
 // Guards against legal bodies that decode to many times their size.
 func TestMemoryWhileBodiesAreDecoded(t *testing.T) {
 	for name, body := range map[string]string{
--- a/internal/scheduler/connlimit/connlimit.go
+++ b/internal/scheduler/connlimit/connlimit.go
@@ -22,7 +22,7 @@
 // Limits bound what all clients of a server hold together; 0: unlimited.
 type Limits struct {
 	Conns int   // open connections
-	Bytes int64 // bodies that are being received, or whose requests have no answer yet
+	Bytes int64 // bodies that are being received or decoded
 }
 
 // Phase says which side of a connection has to act.
--- a/internal/scheduler/connlimit/host.go
+++ b/internal/scheduler/connlimit/host.go
@@ -30,4 +30,6 @@
 }
 
 // ForEndpoint returns the limits of any other endpoint.
-func ForEndpoint(h Host) Limits { return Limits{Conns: h.Descriptors / endpointShare} }
+func ForEndpoint(h Host) Limits {
+	return Limits{Conns: h.Descriptors / endpointShare, Bytes: h.MemoryBytes / memoryShare}
+}
