Drain: clients that stand still don't use up the grace period

Cause: a drain closed only connections without a request, and waited for all others. Why it works: from the time when a drain closes connections, a request that isn't whole, and a client that doesn't take its answer, have a second, as a new connection had before. A body on its way at that moment is received and answered.

--- a/internal/httpconn/drain.go
+++ b/internal/httpconn/drain.go
@@ -10,23 +10,25 @@
 const (
 	// drainInterval is how often Drain looks at the connections.
 	drainInterval = 5 * time.Millisecond
-	// firstRequestTimeout is how long Drain waits for the first request of a new connection.
-	firstRequestTimeout = time.Second
+	// requestTimeout is how long a drain waits for the first request of a new connection, for the rest of a
+	// body, and for a client to take its response.
+	requestTimeout = time.Second
 )
 
 // drainTimeouts are the limits of the phases in a drain.
-var drainTimeouts = connlimit.Timeouts{connlimit.New: firstRequestTimeout, connlimit.Idle: 1}
+var drainTimeouts = connlimit.Timeouts{connlimit.New: requestTimeout, connlimit.Idle: 1, connlimit.Answered: requestTimeout}
 
-// Drain closes idle connections and waits until the others have ended. Call it after the listener is
-// closed, while each response ends its connection. A request that arrives on an idle connection as it is
-// closed gets no response. The error is that of the context.
+// Drain closes idle connections and waits until the others have ended, with an answer to each request that
+// was received whole, or whose body is on its way. Call it after the listener is closed, while each response
+// ends its connection. A request that arrives on an idle connection as it is closed gets no response. The
+// error is that of the context.
 //
 // http.Server.Shutdown closes a connection without a response if it reads a request after Shutdown was
 // called, and the sender can't tell whether the request has run. Drain answers such requests.
 func (g *Guard) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for g.closeIdle() > 0 {
+	for g.endWaits() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -36,12 +38,16 @@
 	return nil
 }
 
-// closeIdle closes the connections that need not be waited for and returns how many others are open.
-func (g *Guard) closeIdle() int {
+// endWaits gives up what need not be waited for any longer and returns how many connections are open.
+func (g *Guard) endWaits() int {
+	now := time.Now()
 	g.mu.Lock()
-	expired := g.expire(time.Now(), drainTimeouts, ClosedInDrain)
+	incomplete := g.giveUpBodies(now, requestTimeout, GivenUpInDrain)
+	expired := g.expire(now, drainTimeouts, GivenUpInDrain)
 	open := g.table.Len()
+	g.report(now)
 	g.mu.Unlock()
+	interrupt(incomplete)
 	closeAll(expired)
 	return open
 }
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -27,12 +27,12 @@
 
 // Reasons to give up.
 const (
-	TooManyConns  Reason = iota // it had waited longest for its client when the limit of connections was reached
-	AllServing                  // a new connection was closed, because the requests of all others are being served
-	TooManyBytes                // its body had the most byte-seconds when the limit of bytes was reached
-	SlowBody                    // its body was not complete after bodyTimeout
-	UnreadAnswer                // the client did not receive its response within answerTimeout
-	ClosedInDrain               // the client had not begun a request, or not received the response, in a drain
+	TooManyConns   Reason = iota // it had waited longest for its client when the limit of connections was reached
+	AllServing                   // a new connection was closed, because the requests of all others are being served
+	TooManyBytes                 // its body had the most byte-seconds when the limit of bytes was reached
+	SlowBody                     // its body was not complete after bodyTimeout
+	UnreadAnswer                 // the client did not receive its response within answerTimeout
+	GivenUpInDrain               // the client did not complete its request or receive its response in a drain
 	reasons
 )
 
--- a/internal/httpconn/guard_test.go
+++ b/internal/httpconn/guard_test.go
@@ -240,3 +240,25 @@
 	s.guard.mu.Unlock()
 	s.Expect(status(slow)).To(Equal(http.StatusRequestTimeout))
 }
+
+// Guards against a drain that waits for bodies which never end, and against one that cuts a body on its way.
+func TestDrainWaitsForBodiesOnTheirWay(t *testing.T) {
+	s := startGuarded(t, connlimit.Limits{}, readBody)
+	standing := s.open(t, post(50_000, 49_999))
+	s.Eventually(s.gauges["http.test.body_bytes"], "5s").Should(BeNumerically(">=", 50_000))
+	time.Sleep(requestTimeout) // so that it is given up at once
+	arriving, unused := s.open(t, post(50_000, 20_000)), s.open(t, "")
+	s.Eventually(s.gauges["http.test.connections"], "5s").Should(Equal(int64(3)))
+	s.Eventually(s.gauges["http.test.body_bytes"], "5s").Should(BeNumerically(">", 60_000))
+	drained := make(chan error, 1)
+	go func() { drained <- s.guard.Drain(t.Context()) }()
+	s.Expect(status(standing)).To(Equal(http.StatusRequestTimeout))
+	time.Sleep(requestTimeout / 4)
+	_, err := io.WriteString(arriving, strings.Repeat("x", 30_000))
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(status(arriving)).To(Equal(http.StatusOK))
+	s.Expect(arriving.Close()).To(Succeed())
+	s.Expect(status(unused)).To(BeZero())
+	s.Eventually(drained, "10s").Should(Receive(BeNil()))
+	s.Expect(s.gauges["http.test.given_up.drain"]()).To(BeNumerically(">=", 2))
+}
--- a/internal/localfleet/clients_test.go
+++ b/internal/localfleet/clients_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,3 +128,13 @@
 	}
 	f.expectOrdinaryService()
 }
+
+// Guards against clients that stop short of the end of a body and use up the timeout of a drain.
+func TestDrainWithBodiesThatStopShort(t *testing.T) {
+	f := startClientsFleet(t, "-drain-timeout=8s")
+	open := crowd.Open(f.entry.Addr, 20, withhold(crowd.Filler(100<<10), 1))
+	defer open.Close()
+	f.Expect(f.entry.Signal(syscall.SIGTERM)).To(Succeed())
+	f.Eventually(f.entry.Exited, "20s").Should(BeTrue())
+	f.Expect(f.entry.LogTail()).To(ContainElement(MatchRegexp(`"process_stopped".*"clean":true`)))
+}
