Dispatch: the jobs that an entry holds have a budget of memory

Callers saw: nothing before the process ended for want of memory. Clients sent complete, legal jobs of 2,000 tasks, of which 1,999 wait for a first one; each was accepted, since only the first task is placed, and took 220 KB. The limit of 4,000 jobs without an answer doesn't bound that. Why it works: a job that is new and would exceed an eighth of the memory, at 256 bytes a task, is refused with 429 before its tasks are allocated; copies of known jobs are answered as ever. A settled job keeps its answer only, not its tasks.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s; 0: unknown or
 	// unlimited.
 	LinkMbps float64
+	// MemoryBytes limits the memory of jobs that have no answer, or runs that are not over; 0: unlimited.
+	MemoryBytes int64
 	// Waiting selects what becomes of tasks that have to wait for capacity.
 	Waiting reservation.Mode
 	// Cancelled, if set, is called for each job that was cancelled at another entry. It must not block.
@@ -98,6 +100,7 @@
 	agentsByAge  []*agent   // in the order in which their sessions opened
 	lostAttempts []*attempt // of ended sessions, ordered by latestEnd
 	draining     bool
+	memoryBytes  int64 // see Options
 	// warmingSince is when the first call was made, or the last session ended; awaiting are the jobs
 	// that wait for targets since.
 	warmingSince  time.Time
@@ -157,7 +160,7 @@
 // New returns a Core without jobs and agents.
 func New(o Options) *Core {
 	return &Core{&coreState{
-		options: o, log: o.Log, jobs: newTable(), agents: map[ConnID]*agent{}, calibrations: map[string]*calibration.Regression{}, margins: map[string]*headroom.Margin{},
+		options: o, log: o.Log, memoryBytes: o.MemoryBytes, jobs: newTable(), agents: map[ConnID]*agent{}, calibrations: map[string]*calibration.Regression{}, margins: map[string]*headroom.Margin{},
 		fairness: newFairness(), evacuated: map[string]struct{}{}, crashes: crashloop.New(), runTimes: newRunTimesState(),
 		link: uplink.New(o.LinkMbps), cancelled: cancellation.NewSet(cancellation.Retention),
 	}}
@@ -181,6 +184,15 @@
 // UnansweredJobs returns the number of jobs without an answer.
 func (c *Core) UnansweredJobs() int { return c.jobs.unanswered }
 
+// JobBytes returns the approximate memory of the jobs that have no answer, or runs that are not over.
+func (c *Core) JobBytes() int64 { return c.jobs.bytes }
+
+// MemoryBytes returns Options.MemoryBytes.
+func (c *Core) MemoryBytes() int64 { return c.memoryBytes }
+
+// SetMemoryBytes sets Options.MemoryBytes. A lower limit applies to the next submission.
+func (c *Core) SetMemoryBytes(bytes int64) { c.memoryBytes = bytes }
+
 // Drain makes the core refuse new jobs. Accepted jobs continue.
 func (c *Core) Drain() { c.draining = true }
 
--- a/internal/dispatch/intake.go
+++ b/internal/dispatch/intake.go
@@ -93,6 +93,10 @@
 		stepTasksLeft: make([]int, len(j.Steps)), unfinished: j.TaskCount(), level: 1,
 	}
 	l.addCaller(c.now, caller)
+	if c.memoryBytes > 0 && c.jobs.bytes+j.memoryBytes() > c.memoryBytes {
+		c.refuse(l, fault.Refused(fault.TooManyJobs, "the jobs that this entry holds take as much memory as they may", minRetryAfter), 0)
+		return
+	}
 	l.tasks = make([]task, 0, l.unfinished)
 	for s := range j.Steps {
 		l.stepTasksLeft[s] = j.Steps[s].Count
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -109,6 +109,22 @@
 	return n
 }
 
+// Memory of a task with an order, and of a step without its strings and lists.
+const (
+	taskBytes = 256
+	stepBytes = 160
+)
+
+// memoryBytes returns the approximate memory of a job that is admitted.
+func (j *Job) memoryBytes() int64 {
+	n := len(j.Spec)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		n += s.Count*taskBytes + stepBytes + len(s.Label) + len(s.DataRack) + 8*len(s.DependsOn)
+	}
+	return int64(n)
+}
+
 type taskState uint8
 
 const (
@@ -172,6 +188,7 @@
 	// lengthRecorded states that the distribution of its queue includes its length.
 	lengthRecorded bool
 	tasks          []task
+	bytes          int64 // see Job.memoryBytes
 	stepTasksLeft  []int // number of unfinished tasks, by step
 	unfinished     int
 	openAttempts   int // number of attempts without an outcome
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -15,6 +15,7 @@
 	unsettled  *orderedmap.OrderedMap[*liveJob, struct{}] // in the order of their arrival
 	settled    []*liveJob                                 // in the order in which they settled
 	unanswered int                                        // number of jobs without an answer
+	bytes      int64                                      // memory of the unsettled jobs; see Job.memoryBytes
 }
 
 func newTable() table {
@@ -26,14 +27,17 @@
 	t.byID[l.ID] = l
 	t.unsettled.Set(l, struct{}{})
 	t.unanswered++
+	l.bytes = l.memoryBytes()
+	t.bytes += l.bytes
 }
 
 // noteAnswer counts a job as answered. It is called once per job.
 func (t *table) noteAnswer() { t.unanswered-- }
 
-// settle marks a job as settled. It is kept only for copies of its request from now on.
+// settle marks a job as settled. Only its answer is kept from now on, for copies of its request.
 func (t *table) settle(l *liveJob) {
-	t.unsettled.Delete(l)
+	t.release(l)
+	l.tasks, l.lastDone = nil, doneTask{}
 	if t.byID[l.ID] == l {
 		t.settled = append(t.settled, l)
 	}
@@ -41,10 +45,17 @@
 
 // remove removes a job, so that it can be submitted again.
 func (t *table) remove(l *liveJob) {
-	t.unsettled.Delete(l)
+	t.release(l)
 	delete(t.byID, l.ID)
 }
 
+// release ends the periodic work for a job, and the accounting for its memory.
+func (t *table) release(l *liveJob) {
+	if t.unsettled.Delete(l) {
+		t.bytes -= l.bytes
+	}
+}
+
 // expire drops the settled jobs whose retention has ended.
 func (t *table) expire(now time.Time) {
 	for len(t.settled) > 0 && now.After(t.settled[0].keepUntil) {
--- a/internal/dispatch/table_test.go
+++ b/internal/dispatch/table_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/fault"
+	"github.com/camphorrack/camphorrack/internal/job"
 )
 
 // Guards against a job that runs twice at once: it is submitted again while its earlier answer
@@ -45,3 +48,33 @@
 	g.Expect(table.settled).To(BeEmpty())
 	g.Expect(table.unanswered).To(BeZero())
 }
+
+// Guards against accepted jobs of many tasks that fill the memory of the host, and against a budget that
+// fills up for good: a copy of an accepted job takes no further room, and what is settled takes none.
+func TestMemoryOfAcceptedJobsIsLimited(t *testing.T) {
+	h := newHarness(t, 1)
+	wide := func(id string) *Job {
+		j := h.newJob(id, 1)
+		j.Steps = append(j.Steps, Step{Count: 1000, Demand: job.Demand{CPUMilli: 10}, Estimate: time.Millisecond, DependsOn: []int{0}})
+		return j
+	}
+	h.SetMemoryBytes(wide("a").memoryBytes() * 3 / 2)
+	first := h.submit(wide("a"))
+	h.Expect(first.answers).To(BeEmpty())
+	h.Expect(h.submit(wide("a")).answers).To(BeEmpty(), "a copy waits for the same answer")
+	refused := h.submit(wide("b"))
+	h.Expect(refused.answers).To(HaveLen(1))
+	h.Expect(refused.answers[0].Kind).To(Equal(AnswerNotRun))
+	h.Expect(refused.answers[0].Fault.Code).To(Equal(fault.TooManyJobs))
+	h.Expect(h.submit(h.newJob("c", 1)).answers).To(BeEmpty(), "there is room for a usual job")
+	h.now = h.now.Add(time.Minute)
+	h.Tick(h.now)
+	h.Expect(first.answers).To(HaveLen(1))
+	h.now = h.now.Add(time.Minute)
+	h.Disconnect(h.now, 1)
+	for range 5 {
+		h.now = h.now.Add(time.Second)
+		h.Tick(h.now)
+	}
+	h.Expect(h.JobBytes()).To(BeZero())
+}
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -36,6 +36,8 @@
 	c.SetGauge("dispatch.agents_usable", uint64(core.UsableAgents()))
 	c.SetGauge("dispatch.evacuated_data_centres", uint64(core.EvacuatedDataCentres()))
 	c.SetGauge("dispatch.jobs_live", uint64(core.UnansweredJobs()))
+	c.SetGauge("dispatch.job_bytes", uint64(core.JobBytes()))
+	c.SetGauge("dispatch.job_bytes_limit", uint64(core.MemoryBytes()))
 	c.SetGauge("dispatch.jobs_accepted", n.Accepted)
 	c.SetGauge("dispatch.jobs_refused", n.Refused)
 	c.SetGauge("dispatch.jobs_complete", n.Complete)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -149,7 +149,8 @@
 	s.core = dispatch.New(dispatch.Options{
 		Log: d.log, Outbox: d.sessions, DataCentre: d.options.DataCentre, LostRunLimit: d.options.LostRunLimit,
 		RemoteFactor: d.options.RemoteFactor, LinkMbps: d.options.LinkMbps, Now: time.Now,
-		Cancelled: func(id string) { d.handover.Cancel(id) },
+		MemoryBytes: connlimit.JobBytes(leased.HostLimits(d.options.MemoryMB, d.options.Descriptors)),
+		Cancelled:   func(id string) { d.handover.Cancel(id) },
 	})
 	s.config = &confsync.Replica{Apply: func(_ time.Time, version uint64, body []byte) error {
 		if err := d.applyConfig(version, body); err != nil {
@@ -262,6 +263,7 @@
 	host := leased.HostLimits(memoryMB, descriptors)
 	d.host.Store(&host)
 	d.updateClientLimits()
+	_ = d.loop.Push(func(_ time.Time, s *state) { s.core.SetMemoryBytes(connlimit.JobBytes(host)) }) // fails only if the loop has stopped
 }
 
 // rejectTarget answers a target's announcement with 503: targets announce themselves to the
--- a/internal/scheduler/connlimit/connlimit_test.go
+++ b/internal/scheduler/connlimit/connlimit_test.go
@@ -110,3 +110,19 @@
 	g.Expect(table.Expired(start.Add(10*time.Second), timeouts)).To(BeEmpty())
 	g.Expect(table.Expired(start.Add(35*time.Second), timeouts)).To(ConsistOf("answered", "receiving"))
 }
+
+// Guards against limits that leave nothing for sessions and the store, or that are zero, and so no limit,
+// on a small host.
+func TestSharesOfAHost(t *testing.T) {
+	g := NewWithT(t)
+	usual := Host{MemoryBytes: 284 << 20, Descriptors: 3900}
+	callers, other := ForCallers(usual), ForEndpoint(usual)
+	g.Expect(callers.Conns).To(Equal(1817))
+	g.Expect(callers.Bytes).To(Equal(int64(284 << 20 / 8)))
+	g.Expect(other.Conns).To(Equal(243))
+	g.Expect(callers.Conns + 4*other.Conns).To(BeNumerically("<", usual.Descriptors))
+	g.Expect(ForCallers(Host{Descriptors: 400})).To(Equal(Limits{Conns: 300}))
+	g.Expect(ForCallers(Host{})).To(Equal(Limits{}))
+	g.Expect(ForEndpoint(Host{Descriptors: 1}).Conns).To(BeNumerically(">", 0))
+	g.Expect(ForCallers(Host{Descriptors: 1}).Conns).To(BeNumerically(">", 0))
+}
--- a/internal/scheduler/connlimit/host.go
+++ b/internal/scheduler/connlimit/host.go
@@ -11,9 +11,8 @@
 	// endpoints, each of which may take 1/16 for connections that carry no session.
 	callerShareNum, callerShareDen = 3, 4
 	endpointShare                  = 16
-	// memoryShare is the part of the memory, as a divisor, for the connections of callers, and again for
-	// their bodies. Decoding a body takes as much again, and the garbage collector lets the heap grow to
-	// twice of what is in use.
+	// memoryShare is the part of the memory, as a divisor, for each of the connections of callers, their
+	// bodies and their jobs. The garbage collector lets the heap grow to twice of what is in use.
 	memoryShare = 8
 	// connBytes is the memory of a connection with a request: stacks of its goroutines, buffers of
 	// net/http and the header.
@@ -22,14 +21,20 @@
 
 // ForCallers returns the limits of an endpoint for callers.
 func ForCallers(h Host) Limits {
-	l := Limits{Conns: h.Descriptors * callerShareNum / callerShareDen, Bytes: h.MemoryBytes / memoryShare}
+	l := Limits{Conns: share(h.Descriptors*callerShareNum, callerShareDen), Bytes: h.MemoryBytes / memoryShare}
 	if byMemory := int(h.MemoryBytes / memoryShare / connBytes); byMemory > 0 && (l.Conns == 0 || byMemory < l.Conns) {
 		l.Conns = byMemory
 	}
 	return l
 }
 
+// JobBytes returns the memory for jobs that are admitted; 0: unlimited.
+func JobBytes(h Host) int64 { return h.MemoryBytes / memoryShare }
+
 // ForEndpoint returns the limits of any other endpoint.
 func ForEndpoint(h Host) Limits {
-	return Limits{Conns: h.Descriptors / endpointShare, Bytes: h.MemoryBytes / memoryShare}
+	return Limits{Conns: share(h.Descriptors, endpointShare), Bytes: h.MemoryBytes / memoryShare}
 }
+
+// share returns n/divisor, but at least 1 unless n is 0, which stands for no limit.
+func share(n, divisor int) int { return max(n/divisor, min(n, 1)) }
