Connections: the lines of a header are limited

Callers saw: as with bodies, the process ended for want of memory. Clients sent headers of the legal 16 KB with 3,000 fields of a few bytes, which net/http decodes to some 270 KB; its limit counts the bytes alone. Bodies and earlier requests of the connection don't count.

--- a/internal/dispatcher/disconnect.go
+++ b/internal/dispatcher/disconnect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -42,11 +41,11 @@
 	return closed || err != nil
 }
 
-// rawConn returns the TCP connection that withConn has stored in the context.
+// rawConn returns the connection that withConn has stored in the context.
 func rawConn(ctx context.Context) (syscall.RawConn, error) {
-	tcp, ok := ctx.Value(connKey{}).(*net.TCPConn)
+	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
 		return nil, errNoConn
 	}
-	return tcp.SyscallConn()
+	return conn.SyscallConn()
 }
--- a/internal/httpconn/body.go
+++ b/internal/httpconn/body.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -75,12 +74,6 @@
 	}
 }
 
-// clientOf returns the client of a request; nil if no Guard serves its connection.
-func clientOf(ctx context.Context) *client {
-	c, _ := ctx.Value(clientKey{}).(*client)
-	return c
-}
-
 // hold accounts for bytes of the body that is being received. The error is a *GivenUpError.
 func (c *client) hold(bytes int64) error {
 	if c == nil {
@@ -135,6 +128,6 @@
 // interrupt ends the reading of bodies that are given up.
 func interrupt(clients []*client) {
 	for _, c := range clients {
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -31,12 +31,13 @@
 	AllServing                   // a new connection was closed, because the requests of all others are being served
 	TooManyBytes                 // its body had the most byte-seconds when the limit of bytes was reached
 	SlowBody                     // its body was not complete after bodyTimeout
+	TooManyFields                // a header had more lines than maxHeaderLines
 	UnreadAnswer                 // the client did not receive its response within answerTimeout
 	GivenUpInDrain               // the client did not complete its request or receive its response in a drain
 	reasons
 )
 
-var reasonNames = [reasons]string{"too_many_connections", "all_serving", "too_many_bytes", "slow_body", "unread_answer", "drain"}
+var reasonNames = [reasons]string{"too_many_connections", "all_serving", "too_many_bytes", "slow_body", "too_many_header_fields", "unread_answer", "drain"}
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
@@ -50,7 +51,6 @@
 
 	mu       sync.Mutex
 	table    *connlimit.Table[*client]
-	clients  map[net.Conn]*client
 	counts   [reasons]int64
 	reported [reasons]int64 // counts that were logged
 	logAt    time.Time      // when the next line may be logged
@@ -59,19 +59,9 @@
 	closed   bool
 }
 
-// client is the client's end of a connection.
-type client struct {
-	guard  *Guard
-	conn   net.Conn
-	reason *Reason // why its request is given up; nil: it is not
-}
-
-// clientKey is the context key of a request's client.
-type clientKey struct{}
-
 // NewGuard returns a Guard. serves names the server in the log.
 func NewGuard(log logr.Logger, serves string, limits connlimit.Limits) *Guard {
-	return &Guard{log: log, serves: serves, table: connlimit.NewTable[*client](limits), clients: map[net.Conn]*client{}}
+	return &Guard{log: log, serves: serves, table: connlimit.NewTable[*client](limits)}
 }
 
 // SetLimits sets the limits. Lower ones apply as soon as the next connection is accepted.
@@ -81,32 +71,26 @@
 	g.table.SetLimits(limits)
 }
 
-// Admit records an accepted connection. It closes others if there are too many, or conn, and then
-// returns false.
-func (g *Guard) Admit(conn net.Conn) bool {
+// Admit records an accepted connection and returns the one to serve in its place. It closes others if
+// there are too many, or conn, and then returns false.
+func (g *Guard) Admit(conn net.Conn) (net.Conn, bool) {
 	now := time.Now()
+	c := newClient(g, conn)
 	g.mu.Lock()
-	c := &client{guard: g, conn: conn}
 	evicted, ok := g.table.Open(now, c)
-	for _, e := range evicted {
-		delete(g.clients, e.conn)
-		g.counts[TooManyConns]++
-	}
+	g.counts[TooManyConns] += int64(len(evicted))
 	if ok {
-		g.clients[conn] = c
 		g.scheduleSweep(now)
 	} else {
 		g.counts[AllServing]++
 	}
 	g.report(now)
 	g.mu.Unlock()
-	for _, e := range evicted {
-		_ = e.conn.Close() // the peer may have closed it already
-	}
+	closeAll(evicted)
 	if !ok {
-		_ = conn.Close() // likewise
+		_ = conn.Close() // the peer may have closed it already
 	}
-	return ok
+	return c, ok
 }
 
 // Listener returns a listener whose connections are admitted.
@@ -121,45 +105,43 @@
 func (l *guardedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || l.guard.Admit(conn) {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		if admitted, ok := l.guard.Admit(conn); ok {
+			return admitted, nil
 		}
 	}
 }
 
-// Track records the state of a connection. It is the ConnState hook of an http.Server.
+// Track records the state of a connection that Admit has returned. It is the ConnState hook of an
+// http.Server.
 func (g *Guard) Track(conn net.Conn, state http.ConnState) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c := g.clients[conn]
-	if c == nil {
+	c, ok := conn.(*client)
+	if !ok {
 		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	switch state {
 	case http.StateActive: // the header of a request is complete
 		c.reason = nil
+		c.header.end()
 		g.table.SetPhase(time.Now(), c, connlimit.Receiving)
 	case http.StateIdle:
+		c.header.begin()
 		g.table.SetPhase(time.Now(), c, connlimit.Idle)
 	case http.StateClosed, http.StateHijacked:
-		g.remove(c)
+		g.table.Close(c)
 	}
 }
 
 // Forget removes a connection that was admitted and that no http.Server got.
 func (g *Guard) Forget(conn net.Conn) { g.Track(conn, http.StateClosed) }
 
-// remove removes a client. The caller holds the lock.
-func (g *Guard) remove(c *client) {
-	g.table.Close(c)
-	delete(g.clients, c.conn)
-}
-
 // ConnContext stores the client in the context of its requests. It is the hook of an http.Server.
 func (g *Guard) ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return context.WithValue(ctx, clientKey{}, g.clients[conn])
+	return context.WithValue(ctx, clientKey{}, conn)
 }
 
 // Handler returns a handler that sends early responses as AnswerEarly does, and records for each request
@@ -218,20 +200,20 @@
 
 // expire removes the connections that have reached the timeout of their phase and returns them, to be
 // closed without the lock. The caller holds it.
-func (g *Guard) expire(now time.Time, limits connlimit.Timeouts, reason Reason) (expired []net.Conn) {
-	for _, c := range g.table.Expired(now, limits) {
+func (g *Guard) expire(now time.Time, limits connlimit.Timeouts, reason Reason) []*client {
+	expired := g.table.Expired(now, limits)
+	for _, c := range expired {
 		if phase, _ := g.table.Phase(c); phase != connlimit.Idle { // which any server may close
 			g.counts[reason]++
 		}
-		g.remove(c)
-		expired = append(expired, c.conn)
+		g.table.Close(c)
 	}
 	return expired
 }
 
-func closeAll(conns []net.Conn) {
-	for _, conn := range conns {
-		_ = conn.Close() // the peer may have closed it already
+func closeAll(clients []*client) {
+	for _, c := range clients {
+		_ = c.Close() // the peer may have closed it already
 	}
 }
 
--- a/internal/httpconn/guard_test.go
+++ b/internal/httpconn/guard_test.go
@@ -108,15 +108,10 @@
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	served := []net.Conn{s.open(t, get), s.open(t, get)}
-	s.Eventually(func() (n int) {
+	s.Eventually(func() int {
 		s.guard.mu.Lock()
 		defer s.guard.mu.Unlock()
-		for _, c := range s.guard.clients {
-			if phase, _ := s.guard.table.Phase(c); phase == connlimit.Serving {
-				n++
-			}
-		}
-		return n
+		return s.guard.table.Count(connlimit.Serving)
 	}, "5s").Should(Equal(2))
 	s.Expect(status(s.open(t, ""))).To(BeZero())
 	close(release)
--- a/internal/leased/server.go
+++ b/internal/leased/server.go
@@ -237,8 +237,8 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if s.guard.Admit(c) {
-			s.assign(c)
+		if admitted, ok := s.guard.Admit(c); ok {
+			s.assign(admitted)
 		}
 		s.awaitQuietBacklog()
 	}
--- a/internal/scheduler/connlimit/connlimit.go
+++ b/internal/scheduler/connlimit/connlimit.go
@@ -113,6 +113,16 @@
 	return c.phase, true
 }
 
+// Count returns the number of connections in a phase.
+func (t *Table[K]) Count(phase Phase) (n int) {
+	for _, c := range t.conns {
+		if c.phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
 // Hold adds bytes to those that a connection in phase Receiving holds. If all hold too many, it
 // returns the connections whose bodies must be given up, which are in phase Answered from now on and
 // hold nothing: those with the most byte-seconds. It returns false if the connection itself is one
