--- a/apps/camphorrack-soak/main.go
+++ b/apps/camphorrack-soak/main.go
@@ -29,7 +29,7 @@
 	set.IntVar(&o.Entries, "entries", soak.DefaultEntries, "entry hosts")
 	set.IntVar(&o.Targets, "targets", soak.DefaultTargets, "targets, each with a runner")
 	set.IntVar(&o.Callers, "callers", soak.DefaultCallers, "callers")
-	groups := set.String("groups", "", "further groups of faults, with commas between them: rebirth, slow, loss, successors")
+	groups := set.String("groups", "", "further groups of faults, with commas between them: rebirth, slow, loss, successors, clients")
 	set.StringVar(&o.Scenario, "scenario", "", "play one scenario in place of random faults: "+soak.ScenarioNames())
 	keep := set.Bool("keep", false, "keep the logs of every seed")
 	verbose := set.Bool("faults", false, "print each fault as it begins")
--- a/internal/httpconn/guard_test.go
+++ b/internal/httpconn/guard_test.go
@@ -84,7 +84,7 @@
 
 // Guards against a crowd without requests that keeps an ordinary caller out, and against a log line for
 // each of its connections.
-func TestCrowdIsClosedForNewConnections(t *testing.T) {
+func TestStandingConnectionsAreClosedForNewOnes(t *testing.T) {
 	s := startGuarded(t, connlimit.Limits{Conns: 10}, noContent)
 	first := s.open(t, "")
 	for range 200 {
--- a/internal/localfleet/clients_test.go
+++ b/internal/localfleet/clients_test.go
@@ -77,7 +77,7 @@
 
 // Guards against bodies of the largest legal size that fill the memory of an entry, as they stop short of
 // their end.
-func TestMemoryWithBodiesThatStopShort(t *testing.T) {
+func TestCrowdWithBodiesThatStopShort(t *testing.T) {
 	f := startClientsFleet(t)
 	open := crowd.Open(f.entry.Addr, 60, withhold(crowd.Filler(job.MaxBodyBytes), 1))
 	defer open.Close()
@@ -85,7 +85,7 @@
 }
 
 // Guards against legal bodies that decode to many times their size.
-func TestMemoryWhileBodiesAreDecoded(t *testing.T) {
+func TestCrowdWithBodiesThatDecodeToMuch(t *testing.T) {
 	for name, body := range map[string]string{
 		"small tasks": `{"team":"t","class":"c","tasks":[` + strings.Repeat(`{},`, job.MaxBodyBytes/3-100) + `{}]}`,
 		"ids":         `{"ids":[` + strings.Repeat(`"",`, job.MaxBodyBytes/3-100) + `""]}`,
@@ -105,7 +105,7 @@
 }
 
 // Guards against clients that take all descriptors of an entry with a byte of their body.
-func TestDescriptorsWithBodiesThatStopShort(t *testing.T) {
+func TestCrowdOnAllDescriptors(t *testing.T) {
 	const connections = 200
 	f := startClientsFleet(t, fmt.Sprintf("-max-connections=%d", connections))
 	open := crowd.Open(f.entry.Addr, 2*connections, withhold(crowd.Filler(1000), 999))
@@ -117,7 +117,7 @@
 }
 
 // Guards against an answer that waits for a body which is not needed for it.
-func TestRefusalsDoNotWaitForTheBody(t *testing.T) {
+func TestCrowdIsRefusedBeforeItsBodies(t *testing.T) {
 	f := startClientsFleet(t)
 	for path, status := range map[string]int{"/nowhere": http.StatusNotFound, "/v1/jobs?other=1": http.StatusBadRequest, "/v1/token": http.StatusNotFound} {
 		const clients = 20
@@ -130,7 +130,7 @@
 }
 
 // Guards against clients that stop short of the end of a body and use up the timeout of a drain.
-func TestDrainWithBodiesThatStopShort(t *testing.T) {
+func TestCrowdInADrain(t *testing.T) {
 	f := startClientsFleet(t, "-drain-timeout=8s")
 	open := crowd.Open(f.entry.Addr, 20, withhold(crowd.Filler(100<<10), 1))
 	defer open.Close()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,9 +37,20 @@
 	GroupSlow       = "slow"       // processes without processor time, for milliseconds to seconds
 	GroupLoss       = "loss"       // many runners killed at once, lost answers, silent connections
 	GroupSuccessors = "successors" // hosts with two targets at once, under different names
+	GroupClients    = "clients"    // crowds of clients that stand still, at hosts with lower limits
 )
 
 var faultGroups = map[string][]fault{
+	GroupClients: {
+		{"bodies that stop short", crowdEntry(stopShort)},
+		{"bodies of one byte", crowdEntry(stopAfterOneByte)},
+		{"chunks that stop short", crowdEntry(stopShortInChunks)},
+		{"bodies in pieces", crowdEntry(inPieces)},
+		{"bodies of many small steps", crowdEntry(manySmallSteps)},
+		{"connections without a request", crowdEntry(noRequest)},
+		{"crowds at all entries", crowdEntries},
+		{"limits of a host lowered", lowerHostLimits},
+	},
 	GroupSuccessors: {
 		{"target replaced by another", replaceTarget},
 		{"targets replaced by others", replaceTargets},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,7 +105,7 @@
 	}
 	fleet, err := standin.NewFleet(standin.FleetOptions{
 		BinDir: o.BinDir, Dir: o.Dir, Entries: o.Entries, Targets: o.Targets, Relays: true, Seed: o.Seed,
-		DataCentres: o.dataCentres(), CrashDowntime: crashDowntime,
+		DataCentres: o.dataCentres(), CrashDowntime: crashDowntime, MemoryMB: o.hostMemoryMB(), MaxFDs: o.hostMaxFDs(),
 	})
 	if err != nil {
 		return Result{}, err
@@ -125,6 +126,11 @@
 	if err := r.waitReady(ctx); err != nil {
 		r.addBreach("recovery", "", err.Error())
 	} else {
+		if slices.Contains(o.Groups, GroupClients) {
+			for _, p := range fleet.Entries {
+				r.checkHostLimits(p)
+			}
+		}
 		r.checkRecovery(ctx)
 		r.checkConfigVersions(ctx)
 	}
@@ -142,6 +148,21 @@
 	return dataCentres
 }
 
+// hostMemoryMB and hostMaxFDs return the limits of the hosts; 0: those of any other fleet.
+func (o Options) hostMemoryMB() int {
+	if slices.Contains(o.Groups, GroupClients) {
+		return crowdedMemoryMB
+	}
+	return 0
+}
+
+func (o Options) hostMaxFDs() int {
+	if slices.Contains(o.Groups, GroupClients) {
+		return crowdedMaxFDs
+	}
+	return 0
+}
+
 // waitReady waits until every entry is ready; it returns an error after readyTimeout.
 func (r *run) waitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
