Connections: half of the descriptors for callers, a quarter for sessions

After a restart of a large fleet all runners dial the same few entries; a limit of 1/16 on connections before their handshake, chosen in, may close some of them (not seen; ordinary callers need no more than half). 100-continue: a test.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -246,7 +246,7 @@
 	d.host.Store(&host)
 	other := connlimit.ForEndpoint(host)
 	callerServer, err := d.servers.Listen(d.log, connLimits(routing.Limits{}), withConn,
-		leased.Endpoint{Purpose: "runners", Addr: d.options.SessionAddr, Handler: sessionRouter, Clients: other},
+		leased.Endpoint{Purpose: "runners", Addr: d.options.SessionAddr, Handler: sessionRouter, Clients: connlimit.ForSessions(host)},
 		leased.Endpoint{Purpose: "the balancer", Addr: d.options.ReadyAddr, Handler: d.options.NewReadinessHandler(d.ready), Clients: other},
 		leased.Endpoint{Purpose: "metrics", Addr: d.options.MetricsAddr, Handler: metricsRouter, Clients: other},
 		leased.Endpoint{Purpose: "targets", Addr: d.options.TargetsAddr, Handler: http.HandlerFunc(rejectTarget), Clients: other},
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -73,7 +73,7 @@
 	s.DurationVar(&o.MaxTimeout, "max-timeout", 10*time.Minute, "longest time from now to a submission's deadline")
 	s.IntVar(&o.MaxJobs, "max-jobs", owner.DefaultMaxJobs, "most submission ids held")
 	s.IntVar(&o.BodyMemoryMB, "body-memory-mb", 16, "memory for bodies that are being received or decoded, in MB")
-	s.IntVar(&o.MaxConnections, "max-connections", 0, "most open connections of callers and peers without a session (default: 3/4 of the process's file descriptors)")
+	s.IntVar(&o.MaxConnections, "max-connections", 0, "most open connections of callers and peers without a session (default: half of the process's file descriptors)")
 	s.IntVar(&o.LogPlacements, "log-placements", 1, "log one placement of a task in so many; 0: none")
 	s.IntVar(&o.LogLevel, "log-level", logging.LevelInfo, "0: events, 1: reports and forwards too, 2: debugging")
 	s.StringVar(&o.Policy, "policy", string(owner.PolicyLeastWork), "how tasks reach targets: "+policyNames())
--- a/internal/httpconn/guard_test.go
+++ b/internal/httpconn/guard_test.go
@@ -257,3 +257,20 @@
 	s.Eventually(drained, "10s").Should(Receive(BeNil()))
 	s.Expect(s.gauges["http.test.given_up.drain"]()).To(BeNumerically(">=", 2))
 }
+
+// Guards against a client that waits for "100 Continue" before it sends its body, and waits for good.
+func TestBodyIsAskedFor(t *testing.T) {
+	s := startGuarded(t, connlimit.Limits{Bytes: 100_000}, readBody)
+	c := s.open(t, strings.Replace(post(10, 0), "Host: a\r\n", "Host: a\r\nExpect: 100-continue\r\n", 1))
+	r := bufio.NewReader(c)
+	line, err := r.ReadString('\n')
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(line).To(HavePrefix("HTTP/1.1 100"))
+	_, err = r.ReadString('\n')
+	s.Expect(err).NotTo(HaveOccurred())
+	_, err = io.WriteString(c, "0123456789")
+	s.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(r, nil)
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(response.StatusCode).To(Equal(http.StatusOK))
+}
