Agent: its endpoint has the limits of the others

Callers saw: an agent that was drained while a client had a body open there ended as failed. Cause and remedy as at the entries; the agent takes the same code, in place of closing only connections without a request, and with it the limits on connections and on the time of a body. Evidence: TestCrowdInADrainOfAnAgent: process_stopped with clean false before, true now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/camphorrack/camphorrack/internal/httpconn"
 	"github.com/camphorrack/camphorrack/internal/invariant"
 	"github.com/camphorrack/camphorrack/internal/job"
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
 const (
@@ -44,7 +45,7 @@
 	stopFanOut  context.CancelFunc
 	listener    net.Listener
 	server      *http.Server
-	unusedConns *httpconn.UnusedConns
+	guard       *httpconn.Guard
 
 	lastConnID        atomic.Uint64
 	openSessions      atomic.Int64 // sessions whose welcome has been accepted
@@ -72,8 +73,11 @@
 	a.replica = config.NewReplica(config.Location{DataCentre: o.DataCentre, Rack: o.Rack}, a.clock, log)
 	a.fanOut = config.NewFanOut(a.replica)
 	a.metrics.RegisterConfig(a.replica)
-	a.unusedConns = httpconn.NewUnusedConns()
-	a.server = &http.Server{Handler: httpconn.AnswerEarly(a.handler()), ReadHeaderTimeout: headerTimeout, ConnState: a.unusedConns.Track}
+	a.guard = httpconn.NewGuard(log, "the target", connlimit.ForEndpoint(connlimit.Host{Descriptors: httpconn.DescriptorLimit()}))
+	a.guard.Register("http.the_target", a.metrics.RegisterGauge)
+	a.server = &http.Server{
+		Handler: a.guard.Handler(a.handler()), ReadHeaderTimeout: headerTimeout, ConnState: a.guard.Track, ConnContext: a.guard.ConnContext,
+	}
 	return a, nil
 }
 
@@ -97,7 +101,7 @@
 
 // serve runs the HTTP server until Stop. If the server fails, it requests a shutdown.
 func (a *Agent) serve() {
-	if err := a.server.Serve(httpconn.NewLoggingListener(a.listener, a.log)); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(a.guard.Listener(httpconn.NewLoggingListener(a.listener, a.log))); !errors.Is(err, http.ErrServerClosed) {
 		event.Log(a.log, event.ProcessStopping, "error", err.Error())
 		a.requestShutdown() // without the server the target cannot announce itself
 	}
@@ -131,7 +135,7 @@
 	a.stopFanOut()
 	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	a.server.RegisterOnShutdown(a.unusedConns.Close) // runs after the listener is closed
+	a.server.RegisterOnShutdown(func() { _ = a.guard.Drain(closing) }) // runs after the listener is closed; Shutdown returns the error
 	if closeErr := a.server.Shutdown(closing); err == nil && closeErr != nil {
 		err = errors.Wrap(closeErr, "close HTTP connections")
 	}
--- a/internal/httpconn/early.go
+++ b/internal/httpconn/early.go
@@ -16,20 +16,13 @@
 	lingerBytes = 512 << 10
 )
 
-// AnswerEarly returns a handler that sends the response of next as soon as next returns, even if the body
-// of the request has not been received. net/http would wait for the rest of the body first, without a
-// limit of time. The connection is kept if the rest arrives within lingerTime, and closed otherwise.
-func AnswerEarly(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		serve(next, w, r, phaseHooks{complete: func() {}, answered: func() {}})
-	})
-}
-
 // phaseHooks are called when the request is complete, if that is before the response, and when the
 // handler has returned.
 type phaseHooks struct{ complete, answered func() }
 
-// serve serves a request as described for AnswerEarly.
+// serve sends the response of next as soon as next returns, even if the body of the request has not been
+// received. net/http would wait for the rest of the body first, without a limit of time. The connection is
+// kept if the rest arrives within lingerTime, and closed otherwise.
 func serve(next http.Handler, w http.ResponseWriter, r *http.Request, hooks phaseHooks) {
 	if r.Body == nil || r.Body == http.NoBody {
 		hooks.complete()
--- a/internal/httpconn/early_test.go
+++ b/internal/httpconn/early_test.go
@@ -5,25 +5,23 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
 // startEarly starts a server that answers each request with 404 and does not read its body.
 func startEarly(t *testing.T) (dial func() (net.Conn, *bufio.Reader)) {
-	server := httptest.NewServer(AnswerEarly(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := startGuarded(t, connlimit.Limits{}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNotFound)
 		_, _ = io.WriteString(w, "no such path")
-	})))
-	t.Cleanup(server.Close)
+	}))
 	return func() (net.Conn, *bufio.Reader) {
-		c, err := net.Dial("tcp", server.Listener.Addr().String())
-		NewWithT(t).Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { _ = c.Close() })
+		c := s.open(t, "")
 		return c, bufio.NewReader(c)
 	}
 }
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -1,3 +1,4 @@
+// Package httpconn limits and observes the connections of the daemons' HTTP servers.
 package httpconn
 
 import (
@@ -144,8 +145,8 @@
 	return context.WithValue(ctx, clientKey{}, conn)
 }
 
-// Handler returns a handler that sends early responses as AnswerEarly does, and records for each request
-// which side has to act. The connections have the context of ConnContext.
+// Handler returns a handler that sends the response of next without waiting for the rest of the body, and
+// records for each request which side has to act. The connections have the context of ConnContext.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := clientOf(r.Context())
--- a/internal/localfleet/clients_test.go
+++ b/internal/localfleet/clients_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/camphorrack/camphorrack/internal/job"
 	"github.com/camphorrack/camphorrack/internal/standin/crowd"
+	"github.com/camphorrack/camphorrack/internal/targetapi"
 )
 
 // entryMemoryMB is the memory that a daemon may use.
@@ -25,7 +26,7 @@
 type clientsFleet struct {
 	*WithT
 	*Fleet
-	entry *Process
+	entry, agent *Process
 }
 
 func startClientsFleet(t *testing.T, flags ...string) *clientsFleet {
@@ -38,9 +39,9 @@
 	ctx := context.Background()
 	f.entry, err = f.StartEntry(ctx, "entry", "", nil, flags...)
 	g.Expect(err).NotTo(HaveOccurred())
-	agent, err := f.StartAgent(ctx, "worker", "", []string{f.entry.Addr})
+	f.agent, err = f.StartAgent(ctx, "worker", "", []string{f.entry.Addr})
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = f.StartTarget(ctx, TargetOptions{Name: "target", Agent: agent.Addr, Slots: 4, Speed: 1})
+	_, err = f.StartTarget(ctx, TargetOptions{Name: "target", Agent: f.agent.Addr, Slots: 4, Speed: 1})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(f.freshJob, "20s", "50ms").Should(Equal(http.StatusOK))
 	return f
@@ -138,3 +139,15 @@
 	f.Eventually(f.entry.Exited, "20s").Should(BeTrue())
 	f.Expect(f.entry.LogTail()).To(ContainElement(MatchRegexp(`"process_stopped".*"clean":true`)))
 }
+
+// Guards against the same at an agent, whose drain then ends as failed.
+func TestCrowdInADrainOfAnAgent(t *testing.T) {
+	f := startClientsFleet(t)
+	r := crowd.Request{Method: http.MethodPost, Path: targetapi.AnnouncePath, Host: "agent", Body: crowd.Filler(1000), Withheld: 1}
+	open := crowd.Open(f.agent.Addr, 20, func(_ int, w io.Writer) error { return r.Send(w) })
+	defer open.Close()
+	time.Sleep(time.Second) // the bodies have arrived
+	f.Expect(f.agent.Signal(syscall.SIGTERM)).To(Succeed())
+	f.Eventually(f.agent.Exited, "20s").Should(BeTrue())
+	f.Expect(f.agent.LogTail()).To(ContainElement(MatchRegexp(`"process_stopped".*"clean":true`)))
+}
