Servers: a change of the limits leaves nothing behind

Each change of the limits of callers' connections kept another http.Server for the life of the process, only to close its connections at the end. The guard knows all of them, so it closes them, and the list is gone. Read in the code; no failure was seen.

--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -78,6 +78,11 @@
 	now := time.Now()
 	c := newClient(g, conn)
 	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		_ = conn.Close() // the peer may have closed it already
+		return nil, false
+	}
 	evicted, ok := g.table.Open(now, c)
 	g.counts[TooManyConns] += int64(len(evicted))
 	if ok {
@@ -235,11 +240,13 @@
 	g.reported, g.logAt = g.counts, now.Add(sweepInterval)
 }
 
-// Close ends the sweeps. The connections stay open.
+// Close closes all connections and ends the sweeps.
 func (g *Guard) Close() {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.closed = true
+	open := g.table.CloseAll()
+	g.mu.Unlock()
+	closeAll(open)
 }
 
 // RegisterGauge is the method of a metrics registry that adds a gauge.
--- a/internal/leased/server.go
+++ b/internal/leased/server.go
@@ -55,10 +55,9 @@
 	guard       *httpconn.Guard
 	accepted    chan struct{} // closed when Serve ends
 
-	mu          sync.Mutex
-	limits      ConnLimits
-	current     *generation
-	httpServers []*http.Server
+	mu      sync.Mutex
+	limits  ConnLimits
+	current *generation
 }
 
 // generation is the listener of one http.Server. It accepts the connections that arrive
@@ -189,7 +188,7 @@
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(s.log.V(logging.LevelDebug)), slog.LevelInfo),
 	}
 	g := &generation{addr: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
-	s.current, s.httpServers = g, append(s.httpServers, server)
+	s.current = g
 	go func() { _ = server.Serve(g) }() // ends with the generation
 }
 
@@ -300,15 +299,7 @@
 
 // Close closes the server and its connections at once.
 func (s *Server) Close() {
+	_ = s.listener.Close()            // an error only means that it is closed already
+	_ = s.currentGeneration().Close() // never fails
 	s.guard.Close()
-	_ = s.listener.Close()
-	for _, server := range s.allHTTPServers() {
-		_ = server.Close() // the process ends, or has never served
-	}
-}
-
-func (s *Server) allHTTPServers() []*http.Server {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.httpServers
 }
--- a/internal/leased/server_test.go
+++ b/internal/leased/server_test.go
@@ -139,3 +139,22 @@
 	g.Expect(c.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
 	g.Expect(sendRequest(g, c, 1)).To(Equal(http.StatusNoContent))
 }
+
+// Guards against connections that stay open after Close because they were accepted before the limits
+// changed.
+func TestCloseEndsConnectionsWithEarlierLimits(t *testing.T) {
+	g := NewWithT(t)
+	s, dial := startServer(t, leased.ConnLimits{HeaderBytes: 8 << 10})
+	var open []net.Conn
+	for i := range 3 {
+		c := dial()
+		g.Expect(sendRequest(g, c, 1)).To(Equal(http.StatusNoContent))
+		open = append(open, c)
+		s.SetLimits(leased.ConnLimits{HeaderBytes: (9 + i) << 10})
+	}
+	s.Close()
+	for _, c := range open {
+		_, err := bufio.NewReader(c).ReadByte()
+		g.Expect(err).To(HaveOccurred())
+	}
+}
--- a/internal/scheduler/connlimit/connlimit.go
+++ b/internal/scheduler/connlimit/connlimit.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -189,6 +190,15 @@
 	}
 }
 
+// CloseAll removes all connections and returns them.
+func (t *Table[K]) CloseAll() []K {
+	keys := slices.Collect(maps.Keys(t.conns))
+	for _, k := range keys {
+		t.Close(k)
+	}
+	return keys
+}
+
 // longestWaiting returns up to n connections that wait for their clients, the longest wait first.
 func (t *Table[K]) longestWaiting(n int) (keys []K) {
 	for k, c := range t.conns {
