--- a/internal/client/submit.go
+++ b/internal/client/submit.go
@@ -136,11 +136,11 @@
 	return call{method: http.MethodPost, path: p.path, wait: wait, acceptsWait: true, body: p.body}
 }
 
-// handleFault returns err unless it is an undecided fault; an error ends the polling. After an
-// undecided fault it returns the delay before the next call, which goes to the next entry. The delay
+// handleFault returns err unless it leaves the outcome undecided; an error ends the polling. After an
+// undecided outcome it returns the delay before the next call, which goes to the next entry. The delay
 // is that of the fault if it has one.
 func (p *poller) handleFault(index uint32, err error) (*job.Answer, time.Duration, error) {
-	if !errors.Is(err, &fault.Fault{Code: fault.Undecided}) {
+	if !errors.Is(err, &fault.Fault{Code: fault.Undecided}) && !errors.Is(err, &fault.Fault{Code: fault.BodyIncomplete}) {
 		return nil, 0, err
 	}
 	p.lastErr = err
--- a/internal/httpconn/drain.go
+++ b/internal/httpconn/drain.go
@@ -28,6 +28,9 @@
 func (g *Guard) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
+	g.mu.Lock()
+	g.draining, g.sweptAt = true, time.Now()
+	g.mu.Unlock()
 	for g.endWaits() > 0 {
 		select {
 		case <-ctx.Done():
@@ -42,6 +45,7 @@
 func (g *Guard) endWaits() int {
 	now := time.Now()
 	g.mu.Lock()
+	g.forgiveStall(now, drainInterval)
 	incomplete := g.giveUpBodies(now, requestTimeout, GivenUpInDrain)
 	expired := g.expire(now, drainTimeouts, GivenUpInDrain)
 	open := g.table.Len()
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -21,6 +21,8 @@
 	// answerTimeout is how long a client may take to receive a response that is complete. Responses to
 	// callers are a few hundred bytes, so they wait only for a client that leaves many of them unread.
 	answerTimeout = 10 * time.Second
+	// stallThreshold is the shortest delay of a check that counts as a standstill of the process.
+	stallThreshold = 100 * time.Millisecond
 )
 
 // Reason is why a connection or a request of a client was given up.
@@ -56,7 +58,8 @@
 	reported [reasons]int64 // counts that were logged
 	logAt    time.Time      // when the next line may be logged
 	sweeping bool           // sweep is scheduled
-	sweptAt  time.Time
+	sweptAt  time.Time      // when the timeouts were checked last
+	draining bool           // Drain checks the timeouts
 	closed   bool
 }
 
@@ -174,7 +177,7 @@
 
 // scheduleSweep schedules the next sweep unless it is scheduled. The caller holds the lock.
 func (g *Guard) scheduleSweep(now time.Time) {
-	if g.sweeping || g.closed {
+	if g.sweeping || g.draining || g.closed {
 		return
 	}
 	g.sweeping, g.sweptAt = true, now
@@ -189,9 +192,11 @@
 func (g *Guard) sweep() {
 	now := time.Now()
 	g.mu.Lock()
-	if stall := now.Sub(g.sweptAt) - sweepInterval; stall > sweepInterval {
-		g.table.Forgive(stall)
+	if g.draining {
+		g.mu.Unlock()
+		return
 	}
+	g.forgiveStall(now, sweepInterval)
 	slow := g.giveUpBodies(now, bodyTimeout, SlowBody)
 	expired := g.expire(now, timeouts, UnreadAnswer)
 	g.report(now)
@@ -204,6 +209,15 @@
 	closeAll(expired)
 }
 
+// forgiveStall shortens all waits by the time in which the process stood still since the timeouts were
+// checked last, which they are at an interval. The caller holds the lock.
+func (g *Guard) forgiveStall(now time.Time, interval time.Duration) {
+	if stall := now.Sub(g.sweptAt) - interval; stall >= max(interval, stallThreshold) {
+		g.table.Forgive(stall)
+	}
+	g.sweptAt = now
+}
+
 // expire removes the connections that have reached the timeout of their phase and returns them, to be
 // closed without the lock. The caller holds it.
 func (g *Guard) expire(now time.Time, limits connlimit.Timeouts, reason Reason) []*client {
--- a/internal/httpconn/guard_test.go
+++ b/internal/httpconn/guard_test.go
@@ -274,3 +274,22 @@
 	s.Expect(err).NotTo(HaveOccurred())
 	s.Expect(response.StatusCode).To(Equal(http.StatusOK))
 }
+
+// Guards against a drain that gives up a body for a time in which this process stood still.
+func TestStandstillInADrain(t *testing.T) {
+	s := startGuarded(t, connlimit.Limits{}, readBody)
+	arriving := s.open(t, post(50_000, 20_000))
+	s.Eventually(s.gauges["http.test.body_bytes"], "5s").Should(BeNumerically(">=", 20_000))
+	drained := make(chan error, 1)
+	go func() { drained <- s.guard.Drain(t.Context()) }()
+	time.Sleep(requestTimeout / 4)
+	s.guard.mu.Lock()
+	time.Sleep(2 * requestTimeout) // nothing is checked meanwhile
+	s.guard.mu.Unlock()
+	time.Sleep(requestTimeout / 10)
+	_, err := io.WriteString(arriving, strings.Repeat("x", 30_000))
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(status(arriving)).To(Equal(http.StatusOK))
+	s.Expect(arriving.Close()).To(Succeed())
+	s.Eventually(drained, "10s").Should(Receive(BeNil()))
+}
