--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -10,41 +10,9 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/camphorrack/camphorrack/internal/event"
 	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
-const (
-	// sweepInterval is how often connections are checked for timeouts, and the shortest time between two
-	// log lines.
-	sweepInterval = time.Second
-	// answerTimeout is how long a client may take to receive a response that is complete. Responses to
-	// callers are a few hundred bytes, so they wait only for a client that leaves many of them unread.
-	answerTimeout = 10 * time.Second
-	// stallThreshold is the shortest delay of a check that counts as a standstill of the process.
-	stallThreshold = 100 * time.Millisecond
-)
-
-// Reason is why a connection or a request of a client was given up.
-type Reason int
-
-// Reasons to give up.
-const (
-	TooManyConns   Reason = iota // it had waited longest for its client when the limit of connections was reached
-	AllServing                   // a new connection was closed, because the requests of all others are being served
-	TooManyBytes                 // its body had the most byte-seconds when the limit of bytes was reached
-	SlowBody                     // its body was not complete after bodyTimeout
-	TooManyFields                // a header had more lines than maxHeaderLines
-	UnreadAnswer                 // the client did not receive its response within answerTimeout
-	GivenUpInDrain               // the client did not complete its request or receive its response in a drain
-	reasons
-)
-
-var reasonNames = [reasons]string{"too_many_connections", "all_serving", "too_many_bytes", "slow_body", "too_many_header_fields", "unread_answer", "drain"}
-
-// String returns the name of the reason in logs and metrics.
-func (r Reason) String() string { return reasonNames[r] }
-
 // Guard limits what the clients of an HTTP server hold together. The decisions are those of package
 // connlimit. A server passes each accepted connection to Admit, and uses Track, ConnContext and
 // Handler. A Guard is safe for concurrent use.
@@ -175,85 +143,6 @@
 	g.table.SetPhase(time.Now(), c, phase)
 }
 
-// scheduleSweep schedules the next sweep unless it is scheduled. The caller holds the lock.
-func (g *Guard) scheduleSweep(now time.Time) {
-	if g.sweeping || g.draining || g.closed {
-		return
-	}
-	g.sweeping, g.sweptAt = true, now
-	time.AfterFunc(sweepInterval, g.sweep)
-}
-
-// timeouts are the limits of the phases while the server is not draining. Those of the header and
-// between requests are http.Server's.
-var timeouts = connlimit.Timeouts{connlimit.Answered: answerTimeout}
-
-// sweep gives up what has reached its timeout and logs what was given up since the last line.
-func (g *Guard) sweep() {
-	now := time.Now()
-	g.mu.Lock()
-	if g.draining {
-		g.mu.Unlock()
-		return
-	}
-	g.forgiveStall(now, sweepInterval)
-	slow := g.giveUpBodies(now, bodyTimeout, SlowBody)
-	expired := g.expire(now, timeouts, UnreadAnswer)
-	g.report(now)
-	g.sweeping = false
-	if g.table.Len() > 0 || g.counts != g.reported {
-		g.scheduleSweep(now)
-	}
-	g.mu.Unlock()
-	interrupt(slow)
-	closeAll(expired)
-}
-
-// forgiveStall shortens all waits by the time in which the process stood still since the timeouts were
-// checked last, which they are at an interval. The caller holds the lock.
-func (g *Guard) forgiveStall(now time.Time, interval time.Duration) {
-	if stall := now.Sub(g.sweptAt) - interval; stall >= max(interval, stallThreshold) {
-		g.table.Forgive(stall)
-	}
-	g.sweptAt = now
-}
-
-// expire removes the connections that have reached the timeout of their phase and returns them, to be
-// closed without the lock. The caller holds it.
-func (g *Guard) expire(now time.Time, limits connlimit.Timeouts, reason Reason) []*client {
-	expired := g.table.Expired(now, limits)
-	for _, c := range expired {
-		if phase, _ := g.table.Phase(c); phase != connlimit.Idle { // which any server may close
-			g.counts[reason]++
-		}
-		g.table.Close(c)
-	}
-	return expired
-}
-
-func closeAll(clients []*client) {
-	for _, c := range clients {
-		_ = c.Close() // the peer may have closed it already
-	}
-}
-
-// report logs what was given up since the last line, at most once in sweepInterval. The caller holds
-// the lock.
-func (g *Guard) report(now time.Time) {
-	if g.counts == g.reported || now.Before(g.logAt) {
-		return
-	}
-	values := []any{"serves", g.serves, "connections", g.table.Len(), "connections_limit", g.table.Limits().Conns,
-		"body_bytes", g.table.Bytes(), "body_bytes_limit", g.table.Limits().Bytes}
-	for r := range reasons {
-		if n := g.counts[r] - g.reported[r]; n > 0 {
-			values = append(values, r.String(), n)
-		}
-	}
-	event.Log(g.log, event.ClientsGivenUp, values...)
-	g.reported, g.logAt = g.counts, now.Add(sweepInterval)
-}
-
 // Close closes all connections and ends the sweeps.
 func (g *Guard) Close() {
 	g.mu.Lock()
@@ -262,25 +151,3 @@
 	g.mu.Unlock()
 	closeAll(open)
 }
-
-// RegisterGauge is the method of a metrics registry that adds a gauge.
-type RegisterGauge func(name string, read func() int64)
-
-// Register adds gauges of what is held and of the limits, and a counter for each reason to give up, all
-// with names that begin with prefix and a dot.
-func (g *Guard) Register(prefix string, register RegisterGauge) {
-	read := func(value func() int64) func() int64 {
-		return func() int64 {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return value()
-		}
-	}
-	register(prefix+".connections", read(func() int64 { return int64(g.table.Len()) }))
-	register(prefix+".connections_limit", read(func() int64 { return int64(g.table.Limits().Conns) }))
-	register(prefix+".body_bytes", read(g.table.Bytes))
-	register(prefix+".body_bytes_limit", read(func() int64 { return g.table.Limits().Bytes }))
-	for r := range reasons {
-		register(prefix+".given_up."+r.String(), read(func() int64 { return g.counts[r] }))
-	}
-}
