--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -186,7 +186,7 @@
 // the largest size, and for the buffer that it grows from.
 func (d *Dispatcher) updateClientLimits() {
 	limits := connlimit.ForCallers(*d.host.Load())
-	if table := d.routes.Load(); table != nil {
+	if table := d.routes.Load(); table != nil && limits.Bytes > 0 {
 		limits.Bytes = max(limits.Bytes, 2*table.Limits.BodyBytes)
 	}
 	d.callerServer.SetClientLimits(limits)
