--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
 // maxHeaderLines limits the lines of a request's header, which take many times their size as a map. It is
@@ -40,6 +42,19 @@
 	return c
 }
 
+// setPhase records a phase. A request that is answered holds no bytes. A nil client has no phase.
+func (c *client) setPhase(phase connlimit.Phase) {
+	if c == nil {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if phase == connlimit.Answered {
+		c.guard.table.Release(c)
+	}
+	c.guard.table.SetPhase(time.Now(), c, phase)
+}
+
 // Read implements net.Conn.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/httpconn/early.go
+++ b/internal/httpconn/early.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/camphorrack/camphorrack/internal/scheduler/connlimit"
 )
 
 const (
@@ -16,27 +18,23 @@
 	lingerBytes = 512 << 10
 )
 
-// phaseHooks are called when the request is complete, if that is before the response, and when the
-// handler has returned.
-type phaseHooks struct{ complete, answered func() }
-
 // serve sends the response of next as soon as next returns, even if the body of the request has not been
 // received. net/http would wait for the rest of the body first, without a limit of time. The connection is
 // kept if the rest arrives within lingerTime, and closed otherwise.
-func serve(next http.Handler, w http.ResponseWriter, r *http.Request, hooks phaseHooks) {
+func (c *client) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
 	if r.Body == nil || r.Body == http.NoBody {
-		hooks.complete()
+		c.setPhase(connlimit.Serving)
 		next.ServeHTTP(w, r)
-		hooks.answered()
+		c.setPhase(connlimit.Answered)
 		return
 	}
-	body := &trackedBody{ReadCloser: r.Body, onComplete: hooks.complete}
+	body := &trackedBody{ReadCloser: r.Body, client: c}
 	request := *r
 	request.Body = body
 	response := &heldResponse{ResponseWriter: w}
 	next.ServeHTTP(response, &request)
-	body.onComplete = func() {}
-	hooks.answered()
+	body.client = nil // the rest of the body is not served
+	c.setPhase(connlimit.Answered)
 	if body.complete {
 		response.send()
 		return
@@ -58,8 +56,8 @@
 // trackedBody is the body of a request and records whether it was read to its end.
 type trackedBody struct {
 	io.ReadCloser
-	complete   bool
-	onComplete func()
+	complete bool
+	client   *client // enters phase Serving with the end of the body; nil: it does not
 }
 
 // Read implements io.Reader.
@@ -67,7 +65,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) && !b.complete {
 		b.complete = true
-		b.onComplete()
+		b.client.setPhase(connlimit.Serving)
 	}
 	return n, err
 }
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -125,24 +125,10 @@
 // records for each request which side has to act. The connections have the context of ConnContext.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := clientOf(r.Context())
-		serve(next, w, r, phaseHooks{
-			complete: func() { g.setPhase(c, connlimit.Serving) },
-			answered: func() { g.setPhase(c, connlimit.Answered) },
-		})
+		clientOf(r.Context()).serve(next, w, r)
 	})
 }
 
-// setPhase records a phase. A request that is answered holds no bytes.
-func (g *Guard) setPhase(c *client, phase connlimit.Phase) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if phase == connlimit.Answered {
-		g.table.Release(c)
-	}
-	g.table.SetPhase(time.Now(), c, phase)
-}
-
 // Close closes all connections and ends the sweeps.
 func (g *Guard) Close() {
 	g.mu.Lock()
--- a/internal/scheduler/connlimit/connlimit.go
+++ b/internal/scheduler/connlimit/connlimit.go
@@ -1,13 +1,9 @@
 // Package connlimit decides which connections a server gives up when its clients hold too many
 // connections, or too many bytes of requests that it can't answer yet.
 //
-// It answers the load of clients that stop in the middle of a request: thousands of connections, each
-// with a body that lacks its last byte, or that arrives a few bytes at a time. Their number is bounded
-// only by the descriptors of the process, and their bodies only by its memory. Refusing newcomers once
-// a limit is reached would serve nobody else, since such clients never leave. A client that behaves
-// sends its request within milliseconds, so what has waited longest for its client is given up. For
-// memory, a wait counts in proportion to the bytes that are held: byte-seconds, which grow for a
-// client that sends a byte now and then as they do for one that sends nothing.
+// It answers the load of thousands of clients that stop in the middle of a request, or send it a few bytes
+// at a time. What has waited longest for its client is given up, since refusing newcomers would leave the
+// server to them. For memory, a wait counts in byte-seconds.
 //
 // A request that was received whole is never given up. The package has no network, clock and
 // goroutine; callers pass in the time.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -103,9 +103,10 @@
 		}
 		o.Entries, o.Targets = chosen.entries, chosen.targets
 	}
+	memoryMB, maxFDs := o.hostLimits()
 	fleet, err := standin.NewFleet(standin.FleetOptions{
 		BinDir: o.BinDir, Dir: o.Dir, Entries: o.Entries, Targets: o.Targets, Relays: true, Seed: o.Seed,
-		DataCentres: o.dataCentres(), CrashDowntime: crashDowntime, MemoryMB: o.hostMemoryMB(), MaxFDs: o.hostMaxFDs(),
+		DataCentres: o.dataCentres(), CrashDowntime: crashDowntime, MemoryMB: memoryMB, MaxFDs: maxFDs,
 	})
 	if err != nil {
 		return Result{}, err
@@ -148,19 +149,12 @@
 	return dataCentres
 }
 
-// hostMemoryMB and hostMaxFDs return the limits of the hosts; 0: those of any other fleet.
-func (o Options) hostMemoryMB() int {
+// hostLimits returns the limits of the hosts; 0: those of any other fleet.
+func (o Options) hostLimits() (memoryMB, maxFDs int) {
 	if slices.Contains(o.Groups, GroupClients) {
-		return crowdedMemoryMB
+		return crowdedMemoryMB, crowdedMaxFDs
 	}
-	return 0
-}
-
-func (o Options) hostMaxFDs() int {
-	if slices.Contains(o.Groups, GroupClients) {
-		return crowdedMaxFDs
-	}
-	return 0
+	return 0, 0
 }
 
 // waitReady waits until every entry is ready; it returns an error after readyTimeout.
